--- /dev/null
+++ b/include/hyssopford/core/node_core.hpp
@@ -0,0 +1,130 @@
+/// @file
+/// @brief The decision core of one node.
+#pragma once
+
+#include "hyssopford/core/action.hpp"
+#include "hyssopford/core/event.hpp"
+#include "hyssopford/core/ingress_system.hpp"
+#include "hyssopford/core/membership_system.hpp"
+#include "hyssopford/core/owner_system.hpp"
+#include "hyssopford/core/random_source.hpp"
+#include "hyssopford/core/routing_config.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssopford {
+
+/// @brief What a core must know of its node.
+struct NodeCoreSettings {
+  /// Peer address, "ip:port"; gives the node its identifier.
+  std::string Address;
+  /// Run of this node, e.g. its start time in µs.
+  Incarnation Run;
+  std::string FailureDomain;
+  std::string Region;
+  /// Peer addresses of nodes to contact first.
+  std::vector<std::string> Seeds;
+  /// Start value of the random source.
+  std::uint64_t Seed = 1;
+
+  friend bool operator==(const NodeCoreSettings &,
+                         const NodeCoreSettings &) = default;
+};
+
+/// @brief Turns events into actions. Has no clock, socket, thread or global:
+/// the same settings, events and times give the same actions.
+class NodeCore {
+public:
+  /// @name Construction
+  /// @{
+
+  /// @param Settings what the core must know of its node
+  explicit NodeCore(const NodeCoreSettings &Settings);
+  NodeCore(const NodeCore &) = delete;
+  NodeCore &operator=(const NodeCore &) = delete;
+  /// @}
+
+  /// @name Inputs
+  /// @{
+
+  /// @brief Handles one event.
+  /// @param Input the event
+  /// @param Now the current time, never lower than in an earlier call
+  /// @param Out receives the actions
+  void handle(const Event &Input, TimePoint Now, Actions &Out);
+
+  /// @brief Runs every system over its tables.
+  /// @param Now the current time, never lower than in an earlier call
+  /// @param Out receives the actions
+  void tick(TimePoint Now, Actions &Out);
+
+  /// @brief Adopts a configuration if its version is higher than the one in
+  /// force.
+  /// @param Config the configuration
+  /// @return whether it was adopted
+  bool adopt(RoutingConfig Config);
+  /// @}
+
+  /// @name Observers
+  /// @{
+
+  /// @return the time at which tick is due next, if any
+  std::optional<TimePoint> nextWakeup() const;
+
+  /// @return this run of this node
+  NodeRun self() const { return Self; }
+
+  /// @return the configuration in force; version 0 before the first
+  const RoutingConfig &config() const { return Config; }
+
+  const IngressSystem &ingress() const { return Ingress; }
+  const OwnerSystem &owner() const { return Owner; }
+  const MembershipSystem &membership() const { return Membership; }
+  /// @}
+
+private:
+  void on(const CallerRequest &Input, TimePoint Now, Actions &Out);
+  void on(const CallerGone &Input, TimePoint Now, Actions &Out);
+  void on(const PeerLinkUp &Input, TimePoint Now, Actions &Out);
+  void on(const PeerLinkDown &Input, TimePoint Now, Actions &Out);
+  void on(const PeerMessageReceived &Input, TimePoint Now, Actions &Out);
+  void on(const UpstreamAnswered &Input, TimePoint Now, Actions &Out);
+  void on(const UpstreamFailed &Input, TimePoint Now, Actions &Out);
+  void on(const UpstreamAnnounced &Input, TimePoint Now, Actions &Out);
+  void on(const UpstreamGone &Input, TimePoint Now, Actions &Out);
+  void on(const ProbeFinished &Input, TimePoint Now, Actions &Out);
+  void on(const StoreReplied &Input, TimePoint Now, Actions &Out);
+  void on(const ShutdownRequested &Input, TimePoint Now, Actions &Out);
+
+  void receive(NodeRun From, const Dispatch &Message, TimePoint Now,
+               Actions &Out);
+  void receive(NodeRun From, const DispatchReply &Message, TimePoint Now,
+               Actions &Out);
+  void receive(NodeRun From, const Cancel &Message, TimePoint Now,
+               Actions &Out);
+  void receive(NodeRun From, const StatusQuery &Message, TimePoint Now,
+               Actions &Out);
+  void receive(NodeRun From, const StatusReply &Message, TimePoint Now,
+               Actions &Out);
+  void receive(NodeRun From, const Gossip &Message, TimePoint Now,
+               Actions &Out);
+
+  /// Delivers messages that a system addressed to this node itself.
+  void deliverLocal(TimePoint Now, Actions &Produced, Actions &Out);
+  void refreshCandidates();
+
+  NodeRun Self;
+  SeededRandomSource Random;
+  RoutingConfig Config;
+  MembershipSystem Membership;
+  IngressSystem Ingress;
+  OwnerSystem Owner;
+  std::uint64_t CandidateRevision = 0;
+  bool ShuttingDown = false;
+  bool ShutdownReported = false;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/core/routing_config.hpp
@@ -0,0 +1,88 @@
+/// @file
+/// @brief Routing configuration as operators accepted it.
+#pragma once
+
+#include "hyssopford/core/ids.hpp"
+#include "hyssopford/core/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hyssopford {
+
+/// @brief Priority class of a request.
+enum class Priority : std::uint8_t {
+  /// Requests between the organisations' own services.
+  High,
+  Normal
+};
+
+/// @brief Maps requests to a service and states how they are treated.
+struct Route {
+  /// Unique name, used in logs, metrics and traces.
+  std::string Name;
+  /// Host to match; empty matches every host.
+  std::string Host;
+  /// Path prefix to match on segment boundaries.
+  std::string PathPrefix = "/";
+  /// Methods to match; empty matches all.
+  std::vector<std::string> Methods;
+  /// Service that answers.
+  std::string Service;
+  /// Time for the whole request unless the caller states less.
+  Duration Deadline = 1s;
+  /// Overrides the method's idempotency (RFC 9110, section 9.2.2).
+  std::optional<bool> Idempotent;
+  Priority Class = Priority::Normal;
+  /// Most attempts for one request, the first included.
+  std::uint32_t TryLimit = 3;
+  /// Largest request body in bytes.
+  std::uint64_t BodyLimit = 1'048'576;
+
+  friend bool operator==(const Route &, const Route &) = default;
+};
+
+/// @brief Lifts a quarantine: the fingerprint is allowed from this
+/// configuration version on, until it is seen in crashes again.
+struct QuarantineLift {
+  std::uint64_t Fingerprint = 0;
+  /// Raised by operators to lift the same fingerprint once more.
+  std::uint64_t Serial = 0;
+
+  friend bool operator==(const QuarantineLift &,
+                         const QuarantineLift &) = default;
+};
+
+/// @brief One numbered version of the site's configuration.
+struct RoutingConfig {
+  std::uint64_t Version = 0;
+  /// Routes in order of precedence among equally specific ones.
+  std::vector<Route> Routes;
+  /// Peer addresses ("ip:port") of nodes whose upstreams operators drain.
+  std::vector<std::string> Drains;
+  std::vector<QuarantineLift> Lifts;
+
+  friend bool operator==(const RoutingConfig &,
+                         const RoutingConfig &) = default;
+};
+
+/// @brief Finds the route of a request: an exact host goes before any host,
+/// then the longest path prefix, then the earliest route.
+/// @param Config the configuration to search
+/// @param Host the request's host without port, in lower case
+/// @param Path the request's path without query
+/// @param Method the request's method
+/// @return the route, or nullptr if none matches
+/// @note Complexity: linear in the number of routes.
+const Route *findRoute(const RoutingConfig &Config, std::string_view Host,
+                       std::string_view Path, std::string_view Method);
+
+/// @brief Says whether a method is idempotent by RFC 9110, section 9.2.2.
+/// @param Method the method's name, case-sensitive
+/// @return true for GET, HEAD, OPTIONS, TRACE, PUT and DELETE
+bool isIdempotentMethod(std::string_view Method);
+
+} // namespace hyssopford
