Add gossip membership, the directory and the configuration system

Cause: the member table was a full mesh that never noticed a dead node, and configurations could not change. Change: SWIM pings, suspicion and refutation, a news queue within a byte budget, table comparison by bucket hashes, bounded links; a directory in the store under leases; patches by compare-and-swap with resolution of lost answers; announcement of versions on links and in pings.

--- a/include/hyssopford/core/action.hpp
+++ b/include/hyssopford/core/action.hpp
@@ -2,6 +2,7 @@
 /// @brief Outputs of the decision core.
 #pragma once
 
+#include "hyssopford/core/config_event.hpp"
 #include "hyssopford/core/ids.hpp"
 #include "hyssopford/core/message.hpp"
 #include "hyssopford/core/outcome.hpp"
@@ -140,7 +141,8 @@
 /// @brief Any output of the core.
 using Action = std::variant<SendToPeer, OpenLink, CloseLink, ForwardToUpstream,
                             CancelUpstream, ReplyToCaller, ProbeUpstream,
-                            StoreCall, SpanFinished, Notice, ShutdownComplete>;
+                            StoreCall, SpanFinished, Notice, ShutdownComplete,
+                            PatchResult, HistoryResult>;
 
 /// @brief Outputs in the order in which they are to be carried out.
 using Actions = std::vector<Action>;
--- /dev/null
+++ b/include/hyssopford/core/config_event.hpp
@@ -0,0 +1,96 @@
+/// @file
+/// @brief Operators' access to the configuration: events and their results.
+#pragma once
+
+#include "hyssopford/core/config_codec.hpp"
+#include "hyssopford/core/error.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hyssopford {
+
+/// @brief An operator submits a patch. Ends with PatchResult.
+struct PatchSubmitted {
+  /// Number of the question, repeated in the result.
+  std::uint64_t Request = 0;
+  std::string PatchId;
+  std::string Author;
+  /// Version that the patch changes.
+  std::uint64_t Base = 0;
+  /// Array of RFC 6902 operations.
+  std::string Patch;
+  /// Checks everything without writing.
+  bool DryRun = false;
+  /// Wall-clock time in ms since 1970-01-01 UTC, for the history.
+  std::uint64_t TimeMs = 0;
+
+  friend bool operator==(const PatchSubmitted &,
+                         const PatchSubmitted &) = default;
+};
+
+/// @brief What became of a patch.
+enum class PatchStatus : std::uint8_t {
+  /// It is part of the configuration, or, for a dry run, could become so.
+  Accepted,
+  /// It had and will have no effect.
+  Rejected,
+  /// The store did not say whether the write took effect. Submitting the same
+  /// patch with the same identifier again tells.
+  Unresolved
+};
+
+/// @brief Answers PatchSubmitted.
+struct PatchResult {
+  std::uint64_t Request = 0;
+  std::string PatchId;
+  PatchStatus Status = PatchStatus::Rejected;
+  /// Version that the patch made; for a rejected patch the current one, or 0
+  /// if it is not known.
+  std::uint64_t Version = 0;
+  bool DryRun = false;
+  /// Why it was rejected or is unresolved.
+  std::vector<Error> Errors;
+
+  friend bool operator==(const PatchResult &, const PatchResult &) = default;
+};
+
+/// @brief An operator asks who changed what. Ends with HistoryResult.
+struct HistoryRequested {
+  std::uint64_t Request = 0;
+  /// First version of the archive to read; 0 for the recent changes.
+  std::uint64_t Archive = 0;
+
+  friend bool operator==(const HistoryRequested &,
+                         const HistoryRequested &) = default;
+};
+
+/// @brief Answers HistoryRequested.
+struct HistoryResult {
+  std::uint64_t Request = 0;
+  /// Changes, oldest first.
+  std::vector<ConfigChange> Changes;
+  /// Archives with older changes; only with the recent changes.
+  std::vector<ConfigArchive> Archives;
+  /// Empty unless the history could not be read.
+  std::vector<Error> Errors;
+
+  friend bool operator==(const HistoryResult &,
+                         const HistoryResult &) = default;
+};
+
+/// @brief Error numbers of configuration changes.
+/// @{
+inline constexpr int PatchBaseNotCurrent = 120;
+inline constexpr int PatchIdReused = 121;
+inline constexpr int ConfigStoreUnavailable = 122;
+inline constexpr int ConfigStoreOlder = 123;
+inline constexpr int ConfigHeadTooLarge = 124;
+inline constexpr int ConfigHeadUnreadable = 125;
+inline constexpr int PatchFieldInvalid = 126;
+inline constexpr int PatchQueueFull = 127;
+inline constexpr int PatchEffectUnknown = 128;
+/// @}
+
+} // namespace hyssopford
--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -2,6 +2,7 @@
 /// @brief Inputs of the decision core.
 #pragma once
 
+#include "hyssopford/core/config_event.hpp"
 #include "hyssopford/core/ids.hpp"
 #include "hyssopford/core/member.hpp"
 #include "hyssopford/core/message.hpp"
@@ -139,9 +140,10 @@
 };
 
 /// @brief Any input of the core.
-using Event = std::variant<CallerRequest, CallerGone, PeerLinkUp, PeerLinkDown,
-                           PeerMessageReceived, UpstreamAnswered,
-                           UpstreamFailed, UpstreamAnnounced, UpstreamGone,
-                           ProbeFinished, StoreReplied, ShutdownRequested>;
+using Event =
+    std::variant<CallerRequest, CallerGone, PeerLinkUp, PeerLinkDown,
+                 PeerMessageReceived, UpstreamAnswered, UpstreamFailed,
+                 UpstreamAnnounced, UpstreamGone, ProbeFinished, StoreReplied,
+                 ShutdownRequested, PatchSubmitted, HistoryRequested>;
 
 } // namespace hyssopford
--- a/include/hyssopford/core/message.hpp
+++ b/include/hyssopford/core/message.hpp
@@ -2,9 +2,10 @@
 /// @brief Messages between nodes.
 #pragma once
 
+#include "hyssopford/core/config_message.hpp"
 #include "hyssopford/core/ids.hpp"
 #include "hyssopford/core/load_report.hpp"
-#include "hyssopford/core/member.hpp"
+#include "hyssopford/core/membership_message.hpp"
 #include "hyssopford/core/outcome.hpp"
 #include "hyssopford/core/payload.hpp"
 #include "hyssopford/core/routing_config.hpp"
@@ -90,15 +91,10 @@
   friend bool operator==(const StatusReply &, const StatusReply &) = default;
 };
 
-/// @brief Spreads member records.
-struct Gossip {
-  std::vector<MemberRecord> Records;
-
-  friend bool operator==(const Gossip &, const Gossip &) = default;
-};
-
 /// @brief Any message between nodes.
-using PeerMessage = std::variant<Dispatch, DispatchReply, Cancel, StatusQuery,
-                                 StatusReply, Gossip>;
+using PeerMessage =
+    std::variant<Dispatch, DispatchReply, Cancel, StatusQuery, StatusReply,
+                 Gossip, Ping, PingRequest, Ack, SyncRequest, SyncReply,
+                 ConfigDigest, ConfigRequest, ConfigPush>;
 
 } // namespace hyssopford
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "hyssopford/core/action.hpp"
+#include "hyssopford/core/config_system.hpp"
+#include "hyssopford/core/directory_system.hpp"
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/ingress_system.hpp"
 #include "hyssopford/core/membership_system.hpp"
@@ -42,7 +44,10 @@
   /// @{
 
   /// @param Settings what the core must know of its node
-  explicit NodeCore(const NodeCoreSettings &Settings);
+  /// @param Codec the JSON form of the configuration; without one the
+  /// configuration comes only through adopt
+  explicit NodeCore(const NodeCoreSettings &Settings,
+                    const ConfigCodec *Codec = nullptr);
   NodeCore(const NodeCore &) = delete;
   NodeCore &operator=(const NodeCore &) = delete;
   /// @}
@@ -83,6 +88,17 @@
   const IngressSystem &ingress() const { return Ingress; }
   const OwnerSystem &owner() const { return Owner; }
   const MembershipSystem &membership() const { return Membership; }
+
+  /// @return the configuration system, or nullptr without a codec
+  const ConfigSystem *configSystem() const {
+    return Configs ? &*Configs : nullptr;
+  }
+
+  /// @return the incarnation with which the node has to start again after
+  /// ShutdownComplete, if a dead run of it had a higher one
+  std::optional<Incarnation> requiredRun() const {
+    return Membership.requiredRun();
+  }
   /// @}
 
 private:
@@ -98,6 +114,8 @@
   void on(const ProbeFinished &Input, TimePoint Now, Actions &Out);
   void on(const StoreReplied &Input, TimePoint Now, Actions &Out);
   void on(const ShutdownRequested &Input, TimePoint Now, Actions &Out);
+  void on(const PatchSubmitted &Input, TimePoint Now, Actions &Out);
+  void on(const HistoryRequested &Input, TimePoint Now, Actions &Out);
 
   void receive(NodeRun From, const Dispatch &Message, TimePoint Now,
                Actions &Out);
@@ -109,20 +127,28 @@
                Actions &Out);
   void receive(NodeRun From, const StatusReply &Message, TimePoint Now,
                Actions &Out);
-  void receive(NodeRun From, const Gossip &Message, TimePoint Now,
+  /// Takes a message of membership or configuration.
+  template <typename Message>
+  void receive(NodeRun From, const Message &Received, TimePoint Now,
                Actions &Out);
 
   /// Delivers messages that a system addressed to this node itself.
   void deliverLocal(TimePoint Now, Actions &Produced, Actions &Out);
+  /// Passes news between the systems after each input.
+  void connectSystems(TimePoint Now, Actions &Out);
   void refreshCandidates();
+  void refreshDuties(TimePoint Now);
 
   NodeRun Self;
   SeededRandomSource Random;
   RoutingConfig Config;
   MembershipSystem Membership;
+  DirectorySystem Directory;
+  std::optional<ConfigSystem> Configs;
   IngressSystem Ingress;
   OwnerSystem Owner;
   std::uint64_t CandidateRevision = 0;
+  std::uint64_t DutyRevision = 0;
   bool ShuttingDown = false;
   bool ShutdownReported = false;
 };
--- a/include/hyssopford/core/store_call.hpp
+++ b/include/hyssopford/core/store_call.hpp
@@ -79,4 +79,27 @@
   friend bool operator==(const StoreResult &, const StoreResult &) = default;
 };
 
+/// @brief Systems that call the store. The number of a call carries its system
+/// in the upper 8 bits, so that systems count independently.
+enum class StoreUser : std::uint8_t {
+  Config = 1,
+  Patch,
+  History,
+  Directory,
+  Roster = 16
+};
+
+/// @brief Composes the number of a call.
+/// @param User the calling system
+/// @param Sequence number of the call within the system, below 2^56
+constexpr std::uint64_t storeCallNumber(StoreUser User,
+                                        std::uint64_t Sequence) {
+  return static_cast<std::uint64_t>(User) << 56U | Sequence;
+}
+
+/// @return whether a call number belongs to a system
+constexpr bool isCallOf(StoreUser User, std::uint64_t Call) {
+  return Call >> 56U == static_cast<std::uint64_t>(User);
+}
+
 } // namespace hyssopford
--- /dev/null
+++ b/src/core/member_table.cpp
@@ -0,0 +1,114 @@
+#include "hyssopford/core/member_table.hpp"
+
+#include <tuple>
+#include <utility>
+
+namespace hyssopford {
+
+namespace {
+
+// Size of a record in a frame without its strings, measured with the codec.
+constexpr std::size_t RecordOverhead = 56;
+// Failure domains, regions and services repeat and are stored once a frame.
+constexpr std::size_t SharedStrings = 12;
+
+// Decimal order of magnitude of the number of members, rounded up, times four:
+// the number of transmissions after which news has reached every member with
+// high probability.
+std::uint32_t transmissionLimit(std::size_t Members) {
+  std::uint32_t Magnitude = 1;
+  for (std::size_t Reach = 10; Reach < Members + 1; Reach *= 10) {
+    ++Magnitude;
+  }
+  return 4 * Magnitude;
+}
+
+std::uint32_t recordHash(const MemberRecord &Record) {
+  const std::uint64_t Run = hashPair(Record.Id.Node.Value, Record.Id.Run.Value);
+  const std::uint64_t State = static_cast<std::uint64_t>(Record.Update) << 8U |
+                              static_cast<std::uint64_t>(Record.State);
+  return static_cast<std::uint32_t>(hashPair(Run, State));
+}
+
+} // namespace
+
+bool isNewer(const MemberRecord &Left, const MemberRecord &Right) {
+  return std::tuple(Left.Id.Run, Left.Update, Left.State) >
+         std::tuple(Right.Id.Run, Right.Update, Right.State);
+}
+
+std::size_t wireSize(const MemberRecord &Record) {
+  return RecordOverhead + Record.Address.size() + SharedStrings;
+}
+
+MemberTable::MemberTable(MemberRecord Own) : SelfId(Own.Id.Node) { put(Own); }
+
+const MemberRecord *MemberTable::find(NodeId Node) const {
+  const auto Row = All.find(Node);
+  return Row == All.end() ? nullptr : &Row->second;
+}
+
+void MemberTable::put(const MemberRecord &Record) {
+  remove(Record.Id.Node);
+  All.emplace(Record.Id.Node, Record);
+  Live += Record.State != MemberState::Dead ? 1 : 0;
+}
+
+void MemberTable::remove(NodeId Node) {
+  ++Revision;
+  const auto Row = All.find(Node);
+  if (Row != All.end()) {
+    Live -= Row->second.State != MemberState::Dead ? 1 : 0;
+    All.erase(Row);
+  }
+}
+
+std::vector<std::uint32_t> MemberTable::bucketHashes() const {
+  std::vector<std::uint32_t> Hashes(Buckets, 0);
+  for (const auto &[Node, Record] : All) {
+    if (Record.State != MemberState::Dead) {
+      Hashes[Node.Value >> BucketShift] ^= recordHash(Record);
+    }
+  }
+  return Hashes;
+}
+
+void GossipQueue::add(NodeId Node) {
+  const auto Row = Sent.find(Node);
+  if (Row != Sent.end()) {
+    Order.erase({Row->second, Node});
+  }
+  Sent[Node] = 0;
+  Order.emplace(0, Node);
+}
+
+std::vector<MemberRecord> GossipQueue::take(const MemberTable &Table,
+                                            std::int64_t MaxBytes) {
+  const std::uint32_t Limit = transmissionLimit(Table.liveCount());
+  std::vector<MemberRecord> Chosen;
+  std::vector<std::pair<std::uint32_t, NodeId>> Again;
+  while (!Order.empty()) {
+    const auto [Count, Node] = *Order.begin();
+    const MemberRecord *Record = Table.find(Node);
+    if (Record != nullptr) {
+      const auto Size = static_cast<std::int64_t>(wireSize(*Record));
+      if (Size > MaxBytes) {
+        break;
+      }
+      MaxBytes -= Size;
+      Chosen.push_back(*Record);
+    }
+    Order.erase(Order.begin());
+    Sent.erase(Node);
+    if (Record != nullptr && Count + 1 < Limit) {
+      Again.emplace_back(Count + 1, Node);
+    }
+  }
+  for (const auto &[Count, Node] : Again) {
+    Sent[Node] = Count;
+    Order.emplace(Count, Node);
+  }
+  return Chosen;
+}
+
+} // namespace hyssopford
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -1,7 +1,10 @@
 #include "hyssopford/core/node_core.hpp"
 
+#include "hyssopford/core/site_duties.hpp"
+
 #include <algorithm>
 #include <initializer_list>
+#include <set>
 #include <utility>
 
 namespace hyssopford {
@@ -27,29 +30,40 @@
 
 } // namespace
 
-NodeCore::NodeCore(const NodeCoreSettings &Settings)
+NodeCore::NodeCore(const NodeCoreSettings &Settings, const ConfigCodec *Codec)
     : Self{nodeIdOf(Settings.Address), Settings.Run}, Random(Settings.Seed),
       Membership(ownRecord(Settings, Self), Settings.Seeds, Random),
-      Ingress(Self, Random), Owner(Self) {
+      Directory(Settings.Address, Random), Ingress(Self, Random), Owner(Self) {
+  if (Codec != nullptr) {
+    Configs.emplace(*Codec, Random);
+  }
   Actions None;
   Ingress.linkUp(Self, TimePoint{}, None);
 }
 
 void NodeCore::handle(const Event &Input, TimePoint Now, Actions &Out) {
   Actions Produced;
+  Membership.noteTime(Now, Produced);
   std::visit([&](const auto &Each) { on(Each, Now, Produced); }, Input);
+  connectSystems(Now, Produced);
   deliverLocal(Now, Produced, Out);
-  refreshCandidates();
 }
 
 void NodeCore::tick(TimePoint Now, Actions &Out) {
   Actions Produced;
+  Membership.noteTime(Now, Produced);
   Ingress.tick(Now, Produced);
   Owner.tick(Now, Produced);
   Membership.tick(Now, Produced);
+  Directory.tick(Now, Produced);
+  if (Configs) {
+    Configs->tick(Now, Produced);
+  }
+  connectSystems(Now, Produced);
   deliverLocal(Now, Produced, Out);
-  refreshCandidates();
-  if (ShuttingDown && !ShutdownReported && Owner.inFlight() == 0 &&
+  // A run that another one supersedes ends only if it may start again.
+  const bool MayEnd = !Membership.superseded() || Membership.requiredRun();
+  if (ShuttingDown && MayEnd && !ShutdownReported && Owner.inFlight() == 0 &&
       Ingress.inFlight() == 0) {
     ShutdownReported = true;
     Out.emplace_back(ShutdownComplete{});
@@ -61,6 +75,7 @@
     return false;
   }
   Config = std::move(NewConfig);
+  Membership.setConfigVersion(Config.Version);
   CandidateRevision = 0;
   refreshCandidates();
   return true;
@@ -69,7 +84,9 @@
 std::optional<TimePoint> NodeCore::nextWakeup() const {
   std::optional<TimePoint> Next;
   for (const std::optional<TimePoint> &Each :
-       {Ingress.nextWakeup(), Owner.nextWakeup(), Membership.nextWakeup()}) {
+       {Ingress.nextWakeup(), Owner.nextWakeup(), Membership.nextWakeup(),
+        Directory.nextWakeup(),
+        Configs ? Configs->nextWakeup() : std::nullopt}) {
     if (Each && (!Next || *Each < *Next)) {
       Next = Each;
     }
@@ -97,11 +114,17 @@
 
 void NodeCore::on(const PeerLinkUp &Input, TimePoint Now, Actions &Out) {
   Membership.linkUp(Input.Peer, Now, Out);
+  if (Configs) {
+    Configs->linkUp(Input.Peer, Now, Out);
+  }
   Ingress.linkUp(Input.Peer, Now, Out);
 }
 
 void NodeCore::on(const PeerLinkDown &Input, TimePoint Now, Actions &Out) {
   Membership.linkDown(Input.Peer, Now, Out);
+  if (Configs) {
+    Configs->linkDown(Input.Peer);
+  }
   Ingress.linkDown(Input.Peer, Now, Out);
 }
 
@@ -133,8 +156,40 @@
 void NodeCore::on(const ProbeFinished & /*Input*/, TimePoint /*Now*/,
                   Actions & /*Out*/) {}
 
-void NodeCore::on(const StoreReplied & /*Input*/, TimePoint /*Now*/,
-                  Actions & /*Out*/) {}
+void NodeCore::on(const StoreReplied &Input, TimePoint Now, Actions &Out) {
+  Directory.receive(Input, Now);
+  if (Configs) {
+    Configs->receive(Input, Now, Out);
+  }
+}
+
+void NodeCore::on(const PatchSubmitted &Input, TimePoint Now, Actions &Out) {
+  if (Configs) {
+    Configs->submit(Input, Now, Out);
+    return;
+  }
+  Out.emplace_back(
+      PatchResult{Input.Request,
+                  Input.PatchId,
+                  PatchStatus::Rejected,
+                  Config.Version,
+                  Input.DryRun,
+                  {Error{ConfigStoreUnavailable, "config.store", "",
+                         "this node has no access to the configuration"}}});
+}
+
+void NodeCore::on(const HistoryRequested &Input, TimePoint Now, Actions &Out) {
+  if (Configs) {
+    Configs->requestHistory(Input, Now, Out);
+    return;
+  }
+  HistoryResult Answer;
+  Answer.Request = Input.Request;
+  Answer.Errors.push_back(
+      Error{ConfigStoreUnavailable, "config.store", "",
+            "this node has no access to the configuration"});
+  Out.emplace_back(std::move(Answer));
+}
 
 void NodeCore::on(const ShutdownRequested & /*Input*/, TimePoint Now,
                   Actions &Out) {
@@ -168,9 +223,20 @@
   Ingress.resolveStatus(Message, Now, Out);
 }
 
-void NodeCore::receive(NodeRun From, const Gossip &Message, TimePoint Now,
+template <typename Message>
+void NodeCore::receive(NodeRun From, const Message &Received, TimePoint Now,
                        Actions &Out) {
-  Membership.receive(From, Message, Now, Out);
+  if constexpr (requires { Membership.receive(From, Received, Now, Out); }) {
+    Membership.receive(From, Received, Now, Out);
+  } else if (Configs) {
+    Configs->receive(From, Received, Now, Out);
+  }
+  if constexpr (requires { Received.ConfigVersion; }) {
+    // Anti-entropy: pings reach random members.
+    if (Configs) {
+      Configs->receive(From, ConfigDigest{Received.ConfigVersion}, Now, Out);
+    }
+  }
 }
 
 void NodeCore::deliverLocal(TimePoint Now, Actions &Produced, Actions &Out) {
@@ -186,6 +252,36 @@
   }
 }
 
+void NodeCore::connectSystems(TimePoint Now, Actions &Out) {
+  if (Configs) {
+    if (auto Adopted = Configs->takeAdopted()) {
+      adopt(std::move(*Adopted));
+    }
+  }
+  Membership.addContacts(Directory.takeContacts());
+  Directory.setAlone(Membership.linkedPeers().empty(), Now);
+  refreshDuties(Now);
+  refreshCandidates();
+  if (Membership.superseded() && !ShuttingDown) {
+    ShuttingDown = true;
+    Owner.drain();
+    Out.emplace_back(Notice{"serving_stopped", {{"reason", "superseded"}}});
+  }
+}
+
+void NodeCore::refreshDuties(TimePoint Now) {
+  if (DutyRevision == Membership.revision()) {
+    return;
+  }
+  DutyRevision = Membership.revision();
+  SiteDuties Duties =
+      dutiesOf(Membership.members(), Self.Node, DirectorySystem::Slots);
+  Directory.setDuty(Duties.DirectorySlot, std::move(Duties.Contacts), Now);
+  if (Configs) {
+    Configs->setWatching(Duties.WatchesConfig, Now);
+  }
+}
+
 void NodeCore::refreshCandidates() {
   if (CandidateRevision == Membership.revision()) {
     return;
@@ -195,15 +291,23 @@
   for (const auto &[Id, Record] : Membership.members()) {
     const bool Drained = std::find(Config.Drains.begin(), Config.Drains.end(),
                                    Record.Address) != Config.Drains.end();
+    // A suspected member may get work: the ingress also needs a live link.
     const bool Offers = !Record.Service.empty() &&
                         Record.Upstream != UpstreamState::None &&
-                        Record.State == MemberState::Alive;
+                        (Record.State == MemberState::Alive ||
+                         Record.State == MemberState::Suspect);
     if (Offers && !Drained) {
       Candidates.push_back(Candidate{Record.Id, Record.Service,
                                      Record.FailureDomain, Record.Region,
                                      Record.Slots, Record.Upstream});
     }
   }
+  // The ingress sends to any candidate, so it needs a link to each of them.
+  std::set<NodeId> Needed;
+  for (const Candidate &Each : Candidates) {
+    Needed.insert(Each.Owner.Node);
+  }
+  Membership.setNeeded(std::move(Needed));
   Ingress.setCandidates(std::move(Candidates));
 }
 
--- /dev/null
+++ b/src/core/patch_writer.cpp
@@ -0,0 +1,440 @@
+#include "hyssopford/core/patch_writer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssopford {
+
+namespace {
+
+Error patchError(int Code, std::string Reason) {
+  return Error{Code, "config.patch", "", std::move(Reason)};
+}
+
+Error storeError(int Code, const std::string &Reason) {
+  return Error{Code, "config.store", "store", Reason};
+}
+
+bool isSamePatch(const ConfigChange &Change, const PatchSubmitted &Input) {
+  return Change.Author == Input.Author && Change.Base == Input.Base &&
+         Change.Patch == Input.Patch;
+}
+
+std::vector<Error> fieldErrors(const PatchSubmitted &Input) {
+  std::vector<Error> Errors;
+  const auto Check = [&](const char *Name, const std::string &Value,
+                         std::size_t Limit) {
+    if (Value.empty() || Value.size() > Limit) {
+      Errors.push_back(patchError(PatchFieldInvalid,
+                                  std::string(Name) + " must have 1 to " +
+                                      std::to_string(Limit) + " bytes, has " +
+                                      std::to_string(Value.size())));
+    }
+  };
+  Check("patch id", Input.PatchId, PatchWriter::NameLimit);
+  Check("author", Input.Author, PatchWriter::NameLimit);
+  Check("patch", Input.Patch, PatchWriter::PatchLimit);
+  return Errors;
+}
+
+} // namespace
+
+std::string configArchiveKey(std::uint64_t FirstVersion) {
+  return "hyssopford/config/archive/" + std::to_string(FirstVersion);
+}
+
+void PatchWriter::submit(const PatchSubmitted &Input, TimePoint Now,
+                         Actions &Out) {
+  std::vector<Error> Errors = fieldErrors(Input);
+  if (Errors.empty() && Queue.size() >= QueueLimit) {
+    Errors.push_back(
+        patchError(PatchQueueFull, "too many patches wait at this node"));
+  }
+  if (!Errors.empty()) {
+    Out.emplace_back(PatchResult{Input.Request, Input.PatchId,
+                                 PatchStatus::Rejected, InForce, Input.DryRun,
+                                 std::move(Errors)});
+    return;
+  }
+  Queue.push_back(Input);
+  if (!Current) {
+    startNext(Now, Out);
+  }
+}
+
+void PatchWriter::receive(const StoreReplied &Reply, TimePoint Now,
+                          Actions &Out) {
+  if (!Current || Reply.Call != OpenCall) {
+    return;
+  }
+  OpenCall = 0;
+  switch (Current->Step) {
+  case Phase::ReadHead:
+    headRead(Reply.Result, Now, Out);
+    break;
+  case Phase::ReadArchive:
+    archiveRead(Reply.Result, Now, Out);
+    break;
+  case Phase::Archive:
+    archiveWritten(Reply.Result, Now, Out);
+    break;
+  case Phase::Write:
+    headWritten(Reply.Result, Now, Out);
+    break;
+  }
+}
+
+void PatchWriter::tick(TimePoint Now, Actions &Out) {
+  if (!Current) {
+    return;
+  }
+  if (OpenCall != 0 && Current->CallEnd <= Now) {
+    StoreResult Lost;
+    Lost.Reason = "no answer in time";
+    receive(StoreReplied{OpenCall, Lost}, Now, Out);
+  } else if (OpenCall == 0 && Current->RepeatAt && *Current->RepeatAt <= Now) {
+    Current->RepeatAt.reset();
+    issue(Now, Out);
+  }
+}
+
+std::optional<TimePoint> PatchWriter::nextWakeup() const {
+  if (!Current) {
+    return std::nullopt;
+  }
+  return OpenCall != 0 ? std::optional(Current->CallEnd) : Current->RepeatAt;
+}
+
+std::optional<StoredVersion> PatchWriter::takeStored() {
+  return std::exchange(Stored, std::nullopt);
+}
+
+void PatchWriter::startNext(TimePoint Now, Actions &Out) {
+  if (Queue.empty()) {
+    return;
+  }
+  Current.emplace();
+  Current->Input = std::move(Queue.front());
+  Queue.pop_front();
+  Current->GiveUp = Now + ReadTime;
+  issue(Now, Out);
+}
+
+void PatchWriter::call(StoreOperation Operation, TimePoint Now, Actions &Out) {
+  OpenCall = storeCallNumber(StoreUser::Patch, ++LastCall);
+  Current->CallEnd = Now + CallTime;
+  Out.emplace_back(StoreCall{OpenCall, std::move(Operation)});
+}
+
+void PatchWriter::issue(TimePoint Now, Actions &Out) {
+  switch (Current->Step) {
+  case Phase::ReadHead:
+    call(StoreRead{ConfigHeadKey}, Now, Out);
+    break;
+  case Phase::ReadArchive:
+    call(StoreRead{configArchiveKey(Current->ArchiveRead)}, Now, Out);
+    break;
+  case Phase::Archive: {
+    const auto Count = static_cast<std::ptrdiff_t>(
+        Current->Moving.LastVersion - Current->Moving.FirstVersion + 1);
+    const auto First = Current->Head.History.begin();
+    call(StoreWrite{configArchiveKey(Current->Moving.FirstVersion),
+                    Codec.renderArchive({First, First + Count}), 0, 0},
+         Now, Out);
+    break;
+  }
+  case Phase::Write:
+    call(StoreWrite{ConfigHeadKey, Current->NewValue, Current->Revision, 0},
+         Now, Out);
+    break;
+  }
+}
+
+void PatchWriter::failed(const StoreResult &Result, TimePoint Now,
+                         Actions &Out) {
+  if (Now + RepeatPeriod < Current->GiveUp) {
+    Current->RepeatAt = Now + RepeatPeriod;
+    return;
+  }
+  if (Current->Uncertain) {
+    finish(PatchStatus::Unresolved, 0,
+           {storeError(PatchEffectUnknown,
+                       "the store did not say whether the patch took effect; "
+                       "submit it again with the same identifier: " +
+                           Result.Reason)},
+           Now, Out);
+    return;
+  }
+  reject({storeError(ConfigStoreUnavailable,
+                     "the store is not available, nothing was changed: " +
+                         Result.Reason)},
+         Now, Out);
+}
+
+void PatchWriter::headRead(const StoreResult &Result, TimePoint Now,
+                           Actions &Out) {
+  const bool Found = Result.Status == StoreStatus::Done;
+  if (!Found && Result.Status != StoreStatus::Missing) {
+    failed(Result, Now, Out);
+    return;
+  }
+  if (Result.Revision < Current->MinRevision) {
+    StoreResult Older = Result;
+    Older.Reason = "the store serves an older value";
+    failed(Older, Now, Out);
+    return;
+  }
+  Error LastError;
+  std::optional<ConfigHead> Head =
+      Found ? Codec.parseHead(Result.Value, LastError) : ConfigHead{};
+  if (!Head) {
+    LastError.Code = ConfigHeadUnreadable;
+    LastError.Step = "config.store";
+    reject({LastError}, Now, Out);
+    return;
+  }
+  Current->Head = std::move(*Head);
+  Current->Revision = Result.Revision;
+  if (Current->Head.Version > InForce) {
+    Stored = StoredVersion{Current->Head.Version, Current->Head.Document};
+  }
+  decide(Now, Out);
+}
+
+void PatchWriter::archiveRead(const StoreResult &Result, TimePoint Now,
+                              Actions &Out) {
+  if (Result.Status != StoreStatus::Done) {
+    failed(Result, Now, Out);
+    return;
+  }
+  Error LastError;
+  const auto Changes = Codec.parseArchive(Result.Value, LastError);
+  if (!Changes || !settleFrom(*Changes, Now, Out)) {
+    rejectStale(Now, Out);
+  }
+}
+
+void PatchWriter::decide(TimePoint Now, Actions &Out) {
+  const PatchSubmitted &Input = Current->Input;
+  const ConfigHead &Head = Current->Head;
+  if (settleFrom(Head.History, Now, Out)) {
+    return;
+  }
+  if (Head.Version < InForce) {
+    reject(
+        {storeError(ConfigStoreOlder,
+                    "the store serves version " + std::to_string(Head.Version) +
+                        ", older than version " + std::to_string(InForce) +
+                        " in force; try again")},
+        Now, Out);
+    return;
+  }
+  if (Input.Base == Head.Version) {
+    build(Now, Out);
+    return;
+  }
+  // A patch with this base can only have made the next version.
+  const std::uint64_t Made = Input.Base + 1;
+  for (const ConfigArchive &Each : Head.Archives) {
+    if (Each.FirstVersion <= Made && Made <= Each.LastVersion) {
+      Current->Step = Phase::ReadArchive;
+      Current->ArchiveRead = Each.FirstVersion;
+      issue(Now, Out);
+      return;
+    }
+  }
+  rejectStale(Now, Out);
+}
+
+bool PatchWriter::settleFrom(const std::vector<ConfigChange> &Changes,
+                             TimePoint Now, Actions &Out) {
+  const PatchSubmitted &Input = Current->Input;
+  const auto Found =
+      std::find_if(Changes.begin(), Changes.end(), [&](const auto &Each) {
+        return Each.PatchId == Input.PatchId;
+      });
+  if (Found == Changes.end()) {
+    return false;
+  }
+  if (!isSamePatch(*Found, Input)) {
+    reject({patchError(PatchIdReused,
+                       "version " + std::to_string(Found->Version) + " by " +
+                           Found->Author + " has the same patch identifier")},
+           Now, Out);
+    return true;
+  }
+  finish(PatchStatus::Accepted, Found->Version, {}, Now, Out);
+  return true;
+}
+
+void PatchWriter::rejectStale(TimePoint Now, Actions &Out) {
+  reject({patchError(PatchBaseNotCurrent,
+                     "the patch is for version " +
+                         std::to_string(Current->Input.Base) +
+                         ", the current version is " +
+                         std::to_string(Current->Head.Version))},
+         Now, Out);
+}
+
+void PatchWriter::build(TimePoint Now, Actions &Out) {
+  const PatchSubmitted &Input = Current->Input;
+  Error LastError;
+  std::optional<std::string> Document =
+      Codec.applyPatch(Current->Head.Document, Input.Patch, LastError);
+  if (!Document) {
+    reject({LastError}, Now, Out);
+    return;
+  }
+  ConfigHead &New = Current->NewHead;
+  New = Current->Head;
+  ++New.Version;
+  std::vector<Error> Errors;
+  if (!Codec.parseConfig(*Document, New.Version, Errors)) {
+    reject(std::move(Errors), Now, Out);
+    return;
+  }
+  New.Document = std::move(*Document);
+  New.History.push_back(ConfigChange{New.Version, Input.Base, Input.PatchId,
+                                     Input.Author, Input.TimeMs, Input.Patch});
+  fit(Now, Out);
+}
+
+void PatchWriter::fit(TimePoint Now, Actions &Out) {
+  ConfigHead &New = Current->NewHead;
+  std::string Value = Codec.renderHead(New);
+  const std::vector<ConfigChange> &Old = Current->Head.History;
+  const bool TooLarge = Value.size() > HeadLimit;
+  if (!Old.empty() && (TooLarge || New.History.size() > HistoryLimit)) {
+    // Old changes go to the archive before the head value drops them. If the
+    // head write then fails, a later patch finds the archive and uses it.
+    std::size_t Count = std::min(ArchiveCount, Old.size());
+    std::size_t Bytes = 0;
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      Bytes += Old[Index].Patch.size();
+      // Half the limit, as the patch is escaped in JSON.
+      if (Index > 0 && Bytes > HeadLimit / 2) {
+        Count = Index;
+      }
+    }
+    Current->Moving = {Old.front().Version, Old[Count - 1].Version};
+    if (Current->Input.DryRun) {
+      archiveWritten(StoreResult{StoreStatus::Done, "", 0, 0, ""}, Now, Out);
+      return;
+    }
+    Current->Step = Phase::Archive;
+    Current->GiveUp = Now + ReadTime;
+    issue(Now, Out);
+    return;
+  }
+  if (TooLarge) {
+    reject({patchError(ConfigHeadTooLarge,
+                       "the configuration would take " +
+                           std::to_string(Value.size()) +
+                           " bytes in the store, the limit is " +
+                           std::to_string(HeadLimit))},
+           Now, Out);
+    return;
+  }
+  if (Current->Input.DryRun) {
+    finish(PatchStatus::Accepted, New.Version, {}, Now, Out);
+    return;
+  }
+  Current->NewValue = std::move(Value);
+  Current->Step = Phase::Write;
+  Current->GiveUp = Now + ReadTime;
+  issue(Now, Out);
+}
+
+void PatchWriter::archiveWritten(const StoreResult &Result, TimePoint Now,
+                                 Actions &Out) {
+  if (Result.Status == StoreStatus::Conflict) {
+    // An earlier patch moved these changes and failed to write the head.
+    Error LastError;
+    const auto Changes = Codec.parseArchive(Result.Value, LastError);
+    const bool Usable =
+        Changes && !Changes->empty() &&
+        Changes->front().Version == Current->Moving.FirstVersion &&
+        Changes->back().Version < Current->NewHead.Version;
+    if (!Usable) {
+      reject({storeError(ConfigHeadUnreadable,
+                         "archive " +
+                             configArchiveKey(Current->Moving.FirstVersion) +
+                             " holds something else: " + LastError.Reason)},
+             Now, Out);
+      return;
+    }
+    Current->Moving.LastVersion = Changes->back().Version;
+  } else if (Result.Status != StoreStatus::Done) {
+    // The repeated write tells, by a conflict, whether this one took effect.
+    failed(Result, Now, Out);
+    return;
+  }
+  const std::uint64_t Last = Current->Moving.LastVersion;
+  std::erase_if(Current->NewHead.History,
+                [&](const auto &Each) { return Each.Version <= Last; });
+  std::erase_if(Current->Head.History,
+                [&](const auto &Each) { return Each.Version <= Last; });
+  std::vector<ConfigArchive> &Archives = Current->NewHead.Archives;
+  Archives.push_back(Current->Moving);
+  if (Archives.size() > ArchiveLimit) {
+    Archives.erase(Archives.begin());
+  }
+  fit(Now, Out);
+}
+
+void PatchWriter::headWritten(const StoreResult &Result, TimePoint Now,
+                              Actions &Out) {
+  switch (Result.Status) {
+  case StoreStatus::Done:
+    Stored = StoredVersion{Current->NewHead.Version,
+                           std::move(Current->NewHead.Document)};
+    finish(PatchStatus::Accepted, Stored->Version, {}, Now, Out);
+    return;
+  case StoreStatus::Conflict:
+    conflicted(Result, Now, Out);
+    return;
+  case StoreStatus::NoAnswer:
+    if (!Current->Uncertain) {
+      Current->Uncertain = true;
+      Current->GiveUp = Now + ResolveTime;
+    }
+    break;
+  default:
+    break;
+  }
+  failed(Result, Now, Out);
+}
+
+void PatchWriter::conflicted(const StoreResult &Result, TimePoint Now,
+                             Actions &Out) {
+  // The head changed, so this write can no longer take effect. Its history
+  // tells whether an earlier try did. A read may be served an older value.
+  Current->Step = Phase::ReadHead;
+  Current->MinRevision = Current->Revision + 1;
+  if (Result.Revision >= Current->MinRevision && !Result.Value.empty()) {
+    StoreResult Head = Result;
+    Head.Status = StoreStatus::Done;
+    headRead(Head, Now, Out);
+    return;
+  }
+  issue(Now, Out);
+}
+
+void PatchWriter::reject(std::vector<Error> Errors, TimePoint Now,
+                         Actions &Out) {
+  finish(PatchStatus::Rejected, std::max(Current->Head.Version, InForce),
+         std::move(Errors), Now, Out);
+}
+
+void PatchWriter::finish(PatchStatus Status, std::uint64_t Version,
+                         std::vector<Error> Errors, TimePoint Now,
+                         Actions &Out) {
+  const PatchSubmitted Input = std::move(Current->Input);
+  Current.reset();
+  OpenCall = 0;
+  Out.emplace_back(PatchResult{Input.Request, Input.PatchId, Status, Version,
+                               Input.DryRun, std::move(Errors)});
+  startNext(Now, Out);
+}
+
+} // namespace hyssopford
