Add the routing configuration in JSON with its schema

Cause: the configuration system needs to read, validate, write and patch the site's document.

Change: parseRoutingConfig reports all faults in one go, each with its JSON pointer; renderRoutingConfig; applyJsonPatch, which refuses operations below a text or number that the JSON library would abort on or ignore. schema/routing.schema.json, held to the parser by a test that varies every property. core/error_codes.hpp numbers the errors.

--- /dev/null
+++ b/include/hyssopford/core/error_codes.hpp
@@ -0,0 +1,35 @@
+/// @file
+/// @brief Numbers of all errors; docs/errors.md describes each of them.
+#pragma once
+
+namespace hyssopford {
+
+/// @brief Number of an error. Ranges: 101 to 199 configuration, 201 to 299
+/// telemetry, 301 to 399 network, 401 to 499 node and operators' port, 501 to
+/// 599 hyssopctl, 601 to 699 decision core. A number is never used again for
+/// another error.
+enum class ErrorCode : int {
+  /// @name Configuration and node settings
+  /// @{
+  NotJson = 101,
+  DuplicateKey = 102,
+  UnknownField = 103,
+  MissingField = 104,
+  WrongType = 105,
+  OutOfRange = 106,
+  WrongForm = 107,
+  NotUnique = 108,
+  RouteConflict = 109,
+  PatchForm = 110,
+  PatchConflict = 111,
+  FileUnreadable = 112,
+  SettingConflict = 113,
+  /// @}
+};
+
+/// @brief Gives the number that an Error carries.
+/// @param Code the error
+/// @return its number
+constexpr int numberOf(ErrorCode Code) { return static_cast<int>(Code); }
+
+} // namespace hyssopford
--- /dev/null
+++ b/tests/config/routing_schema_test.cpp
@@ -0,0 +1,30 @@
+/// @file
+/// @brief Holds schema/routing.schema.json and the parser together.
+#include "hyssopford/config/routing_config_json.hpp"
+#include "schema_probe.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssopford;
+
+TEST_CASE("the routing schema and the parser agree", "[config][schema]") {
+  RoutingConfig Config;
+  Route Full;
+  Full.Name = "enrol";
+  Full.Host = "courses.example";
+  Full.Methods = {"POST"};
+  Full.Service = "enrolment";
+  Full.Idempotent = false;
+  Config.Routes = {Full};
+  Config.Drains = {"192.0.2.7:7101"};
+  Config.Lifts = {QuarantineLift{1, 2}};
+
+  test::probeSchema(nlohmann::json::parse(
+                        test::readRepositoryFile("schema/routing.schema.json")),
+                    nlohmann::json::parse(renderRoutingConfig(Config)),
+                    [](const std::string &Document) {
+                      std::vector<Error> Errors;
+                      parseRoutingConfig(Document, 1, Errors);
+                      return Errors;
+                    });
+}
