--- /dev/null
+++ b/include/hyssopford/core/admission_queue.hpp
@@ -0,0 +1,82 @@
+/// @file
+/// @brief Attempts that wait for a slot of the upstream.
+#pragma once
+
+#include "hyssopford/core/message.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace hyssopford {
+
+/// @brief An attempt that an owner has admitted.
+struct AdmittedAttempt {
+  NodeId From;
+  Dispatch Attempt;
+  TimePoint Arrived;
+  TimePoint Deadline;
+  TimePoint Started;
+};
+
+/// @brief Queue with two priority classes. High goes first, but after a burst
+/// of high-priority starts one waiting normal attempt is started, so neither
+/// class starves.
+class AdmissionQueue {
+public:
+  /// @param Burst high-priority starts after which a normal attempt follows
+  explicit AdmissionQueue(std::uint32_t Burst) : HighBurst(Burst) {}
+
+  /// @brief Appends an attempt to its class.
+  void push(AdmittedAttempt Row);
+
+  /// @brief Takes the attempt to start next.
+  /// @return the attempt; empty if the queue is
+  std::optional<AdmittedAttempt> pop();
+
+  /// @brief Takes a given attempt out.
+  std::optional<AdmittedAttempt> remove(const AttemptId &Attempt);
+
+  /// @brief Takes one attempt whose deadline has passed.
+  std::optional<AdmittedAttempt> popExpired(TimePoint Now);
+
+  /// @brief Counts the attempts that start before a new one of a class.
+  /// @note Complexity: constant.
+  std::size_t ahead(Priority Class) const;
+
+  /// @return whether an attempt is queued
+  bool contains(const AttemptId &Attempt) const {
+    return Positions.contains(Attempt);
+  }
+
+  /// @return the earliest deadline, if any
+  std::optional<TimePoint> nextDeadline() const;
+
+  /// @return the number of attempts queued
+  std::size_t size() const { return Positions.size(); }
+
+private:
+  using Line = std::list<AdmittedAttempt>;
+
+  AdmittedAttempt take(Line &From, Line::iterator At);
+  Line &lineOf(Priority Class) {
+    return Lines[static_cast<std::size_t>(Class)];
+  }
+  const Line &lineOf(Priority Class) const {
+    return Lines[static_cast<std::size_t>(Class)];
+  }
+
+  std::uint32_t HighBurst;
+  std::uint32_t HighStarts = 0;
+  std::array<Line, 2> Lines;
+  std::unordered_map<AttemptId, Line::iterator> Positions;
+  std::set<std::pair<TimePoint, AttemptId>> Deadlines;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/core/concurrency_limit.hpp
@@ -0,0 +1,65 @@
+/// @file
+/// @brief Limit of the requests that run on an upstream at once.
+#pragma once
+
+#include "hyssopford/core/decision_settings.hpp"
+
+#include <cstdint>
+
+namespace hyssopford {
+
+/// @brief Adapts the limit of concurrent requests between 1 and the announced
+/// slots: it shrinks in proportion when the mean latency of a window exceeds
+/// the baseline, e.g. because a noisy neighbour takes part of the machine, and
+/// grows by one slot per window otherwise.
+class ConcurrencyLimit {
+public:
+  /// @param Chosen constants of admission
+  explicit ConcurrencyLimit(const AdmissionSettings &Chosen)
+      : Settings(Chosen) {}
+
+  /// @brief Takes the announced slots.
+  /// @param Announced slots of the upstream
+  /// @param Cold whether the limit ramps up from a small share of the slots
+  /// @param Now the current time
+  void announce(std::uint32_t Announced, bool Cold, TimePoint Now);
+
+  /// @brief Takes the latency of one answer.
+  /// @param Latency time from the start on the upstream to its answer
+  /// @param InFlight requests that ran when the answer came, it included
+  /// @param Now the current time
+  void observe(Duration Latency, std::uint32_t InFlight, TimePoint Now);
+
+  /// @brief Takes note that the upstream shed a request.
+  /// @param Now the current time
+  void shed(TimePoint Now);
+
+  /// @brief Marks the upstream as suspected or not. A suspected upstream gets
+  /// one request at a time and ramps up afterwards.
+  void suspect(bool Suspected, TimePoint Now);
+
+  /// @return the limit in force; at least 1
+  std::uint32_t value(TimePoint Now) const;
+
+  /// @return whether the limit grows with time
+  bool ramping(TimePoint Now) const;
+
+private:
+  void endWindow(TimePoint Now);
+
+  AdmissionSettings Settings;
+  std::uint32_t Slots = 0;
+  /// Adaptive part of the limit, in slots.
+  double Limit = 1.0;
+  /// Mean latency in µs of an unloaded upstream.
+  double Baseline = 0.0;
+  double WindowSum = 0.0;
+  std::uint32_t WindowCount = 0;
+  std::uint32_t WindowPeak = 0;
+  TimePoint ShedUntil;
+  TimePoint RampStart;
+  bool Ramps = false;
+  bool IsSuspected = false;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -0,0 +1,127 @@
+/// @file
+/// @brief Constants of routing, admission and probing, and the two profiles.
+#pragma once
+
+#include "hyssopford/core/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace hyssopford {
+
+/// @brief Constants of the choice of upstreams, of retries and of hedges.
+struct RoutingSettings {
+  /// Candidates compared for one choice.
+  std::uint32_t Samples = 3;
+  /// Age at which a load report has half its weight; 0 disables ageing.
+  Duration ReportHalfLife = 50ms;
+  /// Weight of the round trip in the score; 0 disables it.
+  double LocalityWeight = 1.0;
+  /// Round trip assumed for a failure domain before it was measured.
+  Duration FirstRoundTrip = 1ms;
+  /// Time charged for a failure, in mean latencies; 0 disables the charge.
+  double FailureWeight = 3.0;
+  /// Age at which an observed failure share has half its weight.
+  Duration FailureHalfLife = 1s;
+  /// Percentile of the latency after which an idempotent request is hedged;
+  /// 1 disables hedging.
+  double HedgeQuantile = 0.95;
+  /// Hedges are never sent earlier than this.
+  Duration HedgeFloor = 1ms;
+  /// Retries and hedges per 1,000 original requests. 95 keeps the share below
+  /// 10 % although each service starts with ExtraBurst tokens.
+  std::uint32_t ExtraPerThousand = 95;
+  /// Most retries and hedges in a burst.
+  std::uint32_t ExtraBurst = 10;
+  /// Upstreams of one service in the node's own region that get a link; 0
+  /// disables subsets.
+  std::size_t SubsetSize = 8;
+  /// Upstreams of one service in all other regions that get a link.
+  std::size_t RemoteSubsetSize = 4;
+  /// Failure share at which an upstream is ejected.
+  double EjectionShare = 0.5;
+  /// Length of the first ejection; doubles with each further one.
+  Duration EjectionTime = 500ms;
+  /// Longest ejection.
+  Duration EjectionTimeMax = 30s;
+  /// How long a request waits for the first link of its service.
+  Duration LinkWait = 250ms;
+  /// A service without requests for this long loses its links.
+  Duration ServiceRetention = 600s;
+
+  friend bool operator==(const RoutingSettings &,
+                         const RoutingSettings &) = default;
+};
+
+/// @brief Constants of admission at the owner.
+struct AdmissionSettings {
+  /// Whether the limit follows the measured latency.
+  bool AdaptiveLimit = true;
+  /// Longest expected wait in the queue.
+  Duration QueueDelayMax = 100ms;
+  /// Most attempts in the queue, which bounds its memory.
+  std::size_t QueueLengthMax = 1024;
+  /// High-priority starts after which a waiting normal attempt is started.
+  std::uint32_t HighBurst = 4;
+  /// Time over which the limit of a cold upstream grows to its slots.
+  Duration ColdRamp = 2s;
+  /// Answers that make one latency measurement. Fewer make the limit follow
+  /// the noise of the service time.
+  std::uint32_t LatencyWindow = 40;
+  /// The limit shrinks when the latency exceeds the baseline by this factor.
+  double LatencyTolerance = 1.6;
+  /// Factor by which the limit shrinks at most in one window.
+  double ShrinkMin = 0.7;
+  /// Bytes of finished answers kept; the oldest are forgotten first.
+  std::size_t FinishedBytesMax = 33'554'432;
+
+  friend bool operator==(const AdmissionSettings &,
+                         const AdmissionSettings &) = default;
+};
+
+/// @brief Constants of probing.
+struct ProbeSettings {
+  /// Probe time per time of all slots, in parts per million. The objective of
+  /// deployment A is 1 %.
+  std::uint32_t BudgetPpm = 9'000;
+  /// Longest probe; reserved in full before a probe starts.
+  Duration Timeout = 30ms;
+  /// An upstream without an observed outcome for this long is probed.
+  Duration IdleAfter = 1s;
+  /// Least time between two probes of a cold or suspected upstream.
+  Duration Interval = 100ms;
+  /// Failures in a row that make an upstream suspected.
+  std::uint32_t SuspectAfter = 3;
+
+  friend bool operator==(const ProbeSettings &,
+                         const ProbeSettings &) = default;
+};
+
+/// @brief All constants of the decisions on requests.
+struct DecisionSettings {
+  RoutingSettings Routing;
+  AdmissionSettings Admission;
+  ProbeSettings Probing;
+
+  friend bool operator==(const DecisionSettings &,
+                         const DecisionSettings &) = default;
+};
+
+/// @brief Profile for deployments that weigh the tail of the latency most.
+/// @return the settings of deployment A
+inline DecisionSettings tailProfile() { return {}; }
+
+/// @brief Profile for deployments that weigh the cost of measurement most.
+/// @return the settings of deployment B
+inline DecisionSettings costProfile() {
+  DecisionSettings Settings;
+  Settings.Routing.Samples = 2;
+  Settings.Routing.HedgeQuantile = 0.98;
+  Settings.Routing.ExtraPerThousand = 45;
+  Settings.Admission.QueueDelayMax = 200ms;
+  Settings.Probing.BudgetPpm = 2'700;
+  Settings.Probing.IdleAfter = 5s;
+  return Settings;
+}
+
+} // namespace hyssopford
--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -79,6 +79,8 @@
   AttemptId Attempt;
   std::uint16_t Status = 0;
   Payload Answer;
+  /// True for a 503 with Retry-After: the upstream sheds load.
+  bool Shedding = false;
 
   friend bool operator==(const UpstreamAnswered &,
                          const UpstreamAnswered &) = default;
--- a/include/hyssopford/core/message.hpp
+++ b/include/hyssopford/core/message.hpp
@@ -46,6 +46,9 @@
   OutcomeReason Reason = OutcomeReason::None;
   /// HTTP status of the upstream's answer; 0 if there is none.
   std::uint16_t Status = 0;
+  /// Time from the arrival of the Dispatch at the owner to this reply; the
+  /// ingress subtracts it to get the round trip. 0 means not stated.
+  Duration Held{0};
   LoadReport Load;
   Payload Answer;
 
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -3,10 +3,12 @@
 #pragma once
 
 #include "hyssopford/core/action.hpp"
+#include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/ingress_system.hpp"
 #include "hyssopford/core/membership_system.hpp"
 #include "hyssopford/core/owner_system.hpp"
+#include "hyssopford/core/probe_system.hpp"
 #include "hyssopford/core/random_source.hpp"
 #include "hyssopford/core/routing_config.hpp"
 
@@ -29,6 +31,8 @@
   std::vector<std::string> Seeds;
   /// Start value of the random source.
   std::uint64_t Seed = 1;
+  /// Constants of routing, admission and probing.
+  DecisionSettings Decisions;
 
   friend bool operator==(const NodeCoreSettings &,
                          const NodeCoreSettings &) = default;
@@ -82,6 +86,7 @@
 
   const IngressSystem &ingress() const { return Ingress; }
   const OwnerSystem &owner() const { return Owner; }
+  const ProbeSystem &probes() const { return Probes; }
   const MembershipSystem &membership() const { return Membership; }
   /// @}
 
@@ -122,6 +127,7 @@
   MembershipSystem Membership;
   IngressSystem Ingress;
   OwnerSystem Owner;
+  ProbeSystem Probes;
   std::uint64_t CandidateRevision = 0;
   bool ShuttingDown = false;
   bool ShutdownReported = false;
--- a/include/hyssopford/core/outcome.hpp
+++ b/include/hyssopford/core/outcome.hpp
@@ -42,6 +42,14 @@
   ShuttingDown
 };
 
+/// @param Value the reason of an attempt's end
+/// @return whether it is a fault of the upstream itself
+constexpr bool isUpstreamFault(OutcomeReason Value) {
+  return Value == OutcomeReason::ConnectFailed ||
+         Value == OutcomeReason::UpstreamClosed ||
+         Value == OutcomeReason::UpstreamTimeout;
+}
+
 /// @param Value the outcome to name
 /// @return "answered", "not-run" or "unknown"
 const char *toString(Outcome Value);
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -3,14 +3,18 @@
 #pragma once
 
 #include "hyssopford/core/action.hpp"
+#include "hyssopford/core/admission_queue.hpp"
+#include "hyssopford/core/concurrency_limit.hpp"
+#include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/event.hpp"
+#include "hyssopford/core/finished_attempts.hpp"
 #include "hyssopford/core/load_report.hpp"
 
 #include <cstdint>
-#include <deque>
-#include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace hyssopford {
 
@@ -25,13 +29,16 @@
   /// @{
 
   /// @param Self this run of this node
-  explicit OwnerSystem(NodeRun Self);
+  /// @param Settings constants of admission
+  explicit OwnerSystem(NodeRun Self, const AdmissionSettings &Settings = {});
   /// @}
 
   /// @name Inputs
   /// @{
 
-  /// @brief Admits, queues or refuses an attempt.
+  /// @brief Starts, queues or refuses an attempt. A duplicate of a finished
+  /// attempt gets the same reply; one of a queued or running attempt, or of
+  /// one that may have been forgotten, is never run.
   void admit(NodeId From, const Dispatch &Attempt, TimePoint Now, Actions &Out);
 
   /// @brief Drops an attempt that nobody waits for.
@@ -50,10 +57,14 @@
   /// @brief Takes the announcement of the upstream.
   void announce(const UpstreamAnnounced &Upstream, TimePoint Now, Actions &Out);
 
-  /// @brief Notes that the upstream is gone.
+  /// @brief Notes that the upstream is gone. Queued attempts are not-run;
+  /// after a crash running ones are unknown.
   void withdraw(const UpstreamGone &Gone, TimePoint Now, Actions &Out);
 
-  /// @brief Refuses new work from now on.
+  /// @brief Takes the verdict of the probes and of observed failures.
+  void suspect(bool Suspected, TimePoint Now, Actions &Out);
+
+  /// @brief Refuses new work from now on. Admitted attempts still run.
   void drain() { Draining = true; }
 
   /// @brief Runs the timers.
@@ -69,6 +80,9 @@
   /// @return the load of the upstream
   LoadReport load() const;
 
+  /// @return the attempts that the upstream runs now, in no fixed order
+  std::vector<const Dispatch *> running() const;
+
   /// @return the number of attempts queued or running
   std::size_t inFlight() const { return Queue.size() + Running.size(); }
 
@@ -77,32 +91,28 @@
   /// @}
 
 private:
-  struct AttemptRow {
-    NodeId From;
-    Dispatch Attempt;
-    TimePoint Deadline;
-    TimePoint Started;
-  };
-
-  struct FinishedRow {
-    TimePoint Ended;
-    DispatchReply Reply;
-  };
-
+  std::optional<OutcomeReason> refusalReason(const Dispatch &Attempt) const;
+  Duration expectedWait(Priority Class) const;
   void startQueued(TimePoint Now, Actions &Out);
-  void finish(NodeId From, DispatchReply Reply, TimePoint Now, Actions &Out);
-  void refuse(NodeId From, AttemptId Attempt, Outcome Result,
-              OutcomeReason Reason, TimePoint Now, Actions &Out);
+  void end(const AdmittedAttempt &Row, DispatchReply Reply, TimePoint Now,
+           Actions &Out);
+  void endQueued(const AdmittedAttempt &Row, OutcomeReason Reason,
+                 TimePoint Now, Actions &Out);
+  void send(NodeId From, DispatchReply Reply, TimePoint Now, Actions &Out);
 
   NodeRun Self;
+  AdmissionSettings Settings;
   UpstreamAnnounced Upstream;
   bool Draining = false;
   std::uint64_t ReportSequence = 0;
-  Duration ServiceTime{0};
-  std::deque<AttemptRow> Queue;
-  std::map<AttemptId, AttemptRow> Running;
-  std::map<AttemptId, FinishedRow> Finished;
-  std::map<NodeRun, std::uint64_t> LowWaterMarks;
+  /// Time of the latest input.
+  TimePoint Latest;
+  /// Smoothed service time in µs; 0 before the first answer.
+  double ServiceTime = 0.0;
+  ConcurrencyLimit Limit;
+  AdmissionQueue Queue;
+  std::unordered_map<AttemptId, AdmittedAttempt> Running;
+  FinishedAttempts Finished;
 };
 
 } // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/core/retry_budget.hpp
@@ -0,0 +1,50 @@
+/// @file
+/// @brief Budget of retries and hedges in proportion to traffic.
+#pragma once
+
+#include "hyssopford/core/decision_settings.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace hyssopford {
+
+/// @brief Token bucket that original requests fill and that retries and hedges
+/// draw from, so their share stays bounded however many requests fail.
+class RetryBudget {
+public:
+  /// @param Settings share and burst
+  explicit RetryBudget(const RoutingSettings &Settings)
+      : PerRequest(Settings.ExtraPerThousand),
+        Capacity(Settings.ExtraBurst * PerToken), Level(Capacity) {}
+
+  /// @brief Adds the share of one original request.
+  void fund() { Level = std::min(Capacity, Level + PerRequest); }
+
+  /// @brief Takes one token for a retry.
+  /// @return false if the budget is spent
+  bool takeRetry() { return take(PerToken); }
+
+  /// @brief Takes one token for a hedge. Half of the capacity stays reserved
+  /// for retries, which settle requests that otherwise fail.
+  /// @return false if too little is left
+  bool takeHedge() { return take(PerToken + Capacity / 2); }
+
+private:
+  /// One retry in thousandths, the unit of the level.
+  static constexpr std::uint64_t PerToken = 1000;
+
+  bool take(std::uint64_t Needed) {
+    if (Level < Needed) {
+      return false;
+    }
+    Level -= PerToken;
+    return true;
+  }
+
+  std::uint64_t PerRequest;
+  std::uint64_t Capacity;
+  std::uint64_t Level;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/core/selection_policy.hpp
@@ -0,0 +1,94 @@
+/// @file
+/// @brief Choice of the upstream for one attempt.
+#pragma once
+
+#include "hyssopford/core/ids.hpp"
+#include "hyssopford/core/load_report.hpp"
+#include "hyssopford/core/member.hpp"
+#include "hyssopford/core/random_source.hpp"
+#include "hyssopford/core/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace hyssopford {
+
+/// @brief What an ingress knows of one candidate.
+struct CandidateView {
+  NodeRun Owner;
+  /// Announced slots.
+  std::uint32_t Slots = 1;
+  UpstreamState State = UpstreamState::Serving;
+  /// Index of the failure domain in Selection::RoundTrips.
+  std::size_t Domain = 0;
+  /// Latest load report; its sequence is 0 before the first.
+  LoadReport Report;
+  /// When the latest report arrived.
+  TimePoint ReportedAt;
+  /// Attempts sent by this ingress that the report cannot include.
+  std::uint32_t SentSince = 0;
+  /// Attempts of this ingress without a reply.
+  std::uint32_t Outstanding = 0;
+  /// When the oldest outstanding attempt was sent.
+  TimePoint OldestSent;
+  /// Smoothed share of failures among the outcomes this ingress observed.
+  double FailureShare = 0.0;
+  /// When the latest failure was observed.
+  TimePoint FailedAt;
+
+  friend bool operator==(const CandidateView &,
+                         const CandidateView &) = default;
+};
+
+/// @brief Smoothed means over all candidates of a service.
+struct ServiceMean {
+  /// Requests at the owner per unit of its limit.
+  double Utilisation = 0.0;
+  /// Service time in µs.
+  double ServiceTime = 0.0;
+  /// Time from sending an attempt to its answer in µs.
+  double Latency = 0.0;
+
+  friend bool operator==(const ServiceMean &, const ServiceMean &) = default;
+};
+
+/// @brief Input of one choice. The spans are valid during the call only.
+struct Selection {
+  /// Candidates with a usable link that take new work.
+  std::span<const CandidateView> Candidates;
+  /// Nodes that already got an attempt of this request.
+  std::span<const NodeId> Excluded;
+  /// Measured round trips per failure domain.
+  std::span<const Duration> RoundTrips;
+  ServiceMean Mean;
+  TimePoint Now;
+
+  /// @param Index a position in Candidates
+  /// @return whether the request already had an attempt there
+  /// @note Complexity: linear in the number of earlier attempts.
+  bool excluded(std::size_t Index) const {
+    for (const NodeId Node : Excluded) {
+      if (Node == Candidates[Index].Owner.Node) {
+        return true;
+      }
+    }
+    return false;
+  }
+};
+
+/// @brief Strategy that picks the upstream for an attempt.
+class SelectionPolicy {
+public:
+  virtual ~SelectionPolicy() = default;
+
+  /// @brief Picks a candidate that is not excluded.
+  /// @param Input the candidates and what is known of them
+  /// @param Random source of the samples
+  /// @return the position in Input.Candidates; empty if all are excluded
+  virtual std::optional<std::size_t> choose(const Selection &Input,
+                                            RandomSource &Random) = 0;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/src/core/candidate_table.cpp
@@ -0,0 +1,363 @@
+#include "hyssopford/core/candidate_table.hpp"
+
+#include "hyssopford/core/subset.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssopford {
+
+namespace {
+
+/// Weight of a new value in the smoothed round trip of a failure domain.
+constexpr int RoundTripSmoothing = 16;
+/// Weight of a new report in the means of a service.
+constexpr double MeanWeight = 0.05;
+/// Weight of a new outcome in the failure share: six failures in a row reach
+/// one half.
+constexpr double FailureWeight = 0.125;
+/// Longest ejection is reached after this many doublings.
+constexpr std::uint32_t DoublingsMax = 10;
+/// Send times kept for one candidate; more are counted as outstanding anyway.
+constexpr std::size_t RecentSendsMax = 256;
+
+void smooth(double &Mean, double Value) {
+  Mean = Mean == 0.0 ? Value : Mean + MeanWeight * (Value - Mean);
+}
+
+} // namespace
+
+CandidateTable::CandidateTable(NodeRun Run, std::string OwnRegion,
+                               const RoutingSettings &Chosen)
+    : Self(Run), Region(std::move(OwnRegion)), Settings(Chosen) {}
+
+void CandidateTable::setCandidates(std::vector<Candidate> All) {
+  Known.clear();
+  for (Candidate &Each : All) {
+    std::vector<Candidate> &List = Known[Each.Service];
+    List.push_back(std::move(Each));
+  }
+  for (auto &[Service, Pool] : Pools) {
+    rebuild(Service, Pool);
+  }
+  refreshNeeded();
+}
+
+void CandidateTable::linkUp(NodeRun Peer) {
+  Links[Peer.Node] = Peer.Run;
+  const auto Found = Locations.find(Peer.Node);
+  if (Found != Locations.end()) {
+    const Location At = Found->second;
+    At.Pool->Histories[At.Index].Linked =
+        At.Pool->Views[At.Index].Owner.Run == Peer.Run;
+    place(At);
+  }
+}
+
+void CandidateTable::linkDown(NodeId Peer) {
+  Links.erase(Peer);
+  const auto Found = Locations.find(Peer);
+  if (Found != Locations.end()) {
+    const Location At = Found->second;
+    At.Pool->Histories[At.Index].Linked = false;
+    place(At);
+  }
+}
+
+void CandidateTable::dropUnused(TimePoint Now) {
+  const std::size_t Before = Pools.size();
+  std::erase_if(Pools, [&](const auto &Entry) {
+    const ServicePool &Pool = Entry.second;
+    if (Pool.LastUse + Settings.ServiceRetention > Now) {
+      return false;
+    }
+    for (const CandidateView &View : Pool.Views) {
+      Locations.erase(View.Owner.Node);
+    }
+    return true;
+  });
+  if (Pools.size() != Before) {
+    refreshNeeded();
+  }
+}
+
+ServicePool *CandidateTable::use(const std::string &Service, TimePoint Now) {
+  ServicePool *Pool = find(Service);
+  if (Pool == nullptr) {
+    if (!Known.contains(Service)) {
+      return nullptr;
+    }
+    Pool = &Pools.try_emplace(Service, Settings).first->second;
+    rebuild(Service, *Pool);
+    refreshNeeded();
+  }
+  Pool->LastUse = Now;
+  return Pool->size() == 0 ? nullptr : Pool;
+}
+
+ServicePool *CandidateTable::find(const std::string &Service) {
+  const auto Found = Pools.find(Service);
+  return Found == Pools.end() ? nullptr : &Found->second;
+}
+
+std::optional<NodeRun> CandidateTable::takeTrial(ServicePool &Pool,
+                                                 TimePoint Now) {
+  if (Pool.Ejected.empty() || Pool.Ejected.begin()->first > Now) {
+    return std::nullopt;
+  }
+  const NodeId Node = Pool.Ejected.begin()->second;
+  const Location At = Locations.at(Node);
+  ServicePool::History &Past = Pool.Histories[At.Index];
+  // The next trial waits for the outcome of this one, or for its loss.
+  Pool.Ejected.erase(Pool.Ejected.begin());
+  Past.EjectedUntil = Now + Settings.EjectionTime;
+  Pool.Ejected.emplace(Past.EjectedUntil, Node);
+  if (!Past.Linked || Past.Closed) {
+    return std::nullopt;
+  }
+  return Pool.Views[At.Index].Owner;
+}
+
+void CandidateTable::sent(NodeId Node, std::uint64_t Sequence, TimePoint Now) {
+  const auto Found = Locations.find(Node);
+  if (Found == Locations.end()) {
+    return;
+  }
+  ServicePool::History &Past =
+      Found->second.Pool->Histories[Found->second.Index];
+  CandidateView &View = Found->second.Pool->Views[Found->second.Index];
+  if (Past.Open.empty()) {
+    View.OldestSent = Now;
+  }
+  Past.Open.emplace(Sequence, Now);
+  View.Outstanding = static_cast<std::uint32_t>(Past.Open.size());
+  if (Past.RecentSends.size() < RecentSendsMax) {
+    Past.RecentSends.push_back(Now);
+  }
+  View.SentSince = static_cast<std::uint32_t>(
+      std::min(Past.RecentSends.size(), Past.Open.size()));
+}
+
+void CandidateTable::ended(NodeId Node, std::uint64_t Sequence) {
+  const auto Found = Locations.find(Node);
+  if (Found == Locations.end()) {
+    return;
+  }
+  ServicePool::History &Past =
+      Found->second.Pool->Histories[Found->second.Index];
+  CandidateView &View = Found->second.Pool->Views[Found->second.Index];
+  Past.Open.erase(Sequence);
+  View.Outstanding = static_cast<std::uint32_t>(Past.Open.size());
+  View.SentSince = std::min(View.SentSince, View.Outstanding);
+  if (!Past.Open.empty()) {
+    View.OldestSent = Past.Open.begin()->second;
+  }
+}
+
+void CandidateTable::report(NodeId Node, const LoadReport &Load,
+                            TimePoint Now) {
+  const auto Found = Locations.find(Node);
+  if (Found == Locations.end()) {
+    return;
+  }
+  ServicePool &Pool = *Found->second.Pool;
+  CandidateView &View = Pool.Views[Found->second.Index];
+  const auto Link = Links.find(Node);
+  if (Link == Links.end() || Link->second != View.Owner.Run ||
+      Load.Sequence <= View.Report.Sequence) {
+    return;
+  }
+  View.Report = Load;
+  View.ReportedAt = Now;
+  // Attempts sent within the last round trip reach the owner after it made
+  // this report.
+  std::deque<TimePoint> &Sends =
+      Pool.Histories[Found->second.Index].RecentSends;
+  while (!Sends.empty() && Sends.front() + RoundTrips[View.Domain] <= Now) {
+    Sends.pop_front();
+  }
+  View.SentSince =
+      std::min(static_cast<std::uint32_t>(Sends.size()), View.Outstanding);
+  const double Limit = std::max<std::uint32_t>(Load.Limit, 1);
+  smooth(Pool.Mean.Utilisation, (Load.InFlight + Load.Queued) / Limit);
+  if (Load.ServiceTime > Duration{0}) {
+    smooth(Pool.Mean.ServiceTime,
+           static_cast<double>(Load.ServiceTime.count()));
+  }
+}
+
+void CandidateTable::roundTrip(NodeId Node, Duration Measured) {
+  const auto Found = Locations.find(Node);
+  if (Found == Locations.end() || Node == Self.Node || Measured < Duration{0}) {
+    return;
+  }
+  const std::size_t Domain =
+      Found->second.Pool->Views[Found->second.Index].Domain;
+  Duration &Smoothed = RoundTrips[Domain];
+  Smoothed = RoundTripKnown[Domain]
+                 ? Smoothed + (Measured - Smoothed) / RoundTripSmoothing
+                 : Measured;
+  RoundTripKnown[Domain] = true;
+}
+
+void CandidateTable::outcome(NodeId Node, bool Succeeded, TimePoint Now,
+                             Actions &Out) {
+  const auto Found = Locations.find(Node);
+  if (Found == Locations.end()) {
+    return;
+  }
+  const Location At = Found->second;
+  CandidateView &View = At.Pool->Views[At.Index];
+  View.FailureShare +=
+      FailureWeight * ((Succeeded ? 0.0 : 1.0) - View.FailureShare);
+  if (!Succeeded) {
+    View.FailedAt = Now;
+  }
+  const bool Ejected = At.Pool->Histories[At.Index].Ejected;
+  if (Ejected && Succeeded) {
+    reinstate(At, Out);
+  } else if (!Succeeded &&
+             (Ejected || View.FailureShare >= Settings.EjectionShare)) {
+    eject(At, Now, Out);
+  }
+}
+
+void CandidateTable::close(NodeId Node) {
+  const auto Found = Locations.find(Node);
+  if (Found != Locations.end()) {
+    const Location At = Found->second;
+    At.Pool->Histories[At.Index].Closed = true;
+    place(At);
+  }
+}
+
+void CandidateTable::rebuild(const std::string &Service, ServicePool &Pool) {
+  std::unordered_map<NodeId, std::size_t> Old;
+  for (std::size_t Index = 0; Index < Pool.Views.size(); ++Index) {
+    Old.emplace(Pool.Views[Index].Owner.Node, Index);
+    Locations.erase(Pool.Views[Index].Owner.Node);
+  }
+  std::vector<CandidateView> OldViews = std::exchange(Pool.Views, {});
+  std::vector<ServicePool::History> OldHistories =
+      std::exchange(Pool.Histories, {});
+  Pool.UsableCount = 0;
+  Pool.Ejected.clear();
+  const auto All = Known.find(Service);
+  if (All == Known.end()) {
+    return;
+  }
+  for (const Candidate &Each :
+       chooseSubset(All->second, Self.Node, Region, Settings)) {
+    CandidateView View;
+    ServicePool::History Past;
+    const auto Kept = Old.find(Each.Owner.Node);
+    const bool SameRun =
+        Kept != Old.end() && OldViews[Kept->second].Owner == Each.Owner;
+    if (SameRun) {
+      View = OldViews[Kept->second];
+      Past = std::move(OldHistories[Kept->second]);
+      // A change of state lifts an earlier refusal.
+      Past.Closed = Past.Closed && View.State == Each.State;
+    }
+    View.Owner = Each.Owner;
+    View.Slots = Each.Slots;
+    View.State = Each.State;
+    View.Domain = domainIndex(Each.FailureDomain);
+    const auto Link = Links.find(Each.Owner.Node);
+    Past.Linked = Link != Links.end() && Link->second == Each.Owner.Run;
+    if (Past.Ejected) {
+      Pool.Ejected.emplace(Past.EjectedUntil, Each.Owner.Node);
+    }
+    Pool.Views.push_back(View);
+    Pool.Histories.push_back(std::move(Past));
+    const Location At{&Pool, Pool.Views.size() - 1};
+    Locations[Each.Owner.Node] = At;
+    place(At);
+  }
+}
+
+void CandidateTable::refreshNeeded() {
+  std::set<NodeId> Wanted;
+  for (const auto &[Service, Pool] : Pools) {
+    for (const CandidateView &View : Pool.Views) {
+      if (View.Owner.Node != Self.Node) {
+        Wanted.insert(View.Owner.Node);
+      }
+    }
+  }
+  if (Wanted != Needed) {
+    Needed = std::move(Wanted);
+    ++NeededRevision;
+  }
+}
+
+void CandidateTable::place(Location At) {
+  ServicePool &Pool = *At.Pool;
+  const ServicePool::History &Past = Pool.Histories[At.Index];
+  const bool Usable = Past.Linked && !Past.Closed && !Past.Ejected &&
+                      Pool.Views[At.Index].State != UpstreamState::Draining;
+  if (Usable && At.Index >= Pool.UsableCount) {
+    swapRows(Pool, At.Index, Pool.UsableCount++);
+  } else if (!Usable && At.Index < Pool.UsableCount) {
+    swapRows(Pool, At.Index, --Pool.UsableCount);
+  }
+}
+
+void CandidateTable::swapRows(ServicePool &Pool, std::size_t First,
+                              std::size_t Second) {
+  std::swap(Pool.Views[First], Pool.Views[Second]);
+  std::swap(Pool.Histories[First], Pool.Histories[Second]);
+  Locations[Pool.Views[First].Owner.Node].Index = First;
+  Locations[Pool.Views[Second].Owner.Node].Index = Second;
+}
+
+std::size_t CandidateTable::domainIndex(const std::string &Domain) {
+  const auto Found = std::find(Domains.begin(), Domains.end(), Domain);
+  if (Found != Domains.end()) {
+    return static_cast<std::size_t>(Found - Domains.begin());
+  }
+  Domains.push_back(Domain);
+  RoundTrips.push_back(Settings.FirstRoundTrip);
+  RoundTripKnown.push_back(false);
+  return Domains.size() - 1;
+}
+
+void CandidateTable::eject(Location At, TimePoint Now, Actions &Out) {
+  ServicePool &Pool = *At.Pool;
+  ServicePool::History &Past = Pool.Histories[At.Index];
+  const NodeId Node = Pool.Views[At.Index].Owner.Node;
+  // At most half of a service is ejected: failures of all upstreams at once
+  // have a common cause that ejections would only make worse.
+  if (!Past.Ejected && 2 * (Pool.Ejected.size() + 1) > Pool.Views.size()) {
+    return;
+  }
+  Pool.Ejected.erase({Past.EjectedUntil, Node});
+  const auto Doublings = std::min(Past.Ejections, DoublingsMax);
+  const Duration Length = std::min(Settings.EjectionTime * (1U << Doublings),
+                                   Settings.EjectionTimeMax);
+  Past.Ejected = true;
+  ++Past.Ejections;
+  Past.EjectedUntil = Now + Length;
+  Pool.Ejected.emplace(Past.EjectedUntil, Node);
+  Out.emplace_back(Notice{"upstream_ejected",
+                          {{"peer", toString(Node)},
+                           {"duration_us", std::to_string(Length.count())},
+                           {"ejections", std::to_string(Past.Ejections)}}});
+  place(At);
+}
+
+void CandidateTable::reinstate(Location At, Actions &Out) {
+  ServicePool &Pool = *At.Pool;
+  ServicePool::History &Past = Pool.Histories[At.Index];
+  CandidateView &View = Pool.Views[At.Index];
+  Pool.Ejected.erase({Past.EjectedUntil, View.Owner.Node});
+  Past.Ejected = false;
+  // Below the ejection share, but not trusted yet: two more failures eject
+  // the candidate again.
+  View.FailureShare = std::min(View.FailureShare, Settings.EjectionShare * 0.8);
+  Out.emplace_back(
+      Notice{"upstream_reinstated", {{"peer", toString(View.Owner.Node)}}});
+  place(At);
+}
+
+} // namespace hyssopford
--- /dev/null
+++ b/src/core/estimated_delay_policy.cpp
@@ -0,0 +1,107 @@
+#include "hyssopford/core/estimated_delay_policy.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace hyssopford {
+
+namespace {
+
+/// Service time assumed before the first report, in µs.
+constexpr double FirstServiceTime = 5'000.0;
+/// Share of a service time charged at full utilisation while slots are free.
+/// Machines slow down before all slots are taken, and a report misses the
+/// requests that other nodes are sending.
+constexpr double SharingCost = 0.5;
+/// Multiple of the expected time after which a missing reply counts.
+constexpr double OverdueFactor = 2.0;
+
+double micros(Duration Value) { return static_cast<double>(Value.count()); }
+
+/// Weight of a value of the given age.
+double ageWeight(Duration Age, Duration HalfLife) {
+  return HalfLife == Duration{0}
+             ? 1.0
+             : micros(HalfLife) / (micros(HalfLife) + micros(Age));
+}
+
+} // namespace
+
+std::optional<std::size_t> EstimatedDelayPolicy::choose(const Selection &Input,
+                                                        RandomSource &Random) {
+  const std::size_t Count = Input.Candidates.size();
+  const std::size_t Wanted =
+      std::min<std::size_t>(Settings.Samples, SamplesMax);
+  std::array<std::size_t, SamplesMax> Sampled{};
+  std::size_t Drawn = 0;
+  std::optional<std::size_t> Best;
+  double BestScore = std::numeric_limits<double>::max();
+  const auto Compare = [&](std::size_t Index) {
+    const double Score = score(Input, Index);
+    if (Score < BestScore) {
+      BestScore = Score;
+      Best = Index;
+    }
+  };
+  if (Count <= Wanted + Input.Excluded.size()) {
+    // A random start breaks ties between equal scores.
+    const std::size_t Start = Count == 0 ? 0 : Random.below(Count);
+    for (std::size_t Step = 0; Step < Count; ++Step) {
+      const std::size_t Index = (Start + Step) % Count;
+      if (!Input.excluded(Index)) {
+        Compare(Index);
+      }
+    }
+    return Best;
+  }
+  // More candidates than wanted and excluded together: the draw ends.
+  while (Drawn < Wanted) {
+    const std::size_t Index = Random.below(Count);
+    const auto *End = Sampled.begin() + Drawn;
+    if (std::find(Sampled.cbegin(), End, Index) == End &&
+        !Input.excluded(Index)) {
+      Sampled[Drawn++] = Index;
+      Compare(Index);
+    }
+  }
+  return Best;
+}
+
+double EstimatedDelayPolicy::score(const Selection &Input,
+                                   std::size_t Index) const {
+  const CandidateView &View = Input.Candidates[Index];
+  const bool Reported = View.Report.Sequence != 0;
+  const double Limit = Reported ? std::max<std::uint32_t>(View.Report.Limit, 1)
+                                : std::max<std::uint32_t>(View.Slots, 1);
+  const double Weight =
+      Reported ? ageWeight(Input.Now - View.ReportedAt, Settings.ReportHalfLife)
+               : 0.0;
+  const double ReportedLoad = View.Report.InFlight + View.Report.Queued;
+  const double Load = Weight * ReportedLoad +
+                      (1.0 - Weight) * Input.Mean.Utilisation * Limit +
+                      View.SentSince;
+  const double MeanService =
+      Input.Mean.ServiceTime > 0.0 ? Input.Mean.ServiceTime : FirstServiceTime;
+  const double OwnService = micros(View.Report.ServiceTime);
+  const double Service =
+      OwnService > 0.0 ? Weight * OwnService + (1.0 - Weight) * MeanService
+                       : MeanService;
+  const double Busy = std::min(Load / Limit, 1.0);
+  const double Queueing = std::max(0.0, Load + 1.0 - Limit) * Service / Limit +
+                          SharingCost * Service * Busy * Busy;
+  const double RoundTrip =
+      Settings.LocalityWeight * micros(Input.RoundTrips[View.Domain]);
+  double Score = RoundTrip + Queueing + Service;
+  if (View.Outstanding > 0) {
+    // A reply that does not come is the only sign of a sudden stall.
+    const double Age = micros(Input.Now - View.OldestSent);
+    Score += std::max(0.0, Age - OverdueFactor * Score);
+  }
+  const double Failing =
+      View.FailureShare *
+      ageWeight(Input.Now - View.FailedAt, Settings.FailureHalfLife);
+  const double Retry = std::max(Input.Mean.Latency, MeanService);
+  return Score + Settings.FailureWeight * Retry * Failing / (1.01 - Failing);
+}
+
+} // namespace hyssopford
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -1,5 +1,7 @@
 #include "hyssopford/core/ingress_system.hpp"
 
+#include "hyssopford/core/estimated_delay_policy.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,6 +9,15 @@
 
 namespace {
 
+/// Time between two searches for services no longer used.
+constexpr Duration UnusedCheckPeriod = 10s;
+/// Time between two looks for a usable link while a request waits for one.
+constexpr Duration LinkCheckPeriod = 5ms;
+/// Weight of a new answer in the mean latency of a service.
+constexpr double LatencyWeight = 0.05;
+/// Lowest HTTP status that counts as a failure of the upstream.
+constexpr std::uint16_t FirstServerError = 500;
+
 std::uint64_t fingerprintOf(const CallerRequest &Request,
                             const Route &Matched) {
   const std::uint64_t RouteHash = hashBytes(Matched.Name);
@@ -14,195 +25,418 @@
                   Request.BodyHash);
 }
 
+/// The owner takes no attempt of this service in this run any more.
+bool closesCandidate(OutcomeReason Reason) {
+  return Reason == OutcomeReason::Draining ||
+         Reason == OutcomeReason::NoUpstream ||
+         Reason == OutcomeReason::WrongIncarnation;
+}
+
 } // namespace
 
-IngressSystem::IngressSystem(NodeRun Run, RandomSource &Source)
-    : Self(Run), Random(Source) {}
+IngressSystem::IngressSystem(NodeRun Run, RandomSource &Source,
+                             const RoutingSettings &Chosen, std::string Region)
+    : Self(Run), Random(Source), Settings(Chosen),
+      Table(Run, std::move(Region), Chosen),
+      Policy(std::make_unique<EstimatedDelayPolicy>(Chosen)) {}
+
+void IngressSystem::setPolicy(std::unique_ptr<SelectionPolicy> Chosen) {
+  Policy = std::move(Chosen);
+}
 
 void IngressSystem::start(const CallerRequest &Request, const Route &Matched,
                           TimePoint Now, Actions &Out) {
   RequestRow Row;
   Row.Request = Request;
-  Row.Matched = Matched;
+  Row.Service = Matched.Service;
+  Row.Route = Matched.Name;
+  Row.Class = Request.Class.value_or(Matched.Class);
+  Row.TryLimit = std::max<std::uint32_t>(Matched.TryLimit, 1);
+  Row.Fingerprint = fingerprintOf(Request, Matched);
+  Row.Span =
+      hashPair(hashPair(Self.Node.Value, Self.Run.Value), Request.Id.Value);
+  Row.Started = Now;
   Row.Deadline = Now + std::min(Request.Deadline.value_or(Matched.Deadline),
                                 Matched.Deadline);
   Row.Idempotent =
       Matched.Idempotent.value_or(isIdempotentMethod(Request.Method));
+  ++Counters.Requests;
   RequestRow &Stored =
       Requests.insert_or_assign(Request.Id, std::move(Row)).first->second;
-  tryNext(Stored, Now, Out);
+  Timers.insert(Timer{Stored.Deadline, TimerKind::Deadline, Request.Id});
+  if (Stored.Deadline <= Now) {
+    settle(Stored, Outcome::NotRun, OutcomeReason::DeadlineExceeded, Now, Out);
+    return;
+  }
+  ServicePool *Pool = Table.use(Stored.Service, Now);
+  if (Pool != nullptr && !Request.IsExtra) {
+    // Retries of an earlier hop don't fund further ones; otherwise budgets
+    // would multiply along a call chain.
+    Pool->Budget.fund();
+  }
+  startAttempt(Stored, Now, Out);
 }
 
-void IngressSystem::cancel(RequestId Id, TimePoint /*Now*/, Actions &Out) {
+void IngressSystem::cancel(RequestId Id, TimePoint Now, Actions &Out) {
   const auto Found = Requests.find(Id);
   if (Found == Requests.end()) {
     return;
   }
-  if (Found->second.Current) {
-    const std::uint64_t Sequence = *Found->second.Current;
-    Out.emplace_back(SendToPeer{Attempts.at(Sequence).Owner.Node,
-                                Cancel{AttemptId{Self, Sequence}}});
-    Attempts.erase(Sequence);
-  }
-  Requests.erase(Found);
+  RequestRow &Row = Found->second;
+  const bool MayHaveRun = Row.MayHaveRun || !Row.Open.empty();
+  abandonOpen(Row, Now, Out);
+  erase(Row, MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+        OutcomeReason::CancelledByCaller, Now, Out);
 }
 
-void IngressSystem::finishAttempt(NodeId /*From*/, const DispatchReply &Reply,
+void IngressSystem::finishAttempt(NodeId From, const DispatchReply &Reply,
                                   TimePoint Now, Actions &Out) {
+  if (Reply.Load.Sequence != 0 &&
+      Reply.Reason != OutcomeReason::WrongIncarnation) {
+    Table.report(From, Reply.Load, Now);
+  }
   const auto Found = Attempts.find(Reply.Attempt.Sequence);
-  if (Reply.Attempt.Ingress != Self || Found == Attempts.end()) {
-    ++LateReplies;
+  if (Reply.Attempt.Ingress != Self || Found == Attempts.end() ||
+      Found->second.Owner.Node != From) {
+    ++Counters.LateReplies;
     return;
   }
-  RequestRow &Row = Requests.at(Found->second.Request);
-  const NodeId Owner = Found->second.Owner.Node;
-  Attempts.erase(Found);
-  Row.Current.reset();
+  const AttemptRow Attempt = Found->second;
+  RequestRow &Row = Requests.at(Attempt.Request);
+  observe(Attempt, Reply, Row, Now, Out);
+  closeAttempt(Row, Reply.Attempt.Sequence, Reply.Result, Reply.Reason, Now,
+               Out);
   if (Reply.Result == Outcome::Answered) {
-    Out.emplace_back(ReplyToCaller{Row.Request.Id, Outcome::Answered,
-                                   OutcomeReason::None, Reply.Status,
-                                   Reply.Answer, Row.Attempts, Owner, false});
-    Requests.erase(Row.Request.Id);
+    answer(Row, Reply, Attempt.Owner.Node, Now, Out);
     return;
   }
-  if (Reply.Result == Outcome::NotRun || Row.Idempotent) {
-    tryNext(Row, Now, Out);
-    return;
-  }
-  settle(Row, Outcome::Unknown, Reply.Reason, Out);
+  retry(Row, Now, Out);
 }
 
 void IngressSystem::resolveStatus(const StatusReply &Reply, TimePoint Now,
                                   Actions &Out) {
-  if (Reply.State == AttemptState::WillNotRun) {
-    DispatchReply End;
-    End.Attempt = Reply.Attempt;
-    End.Result = Outcome::NotRun;
-    End.Reason = OutcomeReason::LinkLost;
-    finishAttempt(NodeId{}, End, Now, Out);
-  } else if (Reply.State == AttemptState::CannotTell) {
-    DispatchReply End;
-    End.Attempt = Reply.Attempt;
-    End.Reason = OutcomeReason::LinkLost;
-    finishAttempt(NodeId{}, End, Now, Out);
+  const auto Found = Attempts.find(Reply.Attempt.Sequence);
+  if (Reply.Attempt.Ingress != Self || Found == Attempts.end()) {
+    return;
   }
+  if (Reply.State == AttemptState::Running ||
+      Reply.State == AttemptState::Finished) {
+    Found->second.InDoubt = false;
+    return;
+  }
+  RequestRow &Row = Requests.at(Found->second.Request);
+  const bool Barred = Reply.State == AttemptState::WillNotRun;
+  closeAttempt(Row, Reply.Attempt.Sequence,
+               Barred ? Outcome::NotRun : Outcome::Unknown,
+               OutcomeReason::LinkLost, Now, Out);
+  retry(Row, Now, Out);
 }
 
 void IngressSystem::linkUp(NodeRun Peer, TimePoint Now, Actions &Out) {
-  Reachable[Peer.Node] = Peer.Run;
-  std::vector<std::uint64_t> Orphans;
-  for (const auto &[Sequence, Row] : Attempts) {
-    if (Row.Owner.Node != Peer.Node) {
+  Table.linkUp(Peer);
+  const std::set<std::uint64_t> Sent = AttemptsByOwner[Peer.Node];
+  for (const std::uint64_t Sequence : Sent) {
+    const auto Found = Attempts.find(Sequence);
+    if (Found == Attempts.end()) {
       continue;
     }
-    if (Row.Owner == Peer) {
-      Out.emplace_back(SendToPeer{
-          Peer.Node, StatusQuery{AttemptId{Self, Sequence}, Peer.Run}});
+    const AttemptId Id{Self, Sequence};
+    if (Found->second.Owner == Peer) {
+      Out.emplace_back(SendToPeer{Peer.Node, StatusQuery{Id, Peer.Run}});
     } else {
-      Orphans.push_back(Sequence);
+      resolveStatus(StatusReply{Id, AttemptState::CannotTell}, Now, Out);
     }
   }
-  for (const std::uint64_t Sequence : Orphans) {
-    resolveStatus(
-        StatusReply{AttemptId{Self, Sequence}, AttemptState::CannotTell}, Now,
-        Out);
-  }
 }
 
-void IngressSystem::linkDown(NodeId Peer, TimePoint /*Now*/,
-                             Actions & /*Out*/) {
-  Reachable.erase(Peer);
+void IngressSystem::linkDown(NodeId Peer, TimePoint Now, Actions &Out) {
+  Table.linkDown(Peer);
+  const auto Sent = AttemptsByOwner.find(Peer);
+  if (Sent == AttemptsByOwner.end()) {
+    return;
+  }
+  const std::set<std::uint64_t> Doubtful = Sent->second;
+  for (const std::uint64_t Sequence : Doubtful) {
+    const auto Found = Attempts.find(Sequence);
+    if (Found == Attempts.end() || Found->second.InDoubt) {
+      continue;
+    }
+    Found->second.InDoubt = true;
+    RequestRow &Row = Requests.at(Found->second.Request);
+    Row.LastReason = OutcomeReason::LinkLost;
+    if (Row.Idempotent) {
+      retry(Row, Now, Out);
+    }
+  }
 }
 
 void IngressSystem::setCandidates(std::vector<Candidate> All) {
-  Candidates = std::move(All);
+  Table.setCandidates(std::move(All));
 }
 
 void IngressSystem::tick(TimePoint Now, Actions &Out) {
-  std::vector<RequestId> Overdue;
-  for (const auto &[Id, Row] : Requests) {
-    if (Row.Deadline <= Now) {
-      Overdue.push_back(Id);
+  while (!Timers.empty() && Timers.begin()->At <= Now) {
+    const Timer Due = *Timers.begin();
+    Timers.erase(Timers.begin());
+    RequestRow &Row = Requests.at(Due.Request);
+    switch (Due.Kind) {
+    case TimerKind::Deadline:
+      expire(Row, Now, Out);
+      break;
+    case TimerKind::Hedge:
+      Row.HedgeAt.reset();
+      hedge(Row, Now, Out);
+      break;
+    case TimerKind::LinkCheck:
+      Row.LinkCheckAt.reset();
+      startAttempt(Row, Now, Out);
+      break;
     }
   }
-  for (const RequestId Id : Overdue) {
-    RequestRow &Row = Requests.at(Id);
-    const Outcome Result = Row.Current ? Outcome::Unknown : Outcome::NotRun;
-    if (Row.Current) {
-      Out.emplace_back(SendToPeer{Attempts.at(*Row.Current).Owner.Node,
-                                  Cancel{AttemptId{Self, *Row.Current}}});
-      Attempts.erase(*Row.Current);
-    }
-    settle(Row, Result, OutcomeReason::DeadlineExceeded, Out);
+  if (NextUnusedCheck <= Now) {
+    NextUnusedCheck = Now + UnusedCheckPeriod;
+    Table.dropUnused(Now);
   }
 }
 
 std::optional<TimePoint> IngressSystem::nextWakeup() const {
-  std::optional<TimePoint> Next;
-  for (const auto &[Id, Row] : Requests) {
-    Next = Next ? std::min(*Next, Row.Deadline) : Row.Deadline;
+  return Timers.empty() ? std::nullopt : std::optional(Timers.begin()->At);
+}
+
+void IngressSystem::startAttempt(RequestRow &Row, TimePoint Now, Actions &Out) {
+  ServicePool *Pool = Table.use(Row.Service, Now);
+  if (Pool == nullptr) {
+    settle(Row, Outcome::NotRun, OutcomeReason::NoUpstream, Now, Out);
+    return;
+  }
+  const std::optional<NodeRun> Chosen = choose(Row, *Pool, Now);
+  if (Chosen) {
+    dispatch(Row, *Pool, *Chosen, Now, Out);
+    return;
   }
-  return Next;
+  if (Now - Row.Started >= Settings.LinkWait) {
+    settle(Row, Outcome::NotRun, OutcomeReason::NoUpstream, Now, Out);
+    return;
+  }
+  // The first request of a service opens its links and waits for one.
+  Row.LinkCheckAt = Now + LinkCheckPeriod;
+  Timers.insert(Timer{*Row.LinkCheckAt, TimerKind::LinkCheck, Row.Request.Id});
 }
 
-void IngressSystem::tryNext(RequestRow &Row, TimePoint Now, Actions &Out) {
+void IngressSystem::retry(RequestRow &Row, TimePoint Now, Actions &Out) {
+  const auto InDoubt = [&](std::uint64_t Sequence) {
+    return Attempts.at(Sequence).InDoubt;
+  };
+  if (!std::all_of(Row.Open.begin(), Row.Open.end(), InDoubt)) {
+    return;
+  }
+  // With an attempt in doubt the request waits for its deadline, otherwise it
+  // ends here.
+  const auto GiveUp = [&](OutcomeReason Reason) {
+    if (Row.Open.empty()) {
+      settle(Row, Outcome::NotRun, Reason, Now, Out);
+    }
+  };
+  const bool MayRunAgain =
+      Row.Idempotent || (!Row.MayHaveRun && Row.Open.empty());
+  if (!MayRunAgain) {
+    GiveUp(Row.LastReason);
+    return;
+  }
   if (Row.Deadline <= Now) {
-    settle(Row, Outcome::NotRun, OutcomeReason::DeadlineExceeded, Out);
+    GiveUp(OutcomeReason::DeadlineExceeded);
+    return;
+  }
+  if (Row.Attempts >= Row.TryLimit) {
+    GiveUp(Row.TryLimit > 1 ? OutcomeReason::TryLimit : Row.LastReason);
     return;
   }
-  if (Row.Attempts >= Row.Matched.TryLimit) {
-    settle(Row, Outcome::NotRun, OutcomeReason::TryLimit, Out);
+  ServicePool *Pool = Table.use(Row.Service, Now);
+  const std::optional<NodeRun> Chosen =
+      Pool == nullptr ? std::nullopt : choose(Row, *Pool, Now);
+  if (!Chosen) {
+    GiveUp(Row.LastReason);
     return;
   }
-  const Candidate *Chosen = choose(Row);
-  if (Chosen == nullptr) {
-    settle(Row, Outcome::NotRun, OutcomeReason::NoUpstream, Out);
+  if (!Pool->Budget.takeRetry()) {
+    ++Counters.RetriesDenied;
+    GiveUp(OutcomeReason::RetryBudget);
     return;
   }
+  ++Counters.Retries;
+  dispatch(Row, *Pool, *Chosen, Now, Out);
+}
+
+void IngressSystem::hedge(RequestRow &Row, TimePoint Now, Actions &Out) {
+  ServicePool *Pool = Table.find(Row.Service);
+  if (Pool == nullptr || Row.Open.size() != 1 || Row.Attempts >= Row.TryLimit) {
+    return;
+  }
+  const std::optional<NodeRun> Chosen = choose(Row, *Pool, Now);
+  if (Chosen && Pool->Budget.takeHedge()) {
+    ++Counters.Hedges;
+    dispatch(Row, *Pool, *Chosen, Now, Out);
+  }
+}
+
+std::optional<NodeRun> IngressSystem::choose(const RequestRow &Row,
+                                             ServicePool &Pool, TimePoint Now) {
+  const bool FirstTry = Row.Attempts == 0 && !Row.Request.IsExtra;
+  if (FirstTry && Row.Idempotent && Row.TryLimit > 1) {
+    if (const std::optional<NodeRun> Trial = Table.takeTrial(Pool, Now)) {
+      return Trial;
+    }
+  }
+  const Selection Input{Pool.usable(), Row.Tried, Table.roundTrips(), Pool.Mean,
+                        Now};
+  const std::optional<std::size_t> Chosen = Policy->choose(Input, Random);
+  return Chosen ? std::optional(Input.Candidates[*Chosen].Owner) : std::nullopt;
+}
+
+void IngressSystem::dispatch(RequestRow &Row, ServicePool &Pool, NodeRun Owner,
+                             TimePoint Now, Actions &Out) {
   const std::uint64_t Sequence = NextSequence++;
-  Attempts.emplace(Sequence, AttemptRow{Row.Request.Id, Chosen->Owner});
-  Row.Current = Sequence;
-  Row.Tried.push_back(Chosen->Owner.Node);
+  const bool IsExtra = Row.Request.IsExtra || Row.Attempts > 0;
+  const std::uint64_t Span = hashPair(Row.Span, Sequence);
+  Attempts.emplace(
+      Sequence, AttemptRow{Row.Request.Id, Owner, Now, Span, IsExtra, false});
+  AttemptsByOwner[Owner.Node].insert(Sequence);
+  Table.sent(Owner.Node, Sequence, Now);
+  Row.Open.push_back(Sequence);
+  Row.Tried.push_back(Owner.Node);
   ++Row.Attempts;
   Dispatch Message;
   Message.Attempt = AttemptId{Self, Sequence};
-  Message.Owner = Chosen->Owner.Run;
-  Message.Service = Row.Matched.Service;
-  Message.Route = Row.Matched.Name;
+  Message.Owner = Owner.Run;
+  Message.Service = Row.Service;
+  Message.Route = Row.Route;
   Message.Remaining = Row.Deadline - Now;
-  Message.Class = Row.Request.Class.value_or(Row.Matched.Class);
+  Message.Class = Row.Class;
   Message.Idempotent = Row.Idempotent;
-  Message.IsExtra = Row.Request.IsExtra || Row.Attempts > 1;
-  Message.Fingerprint = fingerprintOf(Row.Request, Row.Matched);
+  Message.IsExtra = IsExtra;
+  Message.Fingerprint = Row.Fingerprint;
   Message.Trace = Row.Request.Trace;
+  Message.Trace.ParentSpan = Span;
   Message.Request = Row.Request.Request;
-  Out.emplace_back(SendToPeer{Chosen->Owner.Node, std::move(Message)});
-}
-
-const Candidate *IngressSystem::choose(const RequestRow &Row) {
-  std::vector<const Candidate *> Usable;
-  for (const Candidate &Each : Candidates) {
-    const auto Link = Reachable.find(Each.Owner.Node);
-    const bool Tried = std::find(Row.Tried.begin(), Row.Tried.end(),
-                                 Each.Owner.Node) != Row.Tried.end();
-    if (Each.Service == Row.Matched.Service && !Tried &&
-        Each.State != UpstreamState::Draining && Link != Reachable.end() &&
-        Link->second == Each.Owner.Run) {
-      Usable.push_back(&Each);
+  Out.emplace_back(SendToPeer{Owner.Node, std::move(Message)});
+  const Duration HedgeDelay =
+      std::max(Pool.HedgeDelay.value(), Settings.HedgeFloor);
+  if (Row.Attempts == 1 && Row.Idempotent && !IsExtra && Row.TryLimit > 1 &&
+      Settings.HedgeQuantile < 1.0 && Pool.HedgeDelay.value() > Duration{0} &&
+      Now + HedgeDelay < Row.Deadline) {
+    Row.HedgeAt = Now + HedgeDelay;
+    Timers.insert(Timer{*Row.HedgeAt, TimerKind::Hedge, Row.Request.Id});
+  }
+}
+
+void IngressSystem::observe(const AttemptRow &Attempt,
+                            const DispatchReply &Reply, const RequestRow &Row,
+                            TimePoint Now, Actions &Out) {
+  const NodeId Owner = Attempt.Owner.Node;
+  const Duration Elapsed = Now - Attempt.Sent;
+  if (Reply.Held > Duration{0} && !Attempt.InDoubt) {
+    Table.roundTrip(Owner, Elapsed - Reply.Held);
+  }
+  if (Reply.Result == Outcome::Answered) {
+    Table.outcome(Owner, Reply.Status < FirstServerError, Now, Out);
+    if (ServicePool *Pool = Table.find(Row.Service)) {
+      if (Attempt.IsExtra == Row.Request.IsExtra) {
+        Pool->HedgeDelay.add(Elapsed);
+      }
+      double &Mean = Pool->Mean.Latency;
+      const auto Micros = static_cast<double>(Elapsed.count());
+      Mean = Mean == 0.0 ? Micros : Mean + LatencyWeight * (Micros - Mean);
     }
+  } else if (closesCandidate(Reply.Reason)) {
+    Table.close(Owner);
+  } else if (isUpstreamFault(Reply.Reason)) {
+    Table.outcome(Owner, false, Now, Out);
+  }
+}
+
+void IngressSystem::closeAttempt(RequestRow &Row, std::uint64_t Sequence,
+                                 Outcome Result, OutcomeReason Reason,
+                                 TimePoint Now, Actions &Out) {
+  const auto Found = Attempts.find(Sequence);
+  const AttemptRow Attempt = Found->second;
+  Attempts.erase(Found);
+  AttemptsByOwner[Attempt.Owner.Node].erase(Sequence);
+  Table.ended(Attempt.Owner.Node, Sequence);
+  std::erase(Row.Open, Sequence);
+  if (Result == Outcome::Unknown) {
+    Row.MayHaveRun = true;
   }
-  return Usable.empty() ? nullptr : Usable[Random.below(Usable.size())];
+  Row.LastReason = Reason;
+  if (Row.Request.Trace.Sampled) {
+    TraceContext Parent = Row.Request.Trace;
+    Parent.ParentSpan = Row.Span;
+    Out.emplace_back(SpanFinished{
+        SpanKind::Peer, Parent, Attempt.Span, Attempt.Sent, Now, Row.Route,
+        Attempt.Owner.Node, Result, Reason, Attempt.IsExtra});
+  }
+}
+
+void IngressSystem::abandonOpen(RequestRow &Row, TimePoint Now, Actions &Out) {
+  const std::vector<std::uint64_t> Open = Row.Open;
+  for (const std::uint64_t Sequence : Open) {
+    Out.emplace_back(SendToPeer{Attempts.at(Sequence).Owner.Node,
+                                Cancel{AttemptId{Self, Sequence}}});
+    closeAttempt(Row, Sequence, Outcome::Unknown,
+                 OutcomeReason::CancelledByCaller, Now, Out);
+  }
+}
+
+void IngressSystem::expire(RequestRow &Row, TimePoint Now, Actions &Out) {
+  abandonOpen(Row, Now, Out);
+  settle(Row, Outcome::NotRun, OutcomeReason::DeadlineExceeded, Now, Out);
 }
 
 void IngressSystem::settle(RequestRow &Row, Outcome Result,
-                           OutcomeReason Reason, Actions &Out) {
+                           OutcomeReason Reason, TimePoint Now, Actions &Out) {
   ReplyToCaller Reply;
   Reply.Id = Row.Request.Id;
-  Reply.Result = Result;
+  Reply.Result = Row.MayHaveRun ? Outcome::Unknown : Result;
   Reply.Reason = Reason;
   Reply.Attempts = Row.Attempts;
+  const Outcome Final = Reply.Result;
   Out.emplace_back(std::move(Reply));
-  Requests.erase(Row.Request.Id);
+  erase(Row, Final, Reason, Now, Out);
+}
+
+void IngressSystem::answer(RequestRow &Row, const DispatchReply &Reply,
+                           NodeId Owner, TimePoint Now, Actions &Out) {
+  Out.emplace_back(ReplyToCaller{Row.Request.Id, Outcome::Answered,
+                                 OutcomeReason::None, Reply.Status,
+                                 Reply.Answer, Row.Attempts, Owner, false});
+  // An attempt that a hedge overtook counts with the time it took so far;
+  // without it the percentile would fall with each hedge.
+  ServicePool *Pool = Table.find(Row.Service);
+  for (const std::uint64_t Sequence : Row.Open) {
+    const AttemptRow &Overtaken = Attempts.at(Sequence);
+    if (Pool != nullptr && Overtaken.IsExtra == Row.Request.IsExtra) {
+      Pool->HedgeDelay.add(Now - Overtaken.Sent);
+    }
+  }
+  abandonOpen(Row, Now, Out);
+  erase(Row, Outcome::Answered, OutcomeReason::None, Now, Out);
+}
+
+void IngressSystem::erase(RequestRow &Row, Outcome Result, OutcomeReason Reason,
+                          TimePoint Now, Actions &Out) {
+  const RequestId Id = Row.Request.Id;
+  Timers.erase(Timer{Row.Deadline, TimerKind::Deadline, Id});
+  if (Row.HedgeAt) {
+    Timers.erase(Timer{*Row.HedgeAt, TimerKind::Hedge, Id});
+  }
+  if (Row.LinkCheckAt) {
+    Timers.erase(Timer{*Row.LinkCheckAt, TimerKind::LinkCheck, Id});
+  }
+  if (Row.Request.Trace.Sampled) {
+    Out.emplace_back(SpanFinished{
+        SpanKind::Ingress, Row.Request.Trace, Row.Span, Row.Started, Now,
+        Row.Route, NodeId{}, Result, Reason, Row.Request.IsExtra});
+  }
+  Requests.erase(Id);
 }
 
 } // namespace hyssopford
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -30,7 +30,9 @@
 NodeCore::NodeCore(const NodeCoreSettings &Settings)
     : Self{nodeIdOf(Settings.Address), Settings.Run}, Random(Settings.Seed),
       Membership(ownRecord(Settings, Self), Settings.Seeds, Random),
-      Ingress(Self, Random), Owner(Self) {
+      Ingress(Self, Random, Settings.Decisions.Routing, Settings.Region),
+      Owner(Self, Settings.Decisions.Admission),
+      Probes(Settings.Decisions.Probing) {
   Actions None;
   Ingress.linkUp(Self, TimePoint{}, None);
 }
@@ -46,6 +48,7 @@
   Actions Produced;
   Ingress.tick(Now, Produced);
   Owner.tick(Now, Produced);
+  Probes.tick(Now, Produced);
   Membership.tick(Now, Produced);
   deliverLocal(Now, Produced, Out);
   refreshCandidates();
@@ -69,7 +72,8 @@
 std::optional<TimePoint> NodeCore::nextWakeup() const {
   std::optional<TimePoint> Next;
   for (const std::optional<TimePoint> &Each :
-       {Ingress.nextWakeup(), Owner.nextWakeup(), Membership.nextWakeup()}) {
+       {Ingress.nextWakeup(), Owner.nextWakeup(), Probes.nextWakeup(),
+        Membership.nextWakeup()}) {
     if (Each && (!Next || *Each < *Next)) {
       Next = Each;
     }
@@ -113,25 +117,35 @@
 
 void NodeCore::on(const UpstreamAnswered &Input, TimePoint Now, Actions &Out) {
   Owner.answered(Input, Now, Out);
+  Probes.observe(true, Now);
+  Owner.suspect(Probes.suspected(), Now, Out);
 }
 
 void NodeCore::on(const UpstreamFailed &Input, TimePoint Now, Actions &Out) {
   Owner.failed(Input, Now, Out);
+  if (isUpstreamFault(Input.Reason)) {
+    Probes.observe(false, Now);
+    Owner.suspect(Probes.suspected(), Now, Out);
+  }
 }
 
 void NodeCore::on(const UpstreamAnnounced &Input, TimePoint Now, Actions &Out) {
   Owner.announce(Input, Now, Out);
+  Probes.announce(Input, Now);
   Membership.setUpstream(Input, Now, Out);
 }
 
 void NodeCore::on(const UpstreamGone &Input, TimePoint Now, Actions &Out) {
   Owner.withdraw(Input, Now, Out);
+  Probes.withdraw();
   Membership.setUpstream(UpstreamAnnounced{"", 0, UpstreamState::None}, Now,
                          Out);
 }
 
-void NodeCore::on(const ProbeFinished & /*Input*/, TimePoint /*Now*/,
-                  Actions & /*Out*/) {}
+void NodeCore::on(const ProbeFinished &Input, TimePoint Now, Actions &Out) {
+  Probes.finish(Input, Now, Out);
+  Owner.suspect(Probes.suspected(), Now, Out);
+}
 
 void NodeCore::on(const StoreReplied & /*Input*/, TimePoint /*Now*/,
                   Actions & /*Out*/) {}
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -5,58 +5,83 @@
 
 namespace hyssopford {
 
-OwnerSystem::OwnerSystem(NodeRun Run) : Self(Run) {}
+namespace {
+
+/// Weight of a new answer in the smoothed service time.
+constexpr double ServiceTimeWeight = 0.125;
+/// Time between two looks at the limit of a cold upstream with a queue.
+constexpr Duration RampStep = 20ms;
+constexpr std::uint64_t QueueSpanSeed = 1;
+constexpr std::uint64_t UpstreamSpanSeed = 2;
+
+std::uint64_t spanOf(const AttemptId &Attempt, std::uint64_t Seed) {
+  return hashPair(std::hash<AttemptId>{}(Attempt), Seed);
+}
+
+DispatchReply endOf(const AttemptId &Attempt, Outcome Result,
+                    OutcomeReason Reason) {
+  DispatchReply Reply;
+  Reply.Attempt = Attempt;
+  Reply.Result = Result;
+  Reply.Reason = Reason;
+  return Reply;
+}
+
+void reportSpan(const AdmittedAttempt &Row, SpanKind Kind, TimePoint Start,
+                TimePoint End, const DispatchReply &Reply, Actions &Out) {
+  if (!Row.Attempt.Trace.Sampled) {
+    return;
+  }
+  const std::uint64_t Seed =
+      Kind == SpanKind::Queue ? QueueSpanSeed : UpstreamSpanSeed;
+  Out.emplace_back(SpanFinished{Kind, Row.Attempt.Trace,
+                                spanOf(Row.Attempt.Attempt, Seed), Start, End,
+                                Row.Attempt.Route, Row.From, Reply.Result,
+                                Reply.Reason, Row.Attempt.IsExtra});
+}
+
+} // namespace
+
+OwnerSystem::OwnerSystem(NodeRun Run, const AdmissionSettings &Chosen)
+    : Self(Run), Settings(Chosen), Limit(Chosen), Queue(Chosen.HighBurst),
+      Finished(FinishedRetention, Chosen.FinishedBytesMax) {}
 
 void OwnerSystem::admit(NodeId From, const Dispatch &Attempt, TimePoint Now,
                         Actions &Out) {
+  Latest = Now;
   const AttemptId Id = Attempt.Attempt;
-  const auto Known = Finished.find(Id);
-  if (Known != Finished.end()) {
-    Out.emplace_back(SendToPeer{From, Known->second.Reply});
+  Finished.forget(Now);
+  if (const DispatchReply *Known = Finished.find(Id)) {
+    Out.emplace_back(SendToPeer{From, *Known});
     return;
   }
-  const auto SameAttempt = [&](const AttemptRow &Row) {
-    return Row.Attempt.Attempt == Id;
-  };
-  if (Running.contains(Id) ||
-      std::any_of(Queue.begin(), Queue.end(), SameAttempt)) {
+  if (Running.contains(Id) || Queue.contains(Id)) {
     return;
   }
   if (Attempt.Owner != Self.Run) {
-    refuse(From, Id, Outcome::NotRun, OutcomeReason::WrongIncarnation, Now,
-           Out);
+    // Not remembered: the attempt belongs to another run of this node.
+    send(From, endOf(Id, Outcome::NotRun, OutcomeReason::WrongIncarnation), Now,
+         Out);
     return;
   }
-  const auto Mark = LowWaterMarks.find(Id.Ingress);
-  if (Mark != LowWaterMarks.end() && Id.Sequence <= Mark->second) {
-    DispatchReply Stale;
-    Stale.Attempt = Id;
-    Stale.Reason = OutcomeReason::StaleFrame;
-    Out.emplace_back(SendToPeer{From, std::move(Stale)});
+  if (Finished.mayBeForgotten(Id)) {
+    send(From, endOf(Id, Outcome::Unknown, OutcomeReason::StaleFrame), Now,
+         Out);
     return;
   }
-  if (Draining || Upstream.State == UpstreamState::Draining) {
-    refuse(From, Id, Outcome::NotRun, OutcomeReason::Draining, Now, Out);
+  AdmittedAttempt Row{From, Attempt, Now, Now + Attempt.Remaining, Now};
+  if (const std::optional<OutcomeReason> Reason = refusalReason(Attempt)) {
+    endQueued(Row, *Reason, Now, Out);
     return;
   }
-  if (Upstream.Service.empty() || Upstream.Service != Attempt.Service) {
-    refuse(From, Id, Outcome::NotRun, OutcomeReason::NoUpstream, Now, Out);
-    return;
-  }
-  Queue.push_back(AttemptRow{From, Attempt, Now + Attempt.Remaining, Now});
+  Queue.push(std::move(Row));
   startQueued(Now, Out);
 }
 
 void OwnerSystem::cancel(AttemptId Attempt, TimePoint Now, Actions &Out) {
-  const auto Queued =
-      std::find_if(Queue.begin(), Queue.end(), [&](const AttemptRow &Row) {
-        return Row.Attempt.Attempt == Attempt;
-      });
-  if (Queued != Queue.end()) {
-    const NodeId From = Queued->From;
-    Queue.erase(Queued);
-    refuse(From, Attempt, Outcome::NotRun, OutcomeReason::CancelledByCaller,
-           Now, Out);
+  Latest = Now;
+  if (const std::optional<AdmittedAttempt> Row = Queue.remove(Attempt)) {
+    endQueued(*Row, OutcomeReason::CancelledByCaller, Now, Out);
     return;
   }
   if (Running.contains(Attempt)) {
@@ -65,12 +90,12 @@
            Out);
     return;
   }
-  if (!Finished.contains(Attempt)) {
-    DispatchReply Barred;
-    Barred.Attempt = Attempt;
-    Barred.Result = Outcome::NotRun;
-    Barred.Reason = OutcomeReason::CancelledByCaller;
-    Finished.insert_or_assign(Attempt, FinishedRow{Now, std::move(Barred)});
+  if (!Finished.mayBeForgotten(Attempt) && Finished.find(Attempt) == nullptr) {
+    // The cancellation overtook the attempt, which is barred from now on.
+    DispatchReply Barred =
+        endOf(Attempt, Outcome::NotRun, OutcomeReason::CancelledByCaller);
+    Barred.Load = load();
+    Finished.add(Barred, Now);
   }
 }
 
@@ -79,20 +104,19 @@
   const auto Answer = [&](AttemptState State) {
     Out.emplace_back(SendToPeer{From, StatusReply{Query.Attempt, State}});
   };
-  const auto Mark = LowWaterMarks.find(Query.Attempt.Ingress);
-  const bool Forgotten =
-      Mark != LowWaterMarks.end() && Query.Attempt.Sequence <= Mark->second;
-  const auto Known = Finished.find(Query.Attempt);
   if (Running.contains(Query.Attempt)) {
     Answer(AttemptState::Running);
-  } else if (Known != Finished.end()) {
+  } else if (const DispatchReply *Known = Finished.find(Query.Attempt)) {
     Answer(AttemptState::Finished);
-    Out.emplace_back(SendToPeer{From, Known->second.Reply});
-  } else if (Query.Owner != Self.Run || Forgotten) {
+    Out.emplace_back(SendToPeer{From, *Known});
+  } else if (Query.Owner != Self.Run ||
+             Finished.mayBeForgotten(Query.Attempt)) {
     Answer(AttemptState::CannotTell);
   } else {
-    cancel(Query.Attempt, Now, Out);
+    // The answer goes first: its reason is the lost link, whereas the reply of
+    // the cancelled attempt is dropped as settled.
     Answer(AttemptState::WillNotRun);
+    cancel(Query.Attempt, Now, Out);
   }
 }
 
@@ -102,17 +126,24 @@
   if (Found == Running.end()) {
     return;
   }
-  const NodeId From = Found->second.From;
-  const Duration Elapsed = Now - Found->second.Started;
-  ServiceTime =
-      ServiceTime == Duration{0} ? Elapsed : (7 * ServiceTime + Elapsed) / 8;
+  const auto InFlight = static_cast<std::uint32_t>(Running.size());
+  const AdmittedAttempt Row = std::move(Found->second);
   Running.erase(Found);
-  DispatchReply Reply;
-  Reply.Attempt = Answer.Attempt;
-  Reply.Result = Outcome::Answered;
+  if (Answer.Shedding) {
+    Limit.shed(Now);
+  } else {
+    const Duration Elapsed = Now - Row.Started;
+    const auto Micros = static_cast<double>(Elapsed.count());
+    ServiceTime = ServiceTime == 0.0 ? Micros
+                                     : ServiceTime + ServiceTimeWeight *
+                                                         (Micros - ServiceTime);
+    Limit.observe(Elapsed, InFlight, Now);
+  }
+  DispatchReply Reply =
+      endOf(Answer.Attempt, Outcome::Answered, OutcomeReason::None);
   Reply.Status = Answer.Status;
   Reply.Answer = Answer.Answer;
-  finish(From, std::move(Reply), Now, Out);
+  end(Row, std::move(Reply), Now, Out);
   startQueued(Now, Out);
 }
 
@@ -122,59 +153,67 @@
   if (Found == Running.end()) {
     return;
   }
-  const NodeId From = Found->second.From;
+  const AdmittedAttempt Row = std::move(Found->second);
   Running.erase(Found);
-  refuse(From, Failure.Attempt,
-         Failure.BytesSent ? Outcome::Unknown : Outcome::NotRun, Failure.Reason,
-         Now, Out);
+  end(Row,
+      endOf(Failure.Attempt,
+            Failure.BytesSent ? Outcome::Unknown : Outcome::NotRun,
+            Failure.Reason),
+      Now, Out);
   startQueued(Now, Out);
 }
 
 void OwnerSystem::announce(const UpstreamAnnounced &Announced, TimePoint Now,
                            Actions &Out) {
+  Latest = Now;
+  if (Upstream.Service != Announced.Service) {
+    ServiceTime = 0.0;
+  }
   Upstream = Announced;
+  Limit.announce(Announced.Slots, Announced.State == UpstreamState::Cold, Now);
   startQueued(Now, Out);
 }
 
-void OwnerSystem::withdraw(const UpstreamGone & /*Gone*/, TimePoint Now,
+void OwnerSystem::withdraw(const UpstreamGone &Gone, TimePoint Now,
                            Actions &Out) {
   Upstream = UpstreamAnnounced{"", 0, UpstreamState::None};
-  while (!Queue.empty()) {
-    const AttemptRow Row = Queue.front();
-    Queue.pop_front();
-    refuse(Row.From, Row.Attempt.Attempt, Outcome::NotRun,
-           OutcomeReason::NoUpstream, Now, Out);
+  Limit = ConcurrencyLimit(Settings);
+  ServiceTime = 0.0;
+  while (const std::optional<AdmittedAttempt> Row = Queue.pop()) {
+    endQueued(*Row, OutcomeReason::NoUpstream, Now, Out);
+  }
+  if (!Gone.Crashed) {
+    return;
+  }
+  std::vector<AttemptId> Lost;
+  for (const auto &[Id, Row] : Running) {
+    Lost.push_back(Id);
   }
+  std::sort(Lost.begin(), Lost.end());
+  for (const AttemptId &Id : Lost) {
+    Out.emplace_back(CancelUpstream{Id});
+    failed(UpstreamFailed{Id, OutcomeReason::UpstreamClosed, true}, Now, Out);
+  }
+}
+
+void OwnerSystem::suspect(bool Suspected, TimePoint Now, Actions &Out) {
+  Limit.suspect(Suspected, Now);
+  startQueued(Now, Out);
 }
 
 void OwnerSystem::tick(TimePoint Now, Actions &Out) {
-  while (true) {
-    const auto Late =
-        std::find_if(Queue.begin(), Queue.end(), [&](const AttemptRow &Row) {
-          return Row.Deadline <= Now;
-        });
-    if (Late == Queue.end()) {
-      break;
-    }
-    const AttemptRow Row = *Late;
-    Queue.erase(Late);
-    refuse(Row.From, Row.Attempt.Attempt, Outcome::NotRun,
-           OutcomeReason::DeadlineExceeded, Now, Out);
-  }
-  std::erase_if(Finished, [&](const auto &Entry) {
-    if (Entry.second.Ended + FinishedRetention > Now) {
-      return false;
-    }
-    std::uint64_t &Mark = LowWaterMarks[Entry.first.Ingress];
-    Mark = std::max(Mark, Entry.first.Sequence);
-    return true;
-  });
+  Latest = Now;
+  Finished.forget(Now);
+  while (const std::optional<AdmittedAttempt> Late = Queue.popExpired(Now)) {
+    endQueued(*Late, OutcomeReason::DeadlineExceeded, Now, Out);
+  }
+  startQueued(Now, Out);
 }
 
 std::optional<TimePoint> OwnerSystem::nextWakeup() const {
-  std::optional<TimePoint> Next;
-  for (const AttemptRow &Row : Queue) {
-    Next = Next ? std::min(*Next, Row.Deadline) : Row.Deadline;
+  std::optional<TimePoint> Next = Queue.nextDeadline();
+  if (Next && Limit.ramping(Latest)) {
+    Next = std::min(*Next, Latest + RampStep);
   }
   return Next;
 }
@@ -182,37 +221,109 @@
 LoadReport OwnerSystem::load() const {
   return LoadReport{ReportSequence, static_cast<std::uint32_t>(Running.size()),
                     static_cast<std::uint32_t>(Queue.size()),
-                    std::max<std::uint32_t>(Upstream.Slots, 1), ServiceTime};
+                    Limit.value(Latest),
+                    Duration(static_cast<std::int64_t>(ServiceTime))};
+}
+
+std::vector<const Dispatch *> OwnerSystem::running() const {
+  std::vector<const Dispatch *> All;
+  All.reserve(Running.size());
+  for (const auto &[Id, Row] : Running) {
+    All.push_back(&Row.Attempt);
+  }
+  return All;
+}
+
+std::optional<OutcomeReason>
+OwnerSystem::refusalReason(const Dispatch &Attempt) const {
+  if (Draining || Upstream.State == UpstreamState::Draining) {
+    return OutcomeReason::Draining;
+  }
+  if (Upstream.Service.empty() || Upstream.Service != Attempt.Service) {
+    return OutcomeReason::NoUpstream;
+  }
+  if (Attempt.Remaining <= Duration{0}) {
+    return OutcomeReason::DeadlineExceeded;
+  }
+  if (Running.empty()) {
+    // An idle upstream takes any request: only answers can correct a service
+    // time that was measured too long.
+    return std::nullopt;
+  }
+  const Duration Wait = expectedWait(Attempt.Class);
+  const Duration Service(static_cast<std::int64_t>(ServiceTime));
+  if (Wait + Service > Attempt.Remaining) {
+    return OutcomeReason::DeadlineTooClose;
+  }
+  if (Wait > Settings.QueueDelayMax ||
+      Queue.size() >= Settings.QueueLengthMax) {
+    return OutcomeReason::QueueFull;
+  }
+  return std::nullopt;
+}
+
+Duration OwnerSystem::expectedWait(Priority Class) const {
+  const std::uint32_t Slots = Limit.value(Latest);
+  if (Queue.size() == 0 && Running.size() < Slots) {
+    return Duration{0};
+  }
+  const auto Ahead = static_cast<double>(Queue.ahead(Class) + 1);
+  return Duration(static_cast<std::int64_t>(Ahead * ServiceTime / Slots));
 }
 
 void OwnerSystem::startQueued(TimePoint Now, Actions &Out) {
-  while (!Queue.empty() && Running.size() < Upstream.Slots) {
-    AttemptRow Row = std::move(Queue.front());
-    Queue.pop_front();
-    Row.Started = Now;
-    const AttemptId Id = Row.Attempt.Attempt;
-    Out.emplace_back(ForwardToUpstream{
-        Id, Row.Deadline - Now, Row.Attempt.Idempotent, Row.Attempt.Trace,
-        Row.Attempt.Class, Row.Attempt.IsExtra, Row.Attempt.Request});
-    Running.emplace(Id, std::move(Row));
+  Latest = Now;
+  while (Running.size() < Limit.value(Now)) {
+    std::optional<AdmittedAttempt> Row = Queue.pop();
+    if (!Row) {
+      return;
+    }
+    if (Row->Deadline <= Now) {
+      endQueued(*Row, OutcomeReason::DeadlineExceeded, Now, Out);
+      continue;
+    }
+    Row->Started = Now;
+    const Dispatch &Attempt = Row->Attempt;
+    const AttemptId Id = Attempt.Attempt;
+    reportSpan(*Row, SpanKind::Queue, Row->Arrived, Now,
+               endOf(Id, Outcome::Unknown, OutcomeReason::None), Out);
+    TraceContext Trace = Attempt.Trace;
+    Trace.ParentSpan = spanOf(Id, UpstreamSpanSeed);
+    Out.emplace_back(ForwardToUpstream{Id, Row->Deadline - Now,
+                                       Attempt.Idempotent, Trace, Attempt.Class,
+                                       Attempt.IsExtra, Attempt.Request});
+    Running.emplace(Id, std::move(*Row));
   }
 }
 
-void OwnerSystem::finish(NodeId From, DispatchReply Reply, TimePoint Now,
-                         Actions &Out) {
+void OwnerSystem::end(const AdmittedAttempt &Row, DispatchReply Reply,
+                      TimePoint Now, Actions &Out) {
+  reportSpan(Row, SpanKind::Upstream, Row.Started, Now, Reply, Out);
+  // 0 means not stated, so a time below the resolution counts as 1 µs.
+  Reply.Held = std::max(Now - Row.Arrived, Duration{1});
+  send(Row.From, std::move(Reply), Now, Out);
+}
+
+void OwnerSystem::endQueued(const AdmittedAttempt &Row, OutcomeReason Reason,
+                            TimePoint Now, Actions &Out) {
+  DispatchReply Reply = endOf(Row.Attempt.Attempt, Outcome::NotRun, Reason);
+  Reply.Held = std::max(Now - Row.Arrived, Duration{1});
+  reportSpan(Row, SpanKind::Queue, Row.Arrived, Now, Reply, Out);
+  send(Row.From, std::move(Reply), Now, Out);
+}
+
+void OwnerSystem::send(NodeId From, DispatchReply Reply, TimePoint Now,
+                       Actions &Out) {
+  Latest = Now;
   ++ReportSequence;
   Reply.Load = load();
-  Finished.insert_or_assign(Reply.Attempt, FinishedRow{Now, Reply});
+  // Refusals of other runs' attempts and of forgotten ones are not outcomes of
+  // this run and are not kept.
+  if (Reply.Reason != OutcomeReason::WrongIncarnation &&
+      Reply.Reason != OutcomeReason::StaleFrame) {
+    Finished.add(Reply, Now);
+  }
   Out.emplace_back(SendToPeer{From, std::move(Reply)});
 }
 
-void OwnerSystem::refuse(NodeId From, AttemptId Attempt, Outcome Result,
-                         OutcomeReason Reason, TimePoint Now, Actions &Out) {
-  DispatchReply Reply;
-  Reply.Attempt = Attempt;
-  Reply.Result = Result;
-  Reply.Reason = Reason;
-  finish(From, std::move(Reply), Now, Out);
-}
-
 } // namespace hyssopford
