Test routing, admission and probing by topic

Each section names the failure it guards against: retries that multiply, an unknown attempt reported as not-run, duplicates that run twice, starvation, a probe budget exceeded while an upstream stays suspected.

--- /dev/null
+++ b/tests/core/ingress_system_test.cpp
@@ -0,0 +1,281 @@
+/// @file
+/// @brief Tests of requests at their ingress: retries, hedges and outcomes.
+#include "hyssopford/core/ingress_system.hpp"
+
+#include "support/decisions.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssopford;
+using namespace hyssopford::test;
+
+namespace {
+
+/// An ingress with linked candidates 1, 2 and 3.
+struct Fixture {
+  SeededRandomSource Random{7};
+  IngressSystem Ingress;
+  Actions Out;
+
+  explicit Fixture(const RoutingSettings &Settings = {})
+      : Ingress(nodeRun(9), Random, Settings, "r1") {
+    Ingress.setCandidates({candidate(1), candidate(2), candidate(3)});
+    for (std::uint64_t Node = 1; Node <= 3; ++Node) {
+      Ingress.linkUp(nodeRun(Node), at(0ms), Out);
+    }
+  }
+
+  Addressed<Dispatch> start(const CallerRequest &Request, Duration Now = 0ms) {
+    Out.clear();
+    Ingress.start(Request, seatsRoute(), at(Now), Out);
+    return messages<Dispatch>(Out).at(0);
+  }
+
+  /// Ends an attempt; the actions of the reply are in Out.
+  void end(const Addressed<Dispatch> &Sent, Outcome Result,
+           OutcomeReason Reason, Duration Now, std::uint16_t Status = 200) {
+    Out.clear();
+    DispatchReply Reply;
+    Reply.Attempt = Sent.Message.Attempt;
+    Reply.Result = Result;
+    Reply.Reason = Reason;
+    Reply.Status = Result == Outcome::Answered ? Status : 0;
+    Ingress.finishAttempt(Sent.To, Reply, at(Now), Out);
+  }
+
+  ReplyToCaller reply() const { return all<ReplyToCaller>(Out).at(0); }
+};
+
+} // namespace
+
+TEST_CASE("retries", "[ingress]") {
+  Fixture Test;
+  SECTION("a not-run attempt is retried elsewhere, marked as extra") {
+    const auto First = Test.start(callerRequest(1, "POST"));
+    REQUIRE_FALSE(First.Message.IsExtra);
+    Test.end(First, Outcome::NotRun, OutcomeReason::QueueFull, 1ms);
+    const auto Second = messages<Dispatch>(Test.Out).at(0);
+    REQUIRE(Second.To != First.To);
+    REQUIRE(Second.Message.IsExtra);
+    REQUIRE(Second.Message.Remaining == 999ms);
+  }
+  SECTION("an unknown attempt is retried only if idempotent") {
+    Test.end(Test.start(callerRequest(1, "POST")), Outcome::Unknown,
+             OutcomeReason::UpstreamClosed, 1ms);
+    REQUIRE(Test.reply().Result == Outcome::Unknown);
+    Test.end(Test.start(callerRequest(2, "GET")), Outcome::Unknown,
+             OutcomeReason::UpstreamClosed, 1ms);
+    REQUIRE(messages<Dispatch>(Test.Out).size() == 1);
+  }
+  SECTION("an earlier unknown attempt keeps the end from being not-run") {
+    Test.end(Test.start(callerRequest(1, "GET")), Outcome::Unknown,
+             OutcomeReason::UpstreamClosed, 1ms);
+    for (int Retry = 0; Retry < 2; ++Retry) {
+      const auto Next = messages<Dispatch>(Test.Out).at(0);
+      Test.end(Next, Outcome::NotRun, OutcomeReason::QueueFull, 2ms);
+    }
+    REQUIRE(Test.reply().Result == Outcome::Unknown);
+    REQUIRE(Test.reply().Attempts == 3);
+  }
+  SECTION("refusals of all attempts end as not-run") {
+    Test.end(Test.start(callerRequest(1, "POST")), Outcome::NotRun,
+             OutcomeReason::QueueFull, 1ms);
+    Test.end(messages<Dispatch>(Test.Out).at(0), Outcome::NotRun,
+             OutcomeReason::QueueFull, 2ms);
+    Test.end(messages<Dispatch>(Test.Out).at(0), Outcome::NotRun,
+             OutcomeReason::QueueFull, 3ms);
+    REQUIRE(Test.reply().Result == Outcome::NotRun);
+    REQUIRE(Test.reply().Reason == OutcomeReason::TryLimit);
+  }
+  SECTION("the budget bounds the retries of a service that refuses all") {
+    for (std::uint64_t Id = 1; Id <= 1000; ++Id) {
+      auto Sent = Test.start(callerRequest(Id, "POST"), 1ms * Id);
+      Test.end(Sent, Outcome::NotRun, OutcomeReason::QueueFull, 1ms * Id);
+      while (!messages<Dispatch>(Test.Out).empty()) {
+        Sent = messages<Dispatch>(Test.Out).at(0);
+        Test.end(Sent, Outcome::NotRun, OutcomeReason::QueueFull, 1ms * Id);
+      }
+    }
+    REQUIRE(Test.Ingress.counters().Retries <= 105);
+    REQUIRE(Test.Ingress.counters().Retries >= 95);
+    REQUIRE(Test.Ingress.inFlight() == 0);
+  }
+}
+
+TEST_CASE("hedges", "[ingress]") {
+  Fixture Test;
+  for (std::uint64_t Id = 1; Id <= 50; ++Id) {
+    Test.end(Test.start(callerRequest(Id)), Outcome::Answered,
+             OutcomeReason::None, 10ms);
+  }
+  CallerRequest Request = callerRequest(100);
+  SECTION("a slow idempotent request is hedged and the loser cancelled") {
+    const auto First = Test.start(Request);
+    const TimePoint HedgeAt = *Test.Ingress.nextWakeup();
+    REQUIRE(HedgeAt >= at(5ms));
+    REQUIRE(HedgeAt <= at(40ms));
+    Test.Out.clear();
+    Test.Ingress.tick(HedgeAt, Test.Out);
+    const auto Second = messages<Dispatch>(Test.Out).at(0);
+    REQUIRE(Second.To != First.To);
+    REQUIRE(Second.Message.IsExtra);
+    Test.end(Second, Outcome::Answered, OutcomeReason::None, 50ms);
+    REQUIRE(Test.reply().Result == Outcome::Answered);
+    const auto Cancelled = messages<Cancel>(Test.Out).at(0);
+    REQUIRE(Cancelled.To == First.To);
+    REQUIRE(Cancelled.Message.Attempt == First.Message.Attempt);
+    Test.end(First, Outcome::Answered, OutcomeReason::None, 60ms);
+    REQUIRE(Test.Out.empty());
+    REQUIRE(Test.Ingress.lateReplies() == 1);
+  }
+  SECTION("a hedge that is refused leaves the first attempt running") {
+    Test.start(Request);
+    Test.Out.clear();
+    Test.Ingress.tick(*Test.Ingress.nextWakeup(), Test.Out);
+    Test.end(messages<Dispatch>(Test.Out).at(0), Outcome::NotRun,
+             OutcomeReason::QueueFull, 50ms);
+    REQUIRE(Test.Out.empty());
+    REQUIRE(Test.Ingress.inFlight() == 1);
+  }
+  SECTION("a non-idempotent request is not hedged") {
+    Request.Method = "POST";
+    Test.start(Request);
+    REQUIRE(*Test.Ingress.nextWakeup() == at(1s));
+  }
+  SECTION("a retry or hedge of an earlier hop is not hedged again") {
+    Request.IsExtra = true;
+    REQUIRE(Test.start(Request).Message.IsExtra);
+    REQUIRE(*Test.Ingress.nextWakeup() == at(1s));
+  }
+}
+
+TEST_CASE("lost links", "[ingress]") {
+  Fixture Test;
+  const auto Sent = Test.start(callerRequest(1, "POST"));
+  Test.Out.clear();
+  Test.Ingress.linkDown(Sent.To, at(10ms), Test.Out);
+  REQUIRE(Test.Out.empty());
+
+  SECTION("without the link the outcome is unknown at the deadline") {
+    Test.Ingress.tick(at(1s), Test.Out);
+    REQUIRE(Test.reply().Result == Outcome::Unknown);
+    REQUIRE(Test.reply().Reason == OutcomeReason::DeadlineExceeded);
+  }
+  SECTION("the same run is asked for the status") {
+    Test.Ingress.linkUp(nodeRun(Sent.To.Value), at(20ms), Test.Out);
+    REQUIRE(messages<StatusQuery>(Test.Out).at(0).Message.Attempt ==
+            Sent.Message.Attempt);
+    Test.Out.clear();
+    SECTION("an attempt that will not run is retried") {
+      Test.Ingress.resolveStatus(
+          StatusReply{Sent.Message.Attempt, AttemptState::WillNotRun}, at(21ms),
+          Test.Out);
+      REQUIRE(messages<Dispatch>(Test.Out).size() == 1);
+    }
+    SECTION("a running attempt is waited for") {
+      Test.Ingress.resolveStatus(
+          StatusReply{Sent.Message.Attempt, AttemptState::Running}, at(21ms),
+          Test.Out);
+      REQUIRE(Test.Out.empty());
+      Test.end(Sent, Outcome::Answered, OutcomeReason::None, 30ms);
+      REQUIRE(Test.reply().Result == Outcome::Answered);
+    }
+    SECTION("an owner that cannot tell leaves it unknown") {
+      Test.Ingress.resolveStatus(
+          StatusReply{Sent.Message.Attempt, AttemptState::CannotTell}, at(21ms),
+          Test.Out);
+      REQUIRE(Test.reply().Result == Outcome::Unknown);
+    }
+  }
+  SECTION("another run of the owner means unknown") {
+    Test.Ingress.linkUp(nodeRun(Sent.To.Value, 2), at(20ms), Test.Out);
+    REQUIRE(Test.reply().Result == Outcome::Unknown);
+    REQUIRE(messages<StatusQuery>(Test.Out).empty());
+  }
+  SECTION("an idempotent request is retried at once, and only it") {
+    const auto Other = Test.start(callerRequest(2, "GET"), 20ms);
+    Test.Out.clear();
+    Test.Ingress.linkDown(Other.To, at(30ms), Test.Out);
+    const auto Second = messages<Dispatch>(Test.Out).at(0);
+    Test.end(Second, Outcome::Answered, OutcomeReason::None, 40ms);
+    REQUIRE(Test.reply().Result == Outcome::Answered);
+  }
+}
+
+TEST_CASE("candidates of an ingress", "[ingress]") {
+  // Without the charge for failures every candidate keeps its traffic, so that
+  // the tests meet the ejection itself.
+  RoutingSettings Settings;
+  Settings.FailureWeight = 0.0;
+  Fixture Test{Settings};
+  SECTION("an owner that drains gets no further attempt") {
+    const auto Drained = Test.start(callerRequest(1, "POST"));
+    Test.end(Drained, Outcome::NotRun, OutcomeReason::Draining, 1ms);
+    for (std::uint64_t Id = 2; Id < 50; ++Id) {
+      const auto Sent = Test.start(callerRequest(Id), 2ms);
+      REQUIRE(Sent.To != Drained.To);
+      Test.end(Sent, Outcome::Answered, OutcomeReason::None, 3ms);
+    }
+  }
+  SECTION("a failing upstream is ejected and reinstated by a trial") {
+    std::uint64_t Id = 1;
+    std::vector<Notice> Ejections;
+    while (Ejections.empty() && Id < 200) {
+      const auto Sent = Test.start(callerRequest(Id++, "POST"), 1ms);
+      const bool Fails = Sent.To == NodeId{1};
+      Test.end(Sent, Outcome::Answered, OutcomeReason::None, 2ms,
+               Fails ? 500 : 200);
+      Ejections = all<Notice>(Test.Out);
+    }
+    REQUIRE(Ejections.at(0).Event == "upstream_ejected");
+    for (int Count = 0; Count < 50; ++Count) {
+      const auto Sent = Test.start(callerRequest(Id++), 10ms);
+      REQUIRE(Sent.To != NodeId{1});
+      Test.end(Sent, Outcome::Answered, OutcomeReason::None, 11ms);
+    }
+    const auto Trial = Test.start(callerRequest(Id++), 1s);
+    REQUIRE(Trial.To == NodeId{1});
+    Test.end(Trial, Outcome::Answered, OutcomeReason::None, 1002ms);
+    REQUIRE(all<Notice>(Test.Out).at(0).Event == "upstream_reinstated");
+  }
+  SECTION("a service whose upstreams all fail is never ejected whole") {
+    for (std::uint64_t Id = 1; Id < 200; ++Id) {
+      Test.end(Test.start(callerRequest(Id, "POST"), 1ms), Outcome::Answered,
+               OutcomeReason::None, 2ms, 500);
+    }
+    Test.start(callerRequest(500, "POST"), 3ms);
+    REQUIRE(messages<Dispatch>(Test.Out).size() == 1);
+  }
+  SECTION("a request waits for the first link of its service") {
+    IngressSystem Ingress(nodeRun(9), Test.Random);
+    Ingress.setCandidates({candidate(1)});
+    Actions Out;
+    Ingress.start(callerRequest(1), seatsRoute(), at(0ms), Out);
+    REQUIRE(Ingress.neededPeers().contains(NodeId{1}));
+    REQUIRE(Out.empty());
+    SECTION("and is sent when the link is up") {
+      Ingress.linkUp(nodeRun(1), at(2ms), Out);
+      Ingress.tick(at(5ms), Out);
+      REQUIRE(messages<Dispatch>(Out).size() == 1);
+    }
+    SECTION("and is refused when none comes up in time") {
+      while (all<ReplyToCaller>(Out).empty()) {
+        Ingress.tick(*Ingress.nextWakeup(), Out);
+      }
+      REQUIRE(all<ReplyToCaller>(Out)[0].Reason == OutcomeReason::NoUpstream);
+      REQUIRE(all<ReplyToCaller>(Out)[0].Result == Outcome::NotRun);
+    }
+  }
+  SECTION("sampled requests report their hops as spans") {
+    CallerRequest Request = callerRequest(1);
+    Request.Trace.Sampled = true;
+    const auto Sent = Test.start(Request);
+    Test.end(Sent, Outcome::Answered, OutcomeReason::None, 3ms);
+    const auto Spans = all<SpanFinished>(Test.Out);
+    REQUIRE(Spans.size() == 2);
+    REQUIRE(Spans[0].Kind == SpanKind::Peer);
+    REQUIRE(Spans[0].Span == Sent.Message.Trace.ParentSpan);
+    REQUIRE(Spans[0].Trace.ParentSpan == Spans[1].Span);
+    REQUIRE(Spans[1].Kind == SpanKind::Ingress);
+  }
+}
--- /dev/null
+++ b/tests/core/owner_system_test.cpp
@@ -0,0 +1,247 @@
+/// @file
+/// @brief Tests of admission at the owner.
+#include "hyssopford/core/owner_system.hpp"
+
+#include "support/decisions.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssopford;
+using namespace hyssopford::test;
+
+namespace {
+
+/// An owner whose upstream has two slots and a service time of 10 ms.
+struct Fixture {
+  OwnerSystem Owner{nodeRun(1)};
+  Actions Out;
+
+  Fixture() {
+    Owner.announce({"seats", 2, UpstreamState::Serving}, at(0ms), Out);
+    admit(dispatchOf(1));
+    answer(1, 10ms);
+    Out.clear();
+  }
+
+  void admit(const Dispatch &Attempt, Duration Now = 0ms) {
+    Out.clear();
+    Owner.admit(NodeId{9}, Attempt, at(Now), Out);
+  }
+
+  void answer(std::uint64_t Sequence, Duration Now) {
+    Out.clear();
+    Owner.answered({AttemptId{nodeRun(9), Sequence}, 200, Payload("ok"), false},
+                   at(Now), Out);
+  }
+
+  DispatchReply reply() const {
+    return messages<DispatchReply>(Out).at(0).Message;
+  }
+
+  AttemptState status(std::uint64_t Sequence, Duration Now) {
+    Out.clear();
+    Owner.queryStatus(NodeId{9},
+                      {AttemptId{nodeRun(9), Sequence}, Incarnation{1}},
+                      at(Now), Out);
+    return messages<StatusReply>(Out).at(0).Message.State;
+  }
+
+  std::size_t started() const { return all<ForwardToUpstream>(Out).size(); }
+};
+
+} // namespace
+
+TEST_CASE("admission", "[owner]") {
+  Fixture Test;
+  Test.admit(dispatchOf(2), 10ms);
+  REQUIRE(Test.started() == 1);
+  Test.admit(dispatchOf(3), 10ms);
+  REQUIRE(Test.started() == 1);
+  Test.admit(dispatchOf(4), 10ms);
+  REQUIRE(Test.started() == 0);
+  REQUIRE(Test.Owner.load() ==
+          LoadReport{Test.Owner.load().Sequence, 2, 1, 2, 10ms});
+
+  SECTION("a freed slot starts the next attempt") {
+    Test.answer(2, 20ms);
+    REQUIRE(Test.started() == 1);
+    REQUIRE(Test.reply().Held == 10ms);
+    REQUIRE(Test.reply().Load.InFlight == 1);
+  }
+  SECTION("too short a deadline is refused at once") {
+    Test.admit(dispatchOf(5, Priority::Normal, 15ms), 10ms);
+    REQUIRE(Test.reply().Result == Outcome::NotRun);
+    REQUIRE(Test.reply().Reason == OutcomeReason::DeadlineTooClose);
+  }
+  SECTION("the queue is bounded by time") {
+    OutcomeReason Refusal = OutcomeReason::None;
+    std::uint64_t Sequence = 5;
+    while (Refusal == OutcomeReason::None && Sequence < 100) {
+      Test.admit(dispatchOf(Sequence++), 10ms);
+      Refusal = messages<DispatchReply>(Test.Out).empty() ? OutcomeReason::None
+                                                          : Test.reply().Reason;
+    }
+    REQUIRE(Refusal == OutcomeReason::QueueFull);
+    REQUIRE(Test.Owner.load().Queued == 20);
+  }
+  SECTION("a queued attempt ends at its deadline") {
+    Test.Owner.tick(*Test.Owner.nextWakeup(), Test.Out);
+    REQUIRE(Test.reply().Reason == OutcomeReason::DeadlineExceeded);
+    REQUIRE(Test.reply().Result == Outcome::NotRun);
+  }
+  SECTION("neither class starves") {
+    for (std::uint64_t Sequence = 10; Sequence < 18; ++Sequence) {
+      Test.admit(dispatchOf(Sequence, Priority::High), 10ms);
+    }
+    std::vector<std::uint64_t> Order;
+    std::uint64_t Running = 2;
+    for (int Count = 0; Count < 9; ++Count) {
+      Test.answer(Running, 20ms);
+      Running = all<ForwardToUpstream>(Test.Out).at(0).Attempt.Sequence;
+      Order.push_back(Running);
+    }
+    REQUIRE(Order ==
+            std::vector<std::uint64_t>{10, 11, 12, 13, 4, 14, 15, 16, 17});
+  }
+  SECTION("a draining upstream refuses new work and finishes the queue") {
+    Test.Owner.drain();
+    Test.admit(dispatchOf(5), 10ms);
+    REQUIRE(Test.reply().Reason == OutcomeReason::Draining);
+    Test.answer(2, 20ms);
+    REQUIRE(Test.started() == 1);
+  }
+  SECTION("after a crash running attempts are unknown, queued ones not-run") {
+    Test.Out.clear();
+    Test.Owner.withdraw({true}, at(11ms), Test.Out);
+    const auto Replies = messages<DispatchReply>(Test.Out);
+    REQUIRE(Replies.size() == 3);
+    REQUIRE(Replies[0].Message.Attempt.Sequence == 4);
+    REQUIRE(Replies[0].Message.Result == Outcome::NotRun);
+    REQUIRE(Replies[1].Message.Result == Outcome::Unknown);
+    REQUIRE(Replies[2].Message.Result == Outcome::Unknown);
+    REQUIRE(Test.Owner.inFlight() == 0);
+  }
+}
+
+TEST_CASE("attempts run at most once", "[owner]") {
+  Fixture Test;
+  SECTION("a duplicate of a running attempt is ignored") {
+    Test.admit(dispatchOf(2), 10ms);
+    Test.admit(dispatchOf(2), 11ms);
+    REQUIRE(Test.Out.empty());
+  }
+  SECTION("a duplicate of a finished attempt gets the same reply") {
+    Test.admit(dispatchOf(1), 9s);
+    REQUIRE(Test.started() == 0);
+    REQUIRE(Test.reply().Answer == Payload("ok"));
+  }
+  SECTION("a duplicate of a forgotten attempt is rejected as unknown") {
+    Test.admit(dispatchOf(1), 11s);
+    REQUIRE(Test.started() == 0);
+    REQUIRE(Test.reply().Reason == OutcomeReason::StaleFrame);
+    REQUIRE(Test.reply().Result == Outcome::Unknown);
+    REQUIRE(Test.status(1, 11s) == AttemptState::CannotTell);
+  }
+  SECTION("a cancellation bars an attempt that arrives later") {
+    Test.Owner.cancel(AttemptId{nodeRun(9), 5}, at(10ms), Test.Out);
+    Test.admit(dispatchOf(5), 11ms);
+    REQUIRE(Test.started() == 0);
+    REQUIRE(Test.reply().Result == Outcome::NotRun);
+  }
+  SECTION("a status query bars an attempt that arrives later") {
+    REQUIRE(Test.status(5, 10ms) == AttemptState::WillNotRun);
+    Test.admit(dispatchOf(5), 11ms);
+    REQUIRE(Test.started() == 0);
+  }
+  SECTION("an attempt meant for another run is refused") {
+    Dispatch Other = dispatchOf(5);
+    Other.Owner = Incarnation{2};
+    Test.admit(Other, 10ms);
+    REQUIRE(Test.reply().Reason == OutcomeReason::WrongIncarnation);
+  }
+  SECTION("a status query for another run cannot be answered") {
+    Test.Owner.queryStatus(NodeId{9},
+                           {AttemptId{nodeRun(9), 7}, Incarnation{0}}, at(10ms),
+                           Test.Out);
+    REQUIRE(messages<StatusReply>(Test.Out).at(0).Message.State ==
+            AttemptState::CannotTell);
+  }
+  SECTION("a status query cancels a queued attempt only") {
+    Test.admit(dispatchOf(2), 10ms);
+    Test.admit(dispatchOf(3), 10ms);
+    Test.admit(dispatchOf(4), 10ms);
+    REQUIRE(Test.status(2, 11ms) == AttemptState::Running);
+    REQUIRE(Test.status(4, 11ms) == AttemptState::WillNotRun);
+    REQUIRE(Test.status(1, 11ms) == AttemptState::Finished);
+    REQUIRE(Test.reply().Result == Outcome::Answered);
+  }
+  SECTION("cancelling a running attempt frees its slot") {
+    Test.admit(dispatchOf(2), 10ms);
+    Test.Out.clear();
+    Test.Owner.cancel(AttemptId{nodeRun(9), 2}, at(11ms), Test.Out);
+    REQUIRE(all<CancelUpstream>(Test.Out).size() == 1);
+    REQUIRE(Test.reply().Result == Outcome::Unknown);
+    REQUIRE(Test.Owner.inFlight() == 0);
+  }
+  SECTION("an attempt whose bytes were not sent is not-run") {
+    Test.admit(dispatchOf(2), 10ms);
+    Test.Owner.failed(
+        {AttemptId{nodeRun(9), 2}, OutcomeReason::ConnectFailed, false},
+        at(11ms), Test.Out);
+    REQUIRE(Test.reply().Result == Outcome::NotRun);
+  }
+}
+
+TEST_CASE("answers of a full memory are forgotten early", "[owner]") {
+  FinishedAttempts Finished(10s, 100);
+  for (std::uint64_t Sequence = 1; Sequence <= 3; ++Sequence) {
+    DispatchReply Reply;
+    Reply.Attempt = AttemptId{nodeRun(9), Sequence};
+    Reply.Answer = Payload(std::string(50, 'x'));
+    Finished.add(Reply, at(0ms));
+  }
+  REQUIRE(Finished.size() == 2);
+  REQUIRE(Finished.mayBeForgotten(AttemptId{nodeRun(9), 1}));
+  REQUIRE_FALSE(Finished.mayBeForgotten(AttemptId{nodeRun(9, 2), 1}));
+}
+
+TEST_CASE("concurrency limit", "[owner]") {
+  ConcurrencyLimit Limit{AdmissionSettings{}};
+  Limit.announce(10, false, at(0ms));
+  const auto Window = [&](Duration Latency, int Windows = 1) {
+    for (int Count = 0; Count < 40 * Windows; ++Count) {
+      Limit.observe(Latency, 10, at(1ms));
+    }
+  };
+  Window(10ms, 10);
+  REQUIRE(Limit.value(at(1ms)) == 10);
+
+  SECTION("follows a noisy neighbour down and back up") {
+    Window(25ms);
+    REQUIRE(Limit.value(at(1ms)) == 7);
+    Window(10ms, 3);
+    REQUIRE(Limit.value(at(1ms)) == 10);
+  }
+  SECTION("never falls below 1") {
+    Window(1s, 30);
+    REQUIRE(Limit.value(at(1ms)) == 1);
+  }
+  SECTION("shrinks once for requests that are shed together") {
+    Limit.shed(at(1ms));
+    Limit.shed(at(2ms));
+    REQUIRE(Limit.value(at(2ms)) == 8);
+  }
+  SECTION("ramps up when the upstream is cold") {
+    ConcurrencyLimit Cold{AdmissionSettings{}};
+    Cold.announce(10, true, at(0ms));
+    REQUIRE(Cold.value(at(0ms)) == 2);
+    REQUIRE(Cold.value(at(1s)) == 6);
+    REQUIRE(Cold.value(at(2s)) == 10);
+  }
+  SECTION("is 1 while the upstream is suspected") {
+    Limit.suspect(true, at(1s));
+    REQUIRE(Limit.value(at(1s)) == 1);
+    Limit.suspect(false, at(2s));
+    REQUIRE(Limit.value(at(4s)) == 10);
+  }
+}
