--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -4,11 +4,13 @@
 
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/core/config_system.hpp"
+#include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/directory_system.hpp"
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/ingress_system.hpp"
 #include "hyssopford/core/membership_system.hpp"
 #include "hyssopford/core/owner_system.hpp"
+#include "hyssopford/core/probe_system.hpp"
 #include "hyssopford/core/random_source.hpp"
 #include "hyssopford/core/routing_config.hpp"
 
@@ -31,6 +33,8 @@
   std::vector<std::string> Seeds;
   /// Start value of the random source.
   std::uint64_t Seed = 1;
+  /// Constants of routing, admission and probing.
+  DecisionSettings Decisions;
 
   friend bool operator==(const NodeCoreSettings &,
                          const NodeCoreSettings &) = default;
@@ -87,6 +91,7 @@
 
   const IngressSystem &ingress() const { return Ingress; }
   const OwnerSystem &owner() const { return Owner; }
+  const ProbeSystem &probes() const { return Probes; }
   const MembershipSystem &membership() const { return Membership; }
 
   /// @return the configuration system, or nullptr without a codec
@@ -147,8 +152,10 @@
   std::optional<ConfigSystem> Configs;
   IngressSystem Ingress;
   OwnerSystem Owner;
+  ProbeSystem Probes;
   std::uint64_t CandidateRevision = 0;
   std::uint64_t DutyRevision = 0;
+  std::uint64_t NeededRevision = 0;
   bool ShuttingDown = false;
   bool ShutdownReported = false;
 };
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <initializer_list>
-#include <set>
 #include <utility>
 
 namespace hyssopford {
@@ -33,7 +32,10 @@
 NodeCore::NodeCore(const NodeCoreSettings &Settings, const ConfigCodec *Codec)
     : Self{nodeIdOf(Settings.Address), Settings.Run}, Random(Settings.Seed),
       Membership(ownRecord(Settings, Self), Settings.Seeds, Random),
-      Directory(Settings.Address, Random), Ingress(Self, Random), Owner(Self) {
+      Directory(Settings.Address, Random),
+      Ingress(Self, Random, Settings.Decisions.Routing, Settings.Region),
+      Owner(Self, Settings.Decisions.Admission),
+      Probes(Settings.Decisions.Probing) {
   if (Codec != nullptr) {
     Configs.emplace(*Codec, Random);
   }
@@ -54,6 +56,7 @@
   Membership.noteTime(Now, Produced);
   Ingress.tick(Now, Produced);
   Owner.tick(Now, Produced);
+  Probes.tick(Now, Produced);
   Membership.tick(Now, Produced);
   Directory.tick(Now, Produced);
   if (Configs) {
@@ -84,8 +87,8 @@
 std::optional<TimePoint> NodeCore::nextWakeup() const {
   std::optional<TimePoint> Next;
   for (const std::optional<TimePoint> &Each :
-       {Ingress.nextWakeup(), Owner.nextWakeup(), Membership.nextWakeup(),
-        Directory.nextWakeup(),
+       {Ingress.nextWakeup(), Owner.nextWakeup(), Probes.nextWakeup(),
+        Membership.nextWakeup(), Directory.nextWakeup(),
         Configs ? Configs->nextWakeup() : std::nullopt}) {
     if (Each && (!Next || *Each < *Next)) {
       Next = Each;
@@ -136,25 +139,35 @@
 
 void NodeCore::on(const UpstreamAnswered &Input, TimePoint Now, Actions &Out) {
   Owner.answered(Input, Now, Out);
+  Probes.observe(true, Now);
+  Owner.suspect(Probes.suspected(), Now, Out);
 }
 
 void NodeCore::on(const UpstreamFailed &Input, TimePoint Now, Actions &Out) {
   Owner.failed(Input, Now, Out);
+  if (isUpstreamFault(Input.Reason)) {
+    Probes.observe(false, Now);
+    Owner.suspect(Probes.suspected(), Now, Out);
+  }
 }
 
 void NodeCore::on(const UpstreamAnnounced &Input, TimePoint Now, Actions &Out) {
   Owner.announce(Input, Now, Out);
+  Probes.announce(Input, Now);
   Membership.setUpstream(Input, Now, Out);
 }
 
 void NodeCore::on(const UpstreamGone &Input, TimePoint Now, Actions &Out) {
   Owner.withdraw(Input, Now, Out);
+  Probes.withdraw();
   Membership.setUpstream(UpstreamAnnounced{"", 0, UpstreamState::None}, Now,
                          Out);
 }
 
-void NodeCore::on(const ProbeFinished & /*Input*/, TimePoint /*Now*/,
-                  Actions & /*Out*/) {}
+void NodeCore::on(const ProbeFinished &Input, TimePoint Now, Actions &Out) {
+  Probes.finish(Input, Now, Out);
+  Owner.suspect(Probes.suspected(), Now, Out);
+}
 
 void NodeCore::on(const StoreReplied &Input, TimePoint Now, Actions &Out) {
   Directory.receive(Input, Now);
@@ -200,11 +213,13 @@
 
 void NodeCore::receive(NodeRun From, const Dispatch &Message, TimePoint Now,
                        Actions &Out) {
+  Membership.noteTraffic(From.Node, Now);
   Owner.admit(From.Node, Message, Now, Out);
 }
 
 void NodeCore::receive(NodeRun From, const DispatchReply &Message,
                        TimePoint Now, Actions &Out) {
+  Membership.noteTraffic(From.Node, Now);
   Ingress.finishAttempt(From.Node, Message, Now, Out);
 }
 
@@ -262,6 +277,10 @@
   Directory.setAlone(Membership.linkedPeers().empty(), Now);
   refreshDuties(Now);
   refreshCandidates();
+  if (NeededRevision != Ingress.neededRevision()) {
+    NeededRevision = Ingress.neededRevision();
+    Membership.setNeeded(Ingress.neededPeers());
+  }
   if (Membership.superseded() && !ShuttingDown) {
     ShuttingDown = true;
     Owner.drain();
@@ -302,12 +321,6 @@
                                      Record.Slots, Record.Upstream});
     }
   }
-  // The ingress sends to any candidate, so it needs a link to each of them.
-  std::set<NodeId> Needed;
-  for (const Candidate &Each : Candidates) {
-    Needed.insert(Each.Owner.Node);
-  }
-  Membership.setNeeded(std::move(Needed));
   Ingress.setCandidates(std::move(Candidates));
 }
 
