--- a/include/hyssopford/core/table_sync.hpp
+++ b/include/hyssopford/core/table_sync.hpp
@@ -18,7 +18,9 @@
 /// when joining, then now and then (anti-entropy).
 class TableSync {
 public:
-  /// Time between two comparisons after joining.
+  /// Time between two comparisons after joining, while they find differences
+  /// and at most.
+  static constexpr Duration FirstInterval = 1s;
   static constexpr Duration Period = 10s;
   /// Time between two pieces.
   static constexpr Duration PieceInterval = 100ms;
@@ -63,6 +65,9 @@
   bool Joined = false;
   bool Waiting = false;
   std::uint32_t Cursor = 0;
+  /// True if the comparison that runs has found a difference.
+  bool Changed = false;
+  Duration Interval = FirstInterval;
   TimePoint Next;
 };
 
--- a/src/core/table_sync.cpp
+++ b/src/core/table_sync.cpp
@@ -1,11 +1,15 @@
 #include "hyssopford/core/table_sync.hpp"
 
+#include <algorithm>
+
 namespace hyssopford {
 
 void TableSync::restart(TimePoint Now) {
   Joined = false;
   Waiting = false;
   Cursor = 0;
+  Changed = false;
+  Interval = FirstInterval;
   Next = Now;
 }
 
@@ -49,12 +53,17 @@
     return;
   }
   Cursor = Reply.NextBucket;
+  Changed = Changed || !Reply.Records.empty();
   if (Cursor != 0) {
     Next = Now + PieceInterval;
     return;
   }
   Joined = true;
-  Next = Now + Period * 3 / 4 + Duration(Random.below(Period.count() / 2));
+  // While there are differences the next comparison comes soon: this spreads
+  // many news, e.g. of a site that starts, with fewer bytes than gossip.
+  Interval = Changed ? FirstInterval : std::min(Interval * 2, Period);
+  Changed = false;
+  Next = Now + Interval * 3 / 4 + Duration(Random.below(Interval.count() / 2));
 }
 
 void TableSync::tick(TimePoint Now, Actions &Out) {
