--- a/include/hyssopford/core/member_table.hpp
+++ b/include/hyssopford/core/member_table.hpp
@@ -31,7 +31,7 @@
   static constexpr std::uint32_t Buckets = 128;
 
   /// @param Own the record of this node
-  explicit MemberTable(MemberRecord Own);
+  explicit MemberTable(const MemberRecord &Own);
 
   const Records &records() const { return All; }
   const MemberRecord &self() const { return All.at(SelfId); }
--- a/include/hyssopford/core/membership_system.hpp
+++ b/include/hyssopford/core/membership_system.hpp
@@ -52,7 +52,7 @@
   /// @param Self the record of this node, without upstream
   /// @param Seeds peer addresses of nodes to contact first
   /// @param Random source of the choice of peers
-  MembershipSystem(MemberRecord Self, std::vector<std::string> Seeds,
+  MembershipSystem(const MemberRecord &Self, std::vector<std::string> Seeds,
                    RandomSource &Random);
   MembershipSystem(const MembershipSystem &) = delete;
   MembershipSystem &operator=(const MembershipSystem &) = delete;
--- a/include/hyssopford/core/patch_writer.hpp
+++ b/include/hyssopford/core/patch_writer.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -122,7 +123,7 @@
   std::uint64_t InForce = 0;
   std::uint64_t LastCall = 0;
   std::uint64_t OpenCall = 0;
-  std::optional<Submission> Current;
+  std::unique_ptr<Submission> Current;
   std::deque<PatchSubmitted> Queue;
   std::optional<StoredVersion> Stored;
 };
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -36,7 +36,8 @@
   if (!Links.contains(From.Node)) {
     return;
   }
-  if (!FirstOffer) {
+  if (!FirstOffer && Message.Version != 0) {
+    // A peer without a version may itself be starting, so it does not count.
     FirstOffer = Now;
   }
   Offers[From.Node] = Message.Version;
--- a/src/core/member_table.cpp
+++ b/src/core/member_table.cpp
@@ -41,7 +41,9 @@
   return RecordOverhead + Record.Address.size() + SharedStrings;
 }
 
-MemberTable::MemberTable(MemberRecord Own) : SelfId(Own.Id.Node) { put(Own); }
+MemberTable::MemberTable(const MemberRecord &Own) : SelfId(Own.Id.Node) {
+  put(Own);
+}
 
 const MemberRecord *MemberTable::find(NodeId Node) const {
   const auto Row = All.find(Node);
--- a/src/core/membership_system.cpp
+++ b/src/core/membership_system.cpp
@@ -22,11 +22,11 @@
 
 } // namespace
 
-MembershipSystem::MembershipSystem(MemberRecord Self,
+MembershipSystem::MembershipSystem(const MemberRecord &Self,
                                    std::vector<std::string> FirstContacts,
                                    RandomSource &Source)
     : SelfRun(Self.Id), Seeds(std::move(FirstContacts)), Random(Source),
-      Table(std::move(Self)), Budget(BytesPerSecond, BurstBytes),
+      Table(Self), Budget(BytesPerSecond, BurstBytes),
       Detector(Table, Links, Source,
                [this](TimePoint Now) { return piggyback(Now); }),
       Sync(Table, Links, Source) {}
--- a/src/core/patch_writer.cpp
+++ b/src/core/patch_writer.cpp
@@ -113,7 +113,7 @@
   if (Queue.empty()) {
     return;
   }
-  Current.emplace();
+  Current = std::make_unique<Submission>();
   Current->Input = std::move(Queue.front());
   Queue.pop_front();
   Current->GiveUp = Now + ReadTime;
