--- /dev/null
+++ b/tests/state_bench/main.cpp
@@ -0,0 +1,181 @@
+/// @file
+/// @brief Measures membership and configuration over in-memory links in
+/// virtual time, and prints one JSON object a line.
+#include "core/site_fake.hpp"
+#include "hyssopford/net/message_codec.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <fmt/format.h>
+#include <string>
+#include <vector>
+
+using namespace hyssopford;
+
+namespace {
+
+// Length and authentication code of a frame.
+constexpr std::size_t FrameOverhead = 20;
+// Frames that the opener and the accepter of a link exchange in the handshake.
+constexpr std::uint64_t HandshakeBytes = 460;
+// An idle link carries a heartbeat, a frame without content, this often.
+constexpr double HeartbeatsPerSecond = 1.0 / 0.8;
+
+struct Totals {
+  std::uint64_t Bytes = 0;
+  std::uint64_t MostBytes = 0;
+  std::uint64_t Opened = 0;
+  std::uint64_t CpuNanoseconds = 0;
+  std::size_t MostLinks = 0;
+  std::size_t Links = 0;
+};
+
+void prepare(SiteFake &Site, std::size_t Count, std::size_t SeedCount) {
+  Site.SizeOf = [](const PeerMessage &Message) {
+    return encodeMessage(Message).size() + FrameOverhead;
+  };
+  Site.addNodes(Count, 4, SeedCount);
+  Site.startAll();
+}
+
+bool complete(SiteFake &Site) {
+  const std::size_t Count = Site.size();
+  for (std::size_t Each = 0; Each < Count; ++Each) {
+    if (Site.core(Each).membership().members().size() != Count) {
+      return false;
+    }
+  }
+  return true;
+}
+
+Totals measure(SiteFake &Site, Duration Time) {
+  Totals Sum;
+  std::vector<std::uint64_t> Before;
+  std::uint64_t Opened = 0;
+  for (std::size_t Each = 0; Each < Site.size(); ++Each) {
+    Before.push_back(Site.node(Each).BytesSent);
+    Opened += Site.node(Each).LinksOpened;
+  }
+  const std::uint64_t Cpu = Site.CpuNanoseconds;
+  Site.run(Time);
+  for (std::size_t Each = 0; Each < Site.size(); ++Each) {
+    const std::uint64_t Sent = Site.node(Each).BytesSent - Before[Each];
+    Sum.Bytes += Sent;
+    Sum.MostBytes = std::max(Sum.MostBytes, Sent);
+    Sum.Opened += Site.node(Each).LinksOpened;
+    Sum.Links += Site.linkCount(Each);
+    Sum.MostLinks = std::max(Sum.MostLinks, Site.linkCount(Each));
+  }
+  Sum.Opened -= Opened;
+  Sum.CpuNanoseconds = Site.CpuNanoseconds - Cpu;
+  return Sum;
+}
+
+void printGossip(const char *Bench, std::size_t Count, const Totals &Sum,
+                 Duration Time) {
+  const double Seconds = static_cast<double>(Time / 1us) / 1e6;
+  const double NodeSeconds = Seconds * static_cast<double>(Count);
+  const double Messages = static_cast<double>(Sum.Bytes) / NodeSeconds;
+  const double Handshakes =
+      static_cast<double>(Sum.Opened * HandshakeBytes) / NodeSeconds;
+  const double LinksPerNode =
+      static_cast<double>(Sum.Links) / static_cast<double>(Count);
+  const double Heartbeats = LinksPerNode * HeartbeatsPerSecond * FrameOverhead;
+  fmt::print("{{\"bench\":\"{}\",\"members\":{},\"message_bytes_per_s\":{:.0f},"
+             "\"handshake_bytes_per_s\":{:.0f},"
+             "\"heartbeat_bytes_per_s\":{:.0f},\"total_bytes_per_s\":{:.0f},"
+             "\"max_message_bytes_per_s\":{:.0f},\"links\":{:.1f},"
+             "\"max_links\":{},\"core_cpu_share\":{:.5f}}}\n",
+             Bench, Count, Messages, Handshakes, Heartbeats,
+             Messages + Handshakes + Heartbeats,
+             static_cast<double>(Sum.MostBytes) / Seconds, LinksPerNode,
+             Sum.MostLinks,
+             static_cast<double>(Sum.CpuNanoseconds) / 1e9 / NodeSeconds);
+}
+
+void gossip(std::size_t Count) {
+  SiteFake Site;
+  prepare(Site, Count, 3);
+  const TimePoint Begin = Site.now();
+  const bool Complete = Site.runUntil([&] { return complete(Site); }, 180s);
+  fmt::print("{{\"bench\":\"site_start\",\"members\":{},\"complete\":{},"
+             "\"virtual_s\":{:.1f}}}\n",
+             Count, Complete,
+             static_cast<double>((Site.now() - Begin) / 1ms) / 1e3);
+  Site.run(60s);
+  printGossip("gossip_quiet", Count, measure(Site, 60s), 60s);
+  // A restart every 10 s is 150 times the 57 a day that are expected.
+  Totals Sum;
+  for (std::size_t Round = 0; Round < 6; ++Round) {
+    const std::size_t Restarting = (Round * 5 + 4) % Count;
+    Site.crash(Restarting);
+    Site.run(1s);
+    Site.start(Restarting);
+    const Totals Part = measure(Site, 9s);
+    Sum.Bytes += Part.Bytes;
+    Sum.MostBytes += Part.MostBytes;
+    Sum.Opened += Part.Opened;
+    Sum.CpuNanoseconds += Part.CpuNanoseconds;
+    Sum.Links = Part.Links;
+    Sum.MostLinks = std::max(Sum.MostLinks, Part.MostLinks);
+  }
+  printGossip("gossip_restarts", Count, Sum, 54s);
+}
+
+void config(std::size_t Count, std::size_t Patches) {
+  SiteFake Site;
+  prepare(Site, Count, 3);
+  Site.runUntil([&] { return complete(Site); }, 180s);
+  Site.run(5s);
+  std::vector<double> Times;
+  for (std::uint64_t Version = 1; Version <= Patches; ++Version) {
+    const std::size_t At = Version * 7 % Count;
+    Site.submit(At, Version, std::to_string(Version), Version - 1,
+                "set " + std::string(40'000, 'd'));
+    const TimePoint Begin = Site.now();
+    Site.runUntil([&] { return Site.lowestVersion() >= Version; }, 30s);
+    Times.push_back(static_cast<double>((Site.now() - Begin) / 1us) / 1e3);
+  }
+  std::sort(Times.begin(), Times.end());
+  fmt::print("{{\"bench\":\"config_in_force\",\"members\":{},\"patches\":{},"
+             "\"document_bytes\":40000,\"p50_ms\":{:.1f},\"max_ms\":{:.1f}}}\n",
+             Count, Patches, Times[Times.size() / 2], Times.back());
+}
+
+void store(std::size_t Count) {
+  SiteFake Site;
+  prepare(Site, Count, 3);
+  Site.runUntil([&] { return complete(Site); }, 180s);
+  Site.run(60s);
+  const std::uint64_t Before = Site.storeCalls();
+  constexpr Duration Time = 120s;
+  Site.run(Time);
+  fmt::print("{{\"bench\":\"store_calls\",\"members\":{},"
+             "\"calls_per_s\":{:.3f},\"peak_reads_per_s\":{},"
+             "\"peak_writes_per_s\":{}}}\n",
+             Count,
+             static_cast<double>(Site.storeCalls() - Before) /
+                 static_cast<double>(Time / 1s),
+             Site.store().counters().PeakReads,
+             Site.store().counters().PeakWrites);
+}
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  // Sizes as arguments; the sizes of the requirements without any.
+  std::vector<std::size_t> Sizes = {13, 60, 1'100};
+  if (ArgumentCount > 1) {
+    Sizes.clear();
+    for (int Index = 1; Index < ArgumentCount; ++Index) {
+      Sizes.push_back(std::stoul(Arguments[Index]));
+    }
+  }
+  for (const std::size_t Count : Sizes) {
+    gossip(Count);
+    config(Count, 20);
+    store(Count);
+    std::fflush(stdout);
+  }
+  return 0;
+}
