--- /dev/null
+++ b/include/hyssopford/config/secret.hpp
@@ -0,0 +1,49 @@
+/// @file
+/// @brief Keys and tokens that must not reach a log or an output.
+#pragma once
+
+#include "hyssopford/core/error.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace hyssopford {
+
+/// @brief A key or token. It has no stream or format operator, so it cannot be
+/// logged by accident.
+class Secret {
+public:
+  Secret() = default;
+
+  /// @param Text the key or token
+  explicit Secret(std::string Text) : Value(std::move(Text)) {}
+
+  /// @return the key or token, for use in a computation
+  const std::string &reveal() const { return Value; }
+
+  /// @brief Compares with a value from outside in a time that depends only on
+  /// the lengths.
+  /// @param Offered the value from outside
+  /// @return whether both are the same and not empty
+  bool matches(std::string_view Offered) const;
+
+  friend bool operator==(const Secret &, const Secret &) = default;
+
+private:
+  std::string Value;
+};
+
+/// @brief Fewest characters of a key or token: 128 bits in hexadecimal digits.
+constexpr std::size_t MinSecretLength = 32;
+
+/// @brief Reads a key or token from a file of one line.
+/// @param Path the file
+/// @param LastError receives the reason if the result is empty; errors 112 (the
+/// file cannot be read) and 114 (its content is no key); the content is never
+/// part of the reason
+/// @return the secret
+std::optional<Secret> readSecretFile(const std::string &Path, Error &LastError);
+
+} // namespace hyssopford
--- a/include/hyssopford/core/error_codes.hpp
+++ b/include/hyssopford/core/error_codes.hpp
@@ -24,6 +24,7 @@
   PatchConflict = 111,
   FileUnreadable = 112,
   SettingConflict = 113,
+  SecretForm = 114,
   /// @}
 };
 
--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -216,29 +216,6 @@
   return true;
 }
 
-bool ObjectReader::number(const char *Name, double Min, double Max,
-                          double &Target) {
-  const Json *Found = find(Name, false);
-  if (Found == nullptr) {
-    return false;
-  }
-  const std::string Expected =
-      fmt::format("expected a number from {} to {}", Min, Max);
-  if (!Found->is_number()) {
-    Faults.add(ErrorCode::WrongType, pointerOf(Name),
-               fmt::format("{}, found {}", Expected, Found->type_name()));
-    return false;
-  }
-  const double Number = Found->get<double>();
-  if (!(Number >= Min && Number <= Max)) {
-    Faults.add(ErrorCode::OutOfRange, pointerOf(Name),
-               fmt::format("{}, found {}", Expected, Found->dump()));
-    return false;
-  }
-  Target = Number;
-  return true;
-}
-
 bool ObjectReader::boolean(const char *Name, bool &Target) {
   const Json *Found = find(Name, false);
   if (Found == nullptr) {
--- a/src/config/json_reader.hpp
+++ b/src/config/json_reader.hpp
@@ -74,9 +74,6 @@
   bool integer(const char *Name, std::uint64_t Min, std::uint64_t Max,
                std::uint64_t &Target, bool Required = false);
 
-  /// @brief Reads a number from a range.
-  bool number(const char *Name, double Min, double Max, double &Target);
-
   /// @brief Reads true or false.
   bool boolean(const char *Name, bool &Target);
 
--- a/src/config/text_rules.cpp
+++ b/src/config/text_rules.cpp
@@ -57,4 +57,11 @@
   return Rule;
 }
 
+const TextRule &filePathRule() {
+  static const std::regex Pattern("/[!-~ ]*[!-~]");
+  static const TextRule Rule{
+      &Pattern, "an absolute path of a file, in printable ASCII", 1024};
+  return Rule;
+}
+
 } // namespace hyssopford::detail
--- a/src/config/text_rules.hpp
+++ b/src/config/text_rules.hpp
@@ -15,6 +15,7 @@
 const TextRule &pathPrefixRule();
 const TextRule &addressRule();
 const TextRule &fingerprintRule();
+const TextRule &filePathRule();
 /// @}
 
 } // namespace hyssopford::detail
--- /dev/null
+++ b/tests/config/node_settings_test.cpp
@@ -0,0 +1,229 @@
+/// @file
+/// @brief Tests of node settings, their schema and the example files.
+#include "hyssopford/config/node_settings.hpp"
+#include "hyssopford/config/routing_config_json.hpp"
+#include "schema_probe.hpp"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+using namespace hyssopford;
+using nlohmann::json;
+
+namespace {
+
+using Fault = std::pair<int, std::string>;
+
+std::vector<Fault> faultsOf(const json &Document) {
+  std::vector<Error> Errors;
+  const auto Parsed = parseNodeSettings(Document.dump(), Errors);
+  REQUIRE(Parsed.has_value() == Errors.empty());
+  std::vector<Fault> Result;
+  for (const Error &Each : Errors) {
+    Result.emplace_back(Each.Code, Each.Peer);
+  }
+  return Result;
+}
+
+NodeSettings fullSettings() {
+  NodeSettings Result;
+  Result.Site = "courses";
+  Result.SiteKeyFile = "/etc/hyssopford/site.key";
+  Result.FailureDomain = "fd-1";
+  Result.Region = "north";
+  Result.Addresses = {"0.0.0.0:8080", "192.0.2.7:7101", "127.0.0.1:7102",
+                      "192.0.2.7:7103"};
+  Result.Seeds = {"192.0.2.8:7101"};
+  Result.Store = "192.0.2.200:2379";
+  Result.ReadTokenFile = "/etc/hyssopford/read.token";
+  Result.WriteTokenFile = "/etc/hyssopford/write.token";
+  Result.ProbeBudgetPpm = 100;
+  Result.Tracing.Collector = "192.0.2.201:4318";
+  return Result;
+}
+
+/// A file that is removed at the end of a test.
+class TemporaryFile {
+public:
+  TemporaryFile(const std::string &Name, const std::string &Content)
+      : Path((std::filesystem::path(HYSSOPFORD_BINARY_DIR) / Name).string()) {
+    std::ofstream(Path) << Content;
+  }
+  TemporaryFile(const TemporaryFile &) = delete;
+  TemporaryFile &operator=(const TemporaryFile &) = delete;
+  ~TemporaryFile() { std::filesystem::remove(Path); }
+
+  std::string Path;
+};
+
+} // namespace
+
+TEST_CASE("the node schema and the parser agree", "[settings][schema]") {
+  test::probeSchema(
+      json::parse(test::readRepositoryFile("schema/node.schema.json")),
+      json::parse(renderNodeSettings(fullSettings())),
+      [](const std::string &Document) {
+        std::vector<Error> Errors;
+        parseNodeSettings(Document, Errors);
+        return Errors;
+      });
+}
+
+TEST_CASE("node settings survive rendering", "[settings]") {
+  std::vector<Error> Errors;
+  REQUIRE(parseNodeSettings(renderNodeSettings(fullSettings()), Errors) ==
+          fullSettings());
+}
+
+TEST_CASE("printed defaults are those of the parser and the schema",
+          "[settings]") {
+  const json Defaults = json::parse(defaultNodeSettings());
+  const json Schema =
+      json::parse(test::readRepositoryFile("schema/node.schema.json"));
+
+  SECTION("only the required fields are missing") {
+    REQUIRE(faultsOf(Defaults) == std::vector<Fault>{{104, "/site"},
+                                                     {104, "/site_key_file"},
+                                                     {104, "/failure_domain"},
+                                                     {104, "/region"},
+                                                     {104, "/store"},
+                                                     {104, "/read_token_file"},
+                                                     {104, "/write_token_file"},
+                                                     {104, "/addresses"}});
+  }
+  SECTION("each default of the schema is printed") {
+    for (const char *Group :
+         {"", "/limits", "/timeouts", "/keys", "/tracing"}) {
+      const json::json_pointer At(Group);
+      const json &Properties =
+          At.empty() ? Schema["properties"]
+                     : Schema["properties"][At.back()]["properties"];
+      for (const auto &[Name, Property] : Properties.items()) {
+        CAPTURE(Group, Name);
+        if (Property.contains("default")) {
+          REQUIRE(Defaults[At / Name] == Property["default"]);
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("node settings that contradict each other", "[settings]") {
+  json Document = json::parse(renderNodeSettings(fullSettings()));
+
+  SECTION("addresses") {
+    Document["addresses"]["peers"] = "0.0.0.0:7101";
+    Document["addresses"]["announcements"] = "192.0.2.7:7103";
+    REQUIRE(faultsOf(Document) ==
+            std::vector<Fault>{{113, "/addresses/peers"},
+                               {113, "/addresses/announcements"},
+                               {113, "/addresses/operators"}});
+  }
+  SECTION("limits and token files") {
+    Document["limits"]["line_bytes"] = 40'000;
+    Document["limits"]["memory_bytes"] = 1'048'576;
+    Document["write_token_file"] = Document["read_token_file"];
+    REQUIRE(faultsOf(Document) ==
+            std::vector<Fault>{{113, "/limits/line_bytes"},
+                               {113, "/limits/memory_bytes"},
+                               {113, "/write_token_file"}});
+  }
+}
+
+TEST_CASE("profiles", "[settings]") {
+  NodeSettings Settings = fullSettings();
+  Settings.ProbeBudgetPpm.reset();
+  REQUIRE(effectiveProfile(Settings).Hedging);
+  // Deployment A allows less than 1 % of the slots for probes, B 0.3 %.
+  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm < 10'000);
+  Settings.Objective = Profile::Cost;
+  REQUIRE_FALSE(effectiveProfile(Settings).Hedging);
+  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm <= 3'000);
+  Settings.ProbeBudgetPpm = 0;
+  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm == 0);
+}
+
+TEST_CASE("the core gets the fields that it needs", "[settings]") {
+  const NodeCoreSettings Core = coreSettings(fullSettings(), Incarnation{5}, 9);
+  REQUIRE(Core == NodeCoreSettings{"192.0.2.7:7101",
+                                   Incarnation{5},
+                                   "fd-1",
+                                   "north",
+                                   {"192.0.2.8:7101"},
+                                   9});
+}
+
+TEST_CASE("secrets", "[settings]") {
+  Error Last;
+  const std::string Key(32, 'k');
+
+  SECTION("a line is read without its end") {
+    const TemporaryFile File("secret-good.key", Key + "\n");
+    REQUIRE(readSecretFile(File.Path, Last)->reveal() == Key);
+  }
+  SECTION("a fault does not show the content") {
+    const TemporaryFile File("secret-bad.key", "hunter2");
+    REQUIRE_FALSE(readSecretFile(File.Path, Last));
+    REQUIRE(Last.Code == 114);
+    REQUIRE(toString(Last).find("hunter2") == std::string::npos);
+  }
+  SECTION("every unreadable file is reported") {
+    std::vector<Error> Errors;
+    NodeSettings Settings = fullSettings();
+    Settings.SiteKeyFile = "/nonexistent/site.key";
+    Settings.ReadTokenFile = "/nonexistent/read.token";
+    Settings.WriteTokenFile = "/nonexistent/write.token";
+    REQUIRE_FALSE(loadSecrets(Settings, Errors));
+    REQUIRE(Errors.size() == 3);
+    REQUIRE(Errors[2].Code == 112);
+    REQUIRE(Errors[2].Peer == Settings.WriteTokenFile);
+  }
+  SECTION("comparison") {
+    REQUIRE(Secret("abc").matches("abc"));
+    REQUIRE_FALSE(Secret("abc").matches("abd"));
+    REQUIRE_FALSE(Secret("abc").matches("ab"));
+    // A node without token must not let an empty token in.
+    REQUIRE_FALSE(Secret().matches(""));
+  }
+}
+
+TEST_CASE("example files are valid", "[settings][examples]") {
+  for (const std::string Deployment : {"cafea-deschisa", "sunbelt-glazing"}) {
+    const std::string Folder = "examples/" + Deployment;
+    std::string Report;
+    const int Code = checkNodeSettings(
+        HYSSOPFORD_SOURCE_DIR "/" + Folder + "/node.json", Report);
+    CAPTURE(Report);
+    REQUIRE(Code == 0);
+    std::vector<Error> Errors;
+    REQUIRE(parseRoutingConfig(
+        test::readRepositoryFile(Folder + "/routing.json"), 1, Errors));
+  }
+  std::string Document =
+      test::readRepositoryFile("examples/cafea-deschisa/routing.json");
+  for (const auto &Entry : std::filesystem::directory_iterator(
+           HYSSOPFORD_SOURCE_DIR "/examples/patches")) {
+    Error Last;
+    std::vector<Error> Errors;
+    const auto Patched = applyJsonPatch(
+        Document,
+        test::readRepositoryFile("examples/patches/" +
+                                 Entry.path().filename().string()),
+        Last);
+    CAPTURE(Entry.path().string(), Last.Reason);
+    REQUIRE(Patched);
+    REQUIRE(parseRoutingConfig(*Patched, 2, Errors));
+  }
+}
+
+TEST_CASE("--check reports one line for each fault", "[settings]") {
+  const TemporaryFile File("check.json", R"({"site": 1, "stor": ""})");
+  std::string Report;
+  REQUIRE(checkNodeSettings(File.Path, Report) == 2);
+  REQUIRE(Report.find("settings.parse (/stor): unknown field") !=
+          std::string::npos);
+  REQUIRE(std::count(Report.begin(), Report.end(), '\n') == 9);
+  REQUIRE(checkNodeSettings("/nonexistent/node.json", Report) == 2);
+}
