Define the operators' HTTP interface

Cause: hyssopctl and the node are written at the same time and need one page to agree on.

A loop that clang-tidy rejected in the settings tests is a std::transform.

--- a/include/hyssopford/core/error_codes.hpp
+++ b/include/hyssopford/core/error_codes.hpp
@@ -26,6 +26,37 @@
   SettingConflict = 113,
   SecretForm = 114,
   /// @}
+
+  /// @name Telemetry
+  /// @{
+  CollectorUnreachable = 201,
+  CollectorRefused = 202,
+  /// @}
+
+  /// @name Operators' port
+  /// @{
+  TokenMissing = 401,
+  TokenInsufficient = 402,
+  NoSuchEndpoint = 403,
+  RequestForm = 404,
+  BaseOutdated = 405,
+  DocumentTooLarge = 406,
+  StoreUnavailable = 407,
+  WriteUnresolved = 408,
+  PatchIdReused = 409,
+  /// @}
+
+  /// @name hyssopctl
+  /// @{
+  CommandForm = 501,
+  NodeUnreachable = 502,
+  AnswerForm = 503,
+  WatchTimeout = 504,
+  AlreadyDrained = 505,
+  NotDrained = 506,
+  NotQuarantined = 507,
+  InputUnreadable = 508,
+  /// @}
 };
 
 /// @brief Gives the number that an Error carries.
--- a/tests/config/node_settings_test.cpp
+++ b/tests/config/node_settings_test.cpp
@@ -4,8 +4,8 @@
 #include "hyssopford/config/routing_config_json.hpp"
 #include "schema_probe.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
 
@@ -20,10 +20,9 @@
   std::vector<Error> Errors;
   const auto Parsed = parseNodeSettings(Document.dump(), Errors);
   REQUIRE(Parsed.has_value() == Errors.empty());
-  std::vector<Fault> Result;
-  for (const Error &Each : Errors) {
-    Result.emplace_back(Each.Code, Each.Peer);
-  }
+  std::vector<Fault> Result(Errors.size());
+  std::transform(Errors.begin(), Errors.end(), Result.begin(),
+                 [](const Error &Each) { return Fault(Each.Code, Each.Peer); });
   return Result;
 }
 
