--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -36,6 +36,10 @@
   std::uint64_t BodySize = 0;
   /// True if the request is, at an earlier hop, a retry or a hedge.
   bool IsExtra = false;
+  /// True if the request is served although the node is shutting down: it
+  /// began to arrive before, or belongs to one that the upstream on this VM is
+  /// still running.
+  bool ServeInShutdown = false;
   TraceContext Trace;
   /// The request in the form in which upstreams get it.
   Payload Request;
--- /dev/null
+++ b/include/hyssopford/net/event_loop.hpp
@@ -0,0 +1,119 @@
+/// @file
+/// @brief Single-threaded event loop over POCO sockets.
+#pragma once
+
+#include "hyssopford/core/time.hpp"
+
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/Socket.h>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace hyssopford {
+
+/// @brief Receives the readiness of one socket.
+class SocketHandler {
+public:
+  virtual ~SocketHandler() = default;
+
+  /// @brief Called when the socket is ready.
+  /// @param Modes an OR of Poco::Net::PollSet::Mode values
+  virtual void onReady(int Modes) = 0;
+};
+
+/// @brief Waits for sockets and timers and calls their handlers, all on the
+/// thread that calls run().
+class EventLoop {
+public:
+  using Callback = std::function<void()>;
+  /// Identifies a timer; 0 is never used.
+  using TimerId = std::uint64_t;
+
+  /// @name Construction
+  /// @{
+  EventLoop();
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+  /// @}
+
+  /// @name Sockets
+  /// @{
+
+  /// @brief Registers a socket.
+  /// @param Socket the socket, in non-blocking mode
+  /// @param Modes the Poco::Net::PollSet::Mode values to wait for
+  /// @param Handler is called when the socket is ready; must stay valid until
+  /// the socket is removed
+  void add(const Poco::Net::Socket &Socket, int Modes, SocketHandler &Handler);
+
+  /// @brief Changes the modes of a registered socket.
+  void update(const Poco::Net::Socket &Socket, int Modes);
+
+  /// @brief Removes a socket; must precede closing it.
+  void remove(const Poco::Net::Socket &Socket);
+  /// @}
+
+  /// @name Timers and callbacks
+  /// @{
+
+  /// @brief Calls back once.
+  /// @param Delay time from now; resolution is 1 ms
+  /// @param Function the callback
+  /// @return the identifier for cancel()
+  TimerId after(Duration Delay, Callback Function);
+
+  /// @brief Cancels a timer that has not fired; others are ignored.
+  void cancel(TimerId Timer);
+
+  /// @brief Calls back after the handlers of the current round, e.g. to
+  /// destroy the object whose handler is running.
+  void defer(Callback Function);
+
+  /// @brief Calls back on the loop's thread. May be called by any thread.
+  void post(Callback Function);
+  /// @}
+
+  /// @name Control
+  /// @{
+
+  /// @brief Runs until stop() is called.
+  void run();
+
+  /// @brief Ends run() after the current round. May be called by any thread.
+  void stop();
+
+  /// @return the monotonic time
+  static TimePoint now();
+  /// @}
+
+private:
+  struct Entry {
+    Poco::Net::Socket Socket;
+    SocketHandler *Handler;
+  };
+
+  void runTimers();
+  void runDeferred();
+  void drainWaker();
+  Poco::Timespan timeout() const;
+
+  Poco::Net::PollSet Poll;
+  std::unordered_map<const void *, Entry> Sockets;
+  std::multimap<TimePoint, std::pair<TimerId, Callback>> Timers;
+  std::unordered_map<TimerId, decltype(Timers)::iterator> TimerIndex;
+  std::vector<Callback> Deferred;
+  TimerId LastTimer = 0;
+  std::atomic<bool> Stopping = false;
+  std::mutex PostedMutex;
+  std::vector<Callback> Posted;
+  Poco::Net::DatagramSocket Wake;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/net/http_reader.hpp
@@ -0,0 +1,124 @@
+/// @file
+/// @brief Incremental reader of HTTP/1.1 messages.
+#pragma once
+
+#include "hyssopford/net/http_head.hpp"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace hyssopford {
+
+/// @brief Reads messages one after the other from a byte stream. Heads pass
+/// the strict check before POCO parses them.
+class HttpReader {
+public:
+  enum class Kind : std::uint8_t { Request, Response };
+
+  /// @brief Where the reader stands in the current message.
+  enum class Progress : std::uint8_t {
+    /// More bytes are needed.
+    NeedMore,
+    /// The head was read; returned once for each message.
+    HeadReady,
+    /// The whole message was read.
+    Complete,
+    /// The message is refused; nothing more can be read.
+    Failed
+  };
+
+  /// @name Construction
+  /// @{
+
+  /// @param MessageKind requests or responses
+  /// @param MessageLimits limits of each message
+  HttpReader(Kind MessageKind, const HttpLimits &MessageLimits);
+  /// @}
+
+  /// @name Input
+  /// @{
+
+  /// @brief Appends bytes of the stream.
+  void feed(std::string_view Bytes) { Buffer.append(Bytes); }
+
+  /// @brief Reads on in the bytes fed so far.
+  Progress advance();
+
+  /// @brief Notes the end of the stream.
+  /// @return Complete if this ends a response body, Failed otherwise
+  Progress finish();
+
+  /// @brief Changes the body limit, e.g. to that of the route. To be called
+  /// after HeadReady.
+  void limitBody(std::uint64_t Bytes) { Limits.Body = Bytes; }
+
+  /// @brief States that the next response answers a HEAD request.
+  void expectHeadResponse(bool Expected) { ToHead = Expected; }
+
+  /// @brief Starts the next message; bytes beyond the last one are kept.
+  void next();
+  /// @}
+
+  /// @name Current message
+  /// @{
+  const Poco::Net::HTTPRequest &request() const { return Request; }
+  const Poco::Net::HTTPResponse &response() const { return Response; }
+  const HttpHeadFacts &facts() const { return Facts; }
+  const std::string &body() const { return Body; }
+  std::string takeBody() { return std::move(Body); }
+  const HttpFault &fault() const { return Fault; }
+
+  /// @return whether any byte of the current message has arrived
+  bool started() const { return State != Stage::Head || !Buffer.empty(); }
+
+  /// @return whether the head was read and the body is still incomplete
+  bool inBody() const { return State != Stage::Head && State != Stage::Done; }
+
+  /// @return the number of bytes fed but not yet read
+  std::size_t buffered() const { return Buffer.size() - Position; }
+  /// @}
+
+private:
+  enum class Stage : std::uint8_t {
+    Head,
+    LengthBody,
+    ChunkSize,
+    ChunkData,
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+    Done,
+    Broken
+  };
+
+  Progress readHead();
+  Progress readBody();
+  bool parseHead(std::string_view Head);
+  bool takeLine(std::string_view &Line, std::size_t Limit);
+  bool readChunkSize();
+  bool readChunkData();
+  bool readTrailer();
+  Progress refuse(int Status, std::string Reason);
+  bool fits(std::uint64_t More) const;
+
+  Kind MessageKind;
+  HttpLimits Limits;
+  Stage State = Stage::Head;
+  std::string Buffer;
+  std::size_t Position = 0;
+  /// Where the search for the end of the head goes on.
+  std::size_t Searched = 0;
+  std::uint64_t Left = 0;
+  std::size_t TrailerBytes = 0;
+  bool ToHead = false;
+  Poco::Net::HTTPRequest Request;
+  Poco::Net::HTTPResponse Response;
+  HttpHeadFacts Facts;
+  std::string Body;
+  HttpFault Fault;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/net/http_server.hpp
@@ -0,0 +1,156 @@
+/// @file
+/// @brief HTTP/1.1 server on the event loop.
+#pragma once
+
+#include "hyssopford/core/ids.hpp"
+#include "hyssopford/core/payload.hpp"
+#include "hyssopford/net/event_loop.hpp"
+#include "hyssopford/net/http_head.hpp"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/ServerSocket.h>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace hyssopford {
+
+/// @brief Limits and address of one server.
+struct HttpServerSettings {
+  /// "ip:port"; port 0 lets the system choose.
+  std::string Address = "127.0.0.1:0";
+  /// Distinguishes the requests of the servers of one process; below 256.
+  std::uint8_t Number = 0;
+  HttpLimits Limits;
+  std::size_t MaximumConnections = 8'192;
+  /// Time for a head after its first byte.
+  Duration HeadTimeout = 10s;
+  /// Longest pause within a body or an answer.
+  Duration StallTimeout = 10s;
+  /// Time for a whole body.
+  Duration BodyTimeout = 60s;
+  /// How long a connection may wait for its next request.
+  Duration IdleTimeout = 60s;
+};
+
+/// @brief A complete request; the references are valid during the call.
+struct HttpRequest {
+  const Poco::Net::HTTPRequest &Head;
+  const HttpHeadFacts &Facts;
+  std::string Body;
+  /// Address of the sender, "ip:port".
+  std::string Peer;
+};
+
+/// @brief What to do with a request whose head was read.
+struct HeadDecision {
+  /// Answer for a request that is refused before its body is read.
+  std::optional<Payload> Refusal;
+  std::uint64_t BodyLimit = 0;
+};
+
+/// @brief Takes the requests of a server.
+class HttpServerHandler {
+public:
+  virtual ~HttpServerHandler() = default;
+
+  /// @brief Decides on a request before its body is read.
+  virtual HeadDecision onHead(const Poco::Net::HTTPRequest &Head,
+                              const HttpHeadFacts &Facts) = 0;
+
+  /// @brief Takes a request; HttpServer::reply ends it.
+  virtual void onRequest(RequestId Id, HttpRequest Request) = 0;
+
+  /// @brief The sender has gone; the request is not to be answered any more.
+  virtual void onGone(RequestId Id) = 0;
+
+  /// @brief A malformed request was refused.
+  virtual void onRefused(const HttpFault & /*Fault*/) {}
+
+  /// @return a complete answer for a refused request
+  virtual Payload refusal(const HttpFault &Fault) = 0;
+};
+
+/// @brief Reads requests and writes their answers; one at a time on each
+/// connection, so pipelined requests are answered in order.
+class HttpServer final : public SocketHandler {
+public:
+  /// @name Construction
+  /// @{
+
+  /// @brief Listens.
+  /// @throws Poco::Exception if the address cannot be bound
+  HttpServer(EventLoop &Loop, HttpServerHandler &Handler,
+             HttpServerSettings Settings);
+  ~HttpServer() override;
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+  /// @}
+
+  /// @name Answers
+  /// @{
+
+  /// @brief Answers a request. Does nothing if its sender has gone.
+  /// @param Id the request
+  /// @param Answer status line, fields and body
+  /// @param Fields further field lines, each with its line end
+  void reply(RequestId Id, const Payload &Answer,
+             const std::string &Fields = {});
+  /// @}
+
+  /// @name Shutdown
+  /// @{
+
+  /// @brief Stops listening, closes idle connections and closes the others
+  /// after their current answer.
+  void drain();
+
+  /// @return whether no request is being read or answered and all answers
+  /// were handed to the operating system
+  bool isQuiet() const;
+  /// @}
+
+  /// @name Observers
+  /// @{
+
+  /// @return the address in use, "ip:port"
+  std::string address() const { return Socket.address().toString(); }
+  std::size_t connections() const { return Connections.size(); }
+  bool isDraining() const { return Draining; }
+  /// @}
+
+private:
+  class Connection;
+  friend class Connection;
+
+  void onReady(int Modes) override;
+  void stopListening();
+  RequestId assign(Connection &Owner);
+  void forget(RequestId Id) { InFlight.erase(Id); }
+  void closed(Connection &Gone);
+
+  EventLoop &Loop;
+  HttpServerHandler &Handler;
+  HttpServerSettings Settings;
+  Poco::Net::ServerSocket Socket;
+  bool Listening = false;
+  bool Draining = false;
+  std::uint64_t LastRequest = 0;
+  std::unordered_map<const Connection *, std::shared_ptr<Connection>>
+      Connections;
+  std::unordered_map<RequestId, Connection *> InFlight;
+  EventLoop::TimerId RetryTimer = 0;
+};
+
+/// @brief Builds a complete answer.
+/// @param Status the status code
+/// @param Fields further field lines, each with its line end
+/// @param Body the body; Content-Length is set from it
+/// @return status line, fields and body
+Payload makeHttpAnswer(int Status, const std::string &Fields,
+                       const std::string &Body);
+
+} // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/net/peer_links.hpp
@@ -0,0 +1,146 @@
+/// @file
+/// @brief Authenticated links between nodes.
+#pragma once
+
+#include "hyssopford/core/error.hpp"
+#include "hyssopford/core/ids.hpp"
+#include "hyssopford/core/message.hpp"
+#include "hyssopford/net/event_loop.hpp"
+
+#include <Poco/Net/ServerSocket.h>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace hyssopford {
+
+/// @brief Settings of the links of one node.
+struct PeerLinkSettings {
+  /// Address to listen on, "ip:port"; port 0 lets the system choose.
+  std::string ListenAddress = "127.0.0.1:0";
+  /// Address that peers use; empty for the address listened on.
+  std::string PublicAddress;
+  /// Name of the site; nodes of another site are refused.
+  std::string Site;
+  /// Secret that all nodes of the site share.
+  std::string Key;
+  Incarnation Run;
+  /// An idle link carries a heartbeat this often.
+  Duration HeartbeatPeriod = 800ms;
+  /// A link without any frame for this long is lost. With the time for
+  /// gossip this keeps within the 3 s in which a dead VM must be left.
+  Duration SilenceLimit = 2400ms;
+  /// Time for connecting and the handshake.
+  Duration HandshakeTimeout = 2s;
+};
+
+/// @brief Takes what happens on the links.
+class PeerLinkHandler {
+public:
+  virtual ~PeerLinkHandler() = default;
+
+  /// @brief A link became usable.
+  virtual void onLinkUp(NodeRun Peer) = 0;
+
+  /// @brief A link was lost or could not be opened.
+  /// @param Fault the reason, with step and peer
+  virtual void onLinkDown(NodeId Peer, const Error &Fault) = 0;
+
+  /// @brief A message arrived.
+  virtual void onMessage(NodeRun From, PeerMessage Message) = 0;
+
+  /// @brief A connection was refused before it belonged to a peer.
+  virtual void onLinkRefused(const Error &Fault) = 0;
+};
+
+/// @brief Counters of all links since the start.
+struct PeerLinkCounters {
+  std::uint64_t FramesSent = 0;
+  std::uint64_t FramesReceived = 0;
+  std::uint64_t BytesSent = 0;
+  std::uint64_t BytesReceived = 0;
+  /// Messages dropped because there was no usable link.
+  std::uint64_t MessagesDropped = 0;
+  /// Connections ended for a bad frame, code or handshake.
+  std::uint64_t Refused = 0;
+
+  friend bool operator==(const PeerLinkCounters &,
+                         const PeerLinkCounters &) = default;
+};
+
+/// @brief Keeps at most one link to each peer.
+class PeerLinks final : public SocketHandler {
+public:
+  /// @name Construction
+  /// @{
+
+  /// @brief Listens for peers.
+  /// @throws Poco::Exception if the address cannot be bound
+  PeerLinks(EventLoop &Loop, PeerLinkHandler &Handler,
+            PeerLinkSettings Settings);
+  ~PeerLinks() override;
+  PeerLinks(const PeerLinks &) = delete;
+  PeerLinks &operator=(const PeerLinks &) = delete;
+  /// @}
+
+  /// @name Links
+  /// @{
+
+  /// @brief Opens a link unless one exists or is being opened.
+  /// @param Peer the node expected at the address
+  /// @param Address "ip:port"
+  void open(NodeId Peer, const std::string &Address);
+
+  /// @brief Sends a message; without a usable link it is dropped and counted.
+  void send(NodeId To, const PeerMessage &Message);
+
+  /// @brief Closes a link after what is queued on it was sent.
+  void close(NodeId Peer);
+  /// @}
+
+  /// @name Observers
+  /// @{
+
+  /// @return the public address of this node
+  const std::string &address() const { return Settings.PublicAddress; }
+
+  /// @return this run of this node
+  NodeRun self() const { return Self; }
+
+  /// @return the number of usable links
+  std::size_t usable() const { return Links.size(); }
+
+  /// @return the bytes queued on all links
+  std::size_t pending() const;
+
+  const PeerLinkCounters &counters() const { return Counters; }
+  /// @}
+
+private:
+  class Link;
+  friend class Link;
+
+  void onReady(int Modes) override;
+  bool mayProceed(const Link &New) const;
+  bool establish(Link &New);
+  void ended(Link &Old, const Error &Fault);
+  void release(Link &Old);
+
+  EventLoop &Loop;
+  PeerLinkHandler &Handler;
+  PeerLinkSettings Settings;
+  NodeRun Self;
+  Poco::Net::ServerSocket Socket;
+  PeerLinkCounters Counters;
+  /// All connections, usable or not.
+  std::unordered_map<const Link *, std::shared_ptr<Link>> All;
+  /// Outgoing connections whose handshake is not complete.
+  std::map<NodeId, Link *> Opening;
+  /// Usable links.
+  std::map<NodeId, Link *> Links;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/net/upstream_client.hpp
@@ -0,0 +1,120 @@
+/// @file
+/// @brief HTTP connections to the upstream on this VM.
+#pragma once
+
+#include "hyssopford/core/action.hpp"
+#include "hyssopford/core/event.hpp"
+#include "hyssopford/net/event_loop.hpp"
+#include "hyssopford/net/http_head.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hyssopford {
+
+/// @brief Takes what became of attempts and probes.
+class UpstreamClientHandler {
+public:
+  virtual ~UpstreamClientHandler() = default;
+
+  /// @brief An attempt ended with a complete answer.
+  virtual void onAnswered(UpstreamAnswered Answer) = 0;
+
+  /// @brief An attempt ended without a complete answer.
+  virtual void onFailed(const UpstreamFailed &Failure) = 0;
+
+  /// @brief A probe ended.
+  virtual void onProbed(const ProbeFinished &Result) = 0;
+
+  /// @brief The upstream refused a connection: nothing listens there.
+  virtual void onRefusedConnection() = 0;
+};
+
+/// @brief Limits of the connections.
+struct UpstreamClientSettings {
+  HttpLimits AnswerLimits{8'192, 65'536, 100, 16'777'216};
+  /// Most idle connections kept.
+  std::size_t PoolSize = 64;
+  /// How long an idle connection is kept. POCO's server closes them after
+  /// 15 s by default.
+  Duration IdleTimeout = 8s;
+  /// Age up to which an idle connection may carry a non-idempotent request.
+  /// Servers rarely close connections this young.
+  Duration FreshTime = 1s;
+};
+
+/// @brief Sends attempts and probes, each on its own connection, and keeps
+/// idle connections for reuse.
+class UpstreamClient {
+public:
+  /// @name Construction
+  /// @{
+  UpstreamClient(EventLoop &Loop, UpstreamClientHandler &Handler,
+                 UpstreamClientSettings Settings = {});
+  ~UpstreamClient();
+  UpstreamClient(const UpstreamClient &) = delete;
+  UpstreamClient &operator=(const UpstreamClient &) = delete;
+  /// @}
+
+  /// @name Upstream
+  /// @{
+
+  /// @brief Sets where the upstream listens; pooled connections to another
+  /// address are closed.
+  /// @param Address "ip:port"
+  /// @param HealthPath path of its health endpoint
+  void setUpstream(const std::string &Address, const std::string &HealthPath);
+  /// @}
+
+  /// @name Attempts
+  /// @{
+
+  /// @brief Sends an attempt; ends with onAnswered or onFailed, unless it is
+  /// cancelled.
+  void forward(const ForwardToUpstream &Attempt);
+
+  /// @brief Abandons an attempt by closing its connection.
+  void cancel(AttemptId Attempt);
+
+  /// @brief Reads the health endpoint; ends with onProbed.
+  void probe(const ProbeUpstream &Probe);
+  /// @}
+
+  /// @name Observers
+  /// @{
+  std::size_t active() const { return Active.size(); }
+  std::size_t idle() const { return Idle.size(); }
+  std::uint64_t opened() const { return Opened; }
+  std::uint64_t reused() const { return Reused; }
+  /// @}
+
+private:
+  class Exchange;
+  friend class Exchange;
+
+  std::shared_ptr<Exchange> takeIdle(bool Idempotent);
+  std::shared_ptr<Exchange> openNew();
+  void release(Exchange &Done);
+  void discard(Exchange &Done);
+  void closeStale();
+
+  EventLoop &Loop;
+  UpstreamClientHandler &Handler;
+  UpstreamClientSettings Settings;
+  std::string Address;
+  std::string HealthPath = "/";
+  std::unordered_map<const Exchange *, std::shared_ptr<Exchange>> Active;
+  std::unordered_map<AttemptId, Exchange *> ByAttempt;
+  /// Oldest first.
+  std::vector<std::shared_ptr<Exchange>> Idle;
+  std::uint64_t Opened = 0;
+  std::uint64_t Reused = 0;
+  EventLoop::TimerId StaleTimer = 0;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/node/caller_service.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// @brief Requests of callers and of the upstream on this VM.
+#pragma once
+
+#include "hyssopford/core/action.hpp"
+#include "hyssopford/net/http_server.hpp"
+#include "hyssopford/node/core_driver.hpp"
+
+#include <cstdint>
+#include <random>
+
+namespace hyssopford {
+
+/// @brief Turns HTTP requests into events of the core and its answers into
+/// HTTP answers.
+class CallerService : public HttpServerHandler {
+public:
+  /// @name Construction
+  /// @{
+
+  /// @param Driver takes the requests
+  /// @param Trusted true for the port of the upstream on this VM, whose
+  /// internal fields are accepted
+  CallerService(CoreDriver &Driver, bool Trusted);
+  /// @}
+
+  /// @brief Sets the server that the requests come from.
+  void attach(HttpServer &Source) { Server = &Source; }
+
+  /// @brief Refuses new requests from now on.
+  void refuseNew() { Refusing = true; }
+
+  /// @brief Answers a caller.
+  void answer(const ReplyToCaller &Reply);
+
+  /// @return the number of malformed requests refused
+  std::uint64_t refusedRequests() const { return RefusedRequests; }
+
+  HeadDecision onHead(const Poco::Net::HTTPRequest &Head,
+                      const HttpHeadFacts &Facts) override;
+  void onRequest(RequestId Id, HttpRequest Request) override;
+  void onGone(RequestId Id) override;
+  void onRefused(const HttpFault &Fault) override;
+  Payload refusal(const HttpFault &Fault) override;
+
+private:
+  TraceContext newTrace();
+
+  CoreDriver &Driver;
+  bool Trusted;
+  bool Refusing = false;
+  HttpServer *Server = nullptr;
+  std::uint64_t RefusedRequests = 0;
+  std::mt19937_64 TraceSource;
+};
+
+/// @brief Maps the outcome of a request to the status for its caller.
+/// @param Result the outcome, other than Answered
+/// @param Reason why
+/// @return the HTTP status, as in section 7 of the design page
+int statusOf(Outcome Result, OutcomeReason Reason);
+
+} // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/node/core_driver.hpp
@@ -0,0 +1,68 @@
+/// @file
+/// @brief Runs the decision core on an event loop.
+#pragma once
+
+#include "hyssopford/core/action.hpp"
+#include "hyssopford/core/event.hpp"
+#include "hyssopford/core/node_core.hpp"
+#include "hyssopford/net/event_loop.hpp"
+
+#include <deque>
+
+namespace hyssopford {
+
+/// @brief Carries out the actions of the core.
+class ActionHandler {
+public:
+  virtual ~ActionHandler() = default;
+
+  /// @brief Carries out one action.
+  virtual void carryOut(Action &What) = 0;
+};
+
+/// @brief Feeds events and ticks to a core, one after the other.
+class CoreDriver {
+public:
+  /// @name Construction
+  /// @{
+  CoreDriver(EventLoop &Loop, const NodeCoreSettings &Settings,
+             ActionHandler &Handler);
+  ~CoreDriver();
+  CoreDriver(const CoreDriver &) = delete;
+  CoreDriver &operator=(const CoreDriver &) = delete;
+  /// @}
+
+  /// @name Inputs
+  /// @{
+
+  /// @brief Handles an event and carries out the actions. An event submitted
+  /// meanwhile is handled after it.
+  void submit(Event Input);
+
+  /// @brief Adopts a configuration.
+  /// @return whether its version is higher than the one in force
+  bool adopt(RoutingConfig Config);
+  /// @}
+
+  /// @return the core
+  const NodeCore &core() const { return Core; }
+
+private:
+  void drain();
+  void carryOutAll();
+  void scheduleTick();
+  void armTick();
+  void tick();
+
+  EventLoop &Loop;
+  ActionHandler &Handler;
+  NodeCore Core;
+  std::deque<Event> Events;
+  Actions Produced;
+  bool Busy = false;
+  bool ArmScheduled = false;
+  TimePoint ArmedFor;
+  EventLoop::TimerId Timer = 0;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -0,0 +1,125 @@
+/// @file
+/// @brief A complete node: core, ports and links on one event loop.
+#pragma once
+
+#include "hyssopford/net/event_loop.hpp"
+#include "hyssopford/net/http_server.hpp"
+#include "hyssopford/net/peer_links.hpp"
+#include "hyssopford/net/upstream_client.hpp"
+#include "hyssopford/node/caller_service.hpp"
+#include "hyssopford/node/core_driver.hpp"
+#include "hyssopford/node/operator_service.hpp"
+#include "hyssopford/node/upstream_registry.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssopford {
+
+/// @brief Settings of a node. Ports of 0 are chosen by the system.
+struct NodeRuntimeSettings {
+  std::string Site = "default";
+  /// Secret that all nodes of the site share.
+  std::string SiteKey;
+  std::string FailureDomain = "default";
+  std::string Region = "default";
+  /// Port of the callers.
+  std::string CallerAddress = "127.0.0.1:0";
+  /// Port of the upstream on this VM; must be a loopback address.
+  std::string LocalAddress = "127.0.0.1:0";
+  std::string PeerAddress = "127.0.0.1:0";
+  std::string OperatorAddress = "127.0.0.1:0";
+  std::vector<std::string> Seeds;
+  OperatorTokens Tokens;
+  /// Time for requests in flight after a request to end.
+  Duration DrainDeadline = 30s;
+  HttpServerSettings Http;
+};
+
+/// @brief Connects the actions of the core with the network.
+class NodeRuntime final : ActionHandler,
+                          PeerLinkHandler,
+                          UpstreamClientHandler {
+public:
+  /// @name Construction
+  /// @{
+
+  /// @brief Opens all ports.
+  /// @throws Poco::Exception if an address cannot be bound
+  explicit NodeRuntime(const NodeRuntimeSettings &Settings);
+  ~NodeRuntime() override;
+  NodeRuntime(const NodeRuntime &) = delete;
+  NodeRuntime &operator=(const NodeRuntime &) = delete;
+  /// @}
+
+  /// @name Control
+  /// @{
+
+  /// @brief Adopts a configuration; to be called before run().
+  bool adopt(RoutingConfig Config) { return Driver->adopt(std::move(Config)); }
+
+  /// @brief Runs until a shutdown is complete.
+  /// @return true if everything in flight was finished in time
+  bool run();
+
+  /// @brief Starts a graceful shutdown. May be called by any thread.
+  void requestShutdown();
+  /// @}
+
+  /// @name Observers
+  /// @{
+  std::string callerAddress() const { return Callers->address(); }
+  std::string localAddress() const { return Local->address(); }
+  std::string operatorAddress() const { return Operators->address(); }
+  const std::string &peerAddress() const { return Links->address(); }
+  const NodeCore &core() const { return Driver->core(); }
+  /// @}
+
+private:
+  class LocalService;
+
+  void carryOut(Action &What) override;
+  void onLinkUp(NodeRun Peer) override;
+  void onLinkDown(NodeId Peer, const Error &Fault) override;
+  void onMessage(NodeRun From, PeerMessage Message) override;
+  void onLinkRefused(const Error &Fault) override;
+  void onAnswered(UpstreamAnswered Answer) override;
+  void onFailed(const UpstreamFailed &Failure) override;
+  void onProbed(const ProbeFinished &Result) override;
+  void onRefusedConnection() override;
+
+  void perform(SendToPeer &What);
+  void perform(OpenLink &What);
+  void perform(CloseLink &What);
+  void perform(ForwardToUpstream &What);
+  void perform(CancelUpstream &What);
+  void perform(ReplyToCaller &What);
+  void perform(ProbeUpstream &What);
+  void perform(StoreCall &What);
+  void perform(SpanFinished &What);
+  void perform(Notice &What);
+  void perform(ShutdownComplete &What);
+
+  void beginShutdown();
+  void checkShutdown();
+
+  NodeRuntimeSettings Settings;
+  EventLoop Loop;
+  std::unique_ptr<PeerLinks> Links;
+  std::unique_ptr<CoreDriver> Driver;
+  std::unique_ptr<UpstreamClient> Upstream;
+  std::unique_ptr<UpstreamRegistry> Registry;
+  std::unique_ptr<CallerService> CallerRequests;
+  std::unique_ptr<LocalService> LocalRequests;
+  std::unique_ptr<OperatorService> OperatorRequests;
+  std::unique_ptr<HttpServer> Callers;
+  std::unique_ptr<HttpServer> Local;
+  std::unique_ptr<HttpServer> Operators;
+  bool ShuttingDown = false;
+  bool Finished = false;
+  TimePoint ShutdownEnd;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/scripts/lib/demo.py
@@ -0,0 +1,151 @@
+"""The demo: a site like deployment A, requests through several nodes."""
+
+import argparse
+import json
+import signal
+import sys
+import time
+
+import testsite
+
+ROUTES = [
+    {"name": "catalogue", "path_prefix": "/catalogue", "service": "catalogue",
+     "deadline_ms": 1000},
+    {"name": "enrolment", "path_prefix": "/enrolment", "service": "enrolment",
+     "deadline_ms": 2000},
+    {"name": "deposits", "path_prefix": "/deposits", "service": "deposits",
+     "deadline_ms": 2000, "priority": "high"},
+]
+REQUESTS_PER_NODE = 12
+
+
+class Checker:
+    """Counts answers and reports wrong ones."""
+
+    def __init__(self):
+        self.answers = 0
+        self.wrong = []
+
+    def check(self, right, text):
+        self.answers += 1
+        if not right:
+            self.wrong.append(text)
+            print(f"  WRONG {text}")
+
+
+def owner_names(site):
+    return {node.addresses["node"]: node.name for node in site.nodes}
+
+
+def call(site, checker, ingress, number, quiet):
+    """Sends one request and checks that its answer belongs to it."""
+    service = list(testsite.DEPLOYMENT_A)[number % 3]
+    method = "GET" if service == "catalogue" else "POST"
+    target = f"/{service}/{ingress.name}?n={number}"
+    body = None if method == "GET" else f"order {ingress.name} {number}"
+    status, fields, text = testsite.request(
+        ingress.addresses["caller_address"], method, target, body,
+        {"Host": "demo.example"})
+    answer = json.loads(text) if status == 200 else {}
+    owner = owner_names(site).get(fields.get("Hyssopford-Owner"), "?")
+    right = (status == 200 and answer["service"] == service and
+             answer["target"] == target and answer["method"] == method and
+             answer.get("body", "") == (body or "") and
+             answer["instance"] == owner)
+    checker.check(right, f"{method} {target}: {status} {text[:200]!r}")
+    if not quiet:
+        print(f"  {method:4} {target:32} {status}  ingress {ingress.name:12} "
+              f"owner {owner:12} "
+              f"{fields.get('Hyssopford-Outcome')}, "
+              f"{fields.get('Hyssopford-Attempts')} attempt(s)")
+    return owner
+
+
+def send_all(site, checker, quiet_after=2):
+    owners = set()
+    for node in site.nodes:
+        for number in range(REQUESTS_PER_NODE):
+            owners.add(call(site, checker, node, number,
+                            number >= quiet_after))
+    return owners
+
+
+def check_refusal(site, checker):
+    status, fields, _ = testsite.request(
+        site.nodes[0].addresses["caller_address"], "GET", "/unknown", None,
+        {"Host": "demo.example"})
+    checker.check(status == 404 and
+                  fields.get("Hyssopford-Outcome") == "not-run",
+                  f"request without a route: {status}")
+    print(f"  GET  /unknown  {status} {fields.get('Hyssopford-Outcome')}, "
+          f"{fields.get('Hyssopford-Reason')}")
+
+
+def drain_one(site, checker):
+    node = site.nodes[0]
+    node.control({"drain": True})
+
+    def drained_everywhere():
+        for each in site.nodes:
+            _, answer = each.operator("/v1/members")
+            states = [member["upstream"] for member in answer["members"]
+                      if member["node"] == node.addresses["node"]]
+            if states != ["draining"]:
+                return False
+        return True
+
+    took = site.wait_for("every node knows of the drain", drained_everywhere)
+    print(f"  every node knows after {took * 1000:.0f} ms")
+    owners = send_all(site, checker, 0)
+    checker.check(node.name not in owners, "the drained upstream got work")
+
+
+def run(site, checker, keep):
+    print("starting 13 nodes with their upstreams ...")
+    begin = time.monotonic()
+    site.start(testsite.DEPLOYMENT_A, ROUTES)
+    print(f"all nodes know each other after {time.monotonic() - begin:.1f} s")
+    print("requests through every node:")
+    owners = send_all(site, checker)
+    checker.check(len(owners) == len(site.nodes),
+                  f"only {sorted(owners)} got work")
+    check_refusal(site, checker)
+    print(f"draining {site.nodes[0].name}:")
+    drain_one(site, checker)
+    if keep:
+        print("the site stays up; Ctrl-C stops it. Addresses:")
+        for node in site.nodes:
+            print(f"  {node.name:12} {node.domain} callers "
+                  f"{node.addresses['caller_address']} operators "
+                  f"{node.addresses['operator_address']}")
+        print(f"  tokens: {testsite.READ_TOKEN}, {testsite.WRITE_TOKEN}")
+        try:
+            signal.pause()
+        except KeyboardInterrupt:
+            print()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", required=True)
+    parser.add_argument("--keep", action="store_true")
+    options = parser.parse_args()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    site = testsite.Site(options.build)
+    checker = Checker()
+    try:
+        run(site, checker, options.keep)
+    except testsite.SiteError as fault:
+        checker.check(False, str(fault))
+    except KeyboardInterrupt:
+        checker.check(False, "interrupted")
+    problems = site.stop()
+    for problem in problems:
+        print(f"  WRONG {problem}")
+    print(f"{checker.answers} checks, {len(checker.wrong)} wrong, "
+          f"{len(problems)} processes ended badly; logs in {site.folder}")
+    return 1 if checker.wrong or problems else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/lib/testsite.py
@@ -0,0 +1,197 @@
+"""Starts and stops a site of nodes and upstreams on loopback."""
+
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import tempfile
+import time
+
+READY_TIMEOUT_S = 15
+STOP_TIMEOUT_S = 40
+
+# Deployment A of the design page: service -> instances.
+DEPLOYMENT_A = {"catalogue": 6, "enrolment": 4, "deposits": 3}
+DOMAINS = ["zone-a", "zone-b", "zone-c"]
+READ_TOKEN = "demo-read"
+WRITE_TOKEN = "demo-write"
+
+
+class SiteError(Exception):
+    """The site did not do what it should."""
+
+
+class Process:
+    """A process that this script started and ends by its id."""
+
+    def __init__(self, name, command, folder, ready):
+        self.name = name
+        self.ready_path = ready
+        self.log_path = folder / f"{name}.log"
+        with open(self.log_path, "wb") as log:
+            self.child = subprocess.Popen(
+                [str(part) for part in command],
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                start_new_session=True)
+
+    def wait_ready(self):
+        """Returns what the process wrote to its ready file."""
+        end = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < end:
+            if self.ready_path.exists():
+                return json.loads(self.ready_path.read_text())
+            if self.child.poll() is not None:
+                break
+            time.sleep(0.01)
+        raise SiteError(f"{self.name} did not become ready:\n"
+                        f"{self.log_path.read_text()[-2000:]}")
+
+    def terminate(self):
+        if self.child.poll() is None:
+            os.kill(self.child.pid, signal.SIGTERM)
+
+    def wait(self, timeout=STOP_TIMEOUT_S):
+        """Returns the exit status; ends the process if it does not stop."""
+        try:
+            return self.child.wait(timeout)
+        except subprocess.TimeoutExpired:
+            os.kill(self.child.pid, signal.SIGKILL)
+            self.child.wait()
+            return None
+
+
+def request(address, method, path, body=None, headers=None, timeout=10):
+    """Sends one request; returns status, header fields and body."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        return response.status, response.headers, response.read()
+    finally:
+        connection.close()
+
+
+class Node:
+    """A node and, if it has one, its upstream."""
+
+    def __init__(self, name, service, domain):
+        self.name = name
+        self.service = service
+        self.domain = domain
+        self.process = None
+        self.upstream = None
+        self.addresses = None
+        self.upstream_address = None
+
+    def operator(self, path, method="GET", body=None, token=READ_TOKEN):
+        """Sends a request to the operators' port; returns status and JSON."""
+        status, _, text = request(self.addresses["operator_address"], method,
+                                  path, body,
+                                  {"Authorization": f"Bearer {token}"})
+        return status, json.loads(text)
+
+    def control(self, change):
+        """Changes the behaviour of the upstream stand-in."""
+        status, _, text = request(self.upstream_address, "POST", "/.control",
+                                  json.dumps(change))
+        if status != 200:
+            raise SiteError(f"{self.name}: control: {text!r}")
+
+
+class Site:
+    """All processes of one site."""
+
+    def __init__(self, build, settings=None):
+        self.build = pathlib.Path(build)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="hyssopford-"))
+        self.nodes = []
+        self.settings = settings or {}
+
+    def start(self, services, routes, slots=10, service_time_us=2000):
+        """Starts nodes and upstreams and waits until all know each other."""
+        routing = self.folder / "routing.json"
+        routing.write_text(json.dumps({"version": 1, "routes": routes}))
+        for service, count in services.items():
+            for index in range(count):
+                domain = DOMAINS[len(self.nodes) % len(DOMAINS)]
+                self.nodes.append(Node(f"{service}-{index + 1}", service,
+                                       domain))
+        seeds = []
+        for node in self.nodes:
+            self.start_node(node, seeds, routing)
+            # The first node of each failure domain is a seed of later ones.
+            if len(seeds) < len(DOMAINS):
+                seeds.append(node.addresses["peer_address"])
+        for node in self.nodes:
+            self.start_upstream(node, slots, service_time_us)
+        self.wait_converged()
+
+    def start_node(self, node, seeds, routing):
+        settings = {"site": "demo", "site_key": "key of the demo site",
+                    "failure_domain": node.domain, "region": "west",
+                    "seeds": list(seeds), "read_token": READ_TOKEN,
+                    "write_token": WRITE_TOKEN,
+                    "routing_file": str(routing)}
+        settings.update(self.settings)
+        path = self.folder / f"{node.name}.json"
+        path.write_text(json.dumps(settings))
+        ready = self.folder / f"{node.name}.ready"
+        node.process = Process(
+            node.name, [self.build / "tools/hyssopford", "--settings", path,
+                        "--ready-file", ready], self.folder, ready)
+        node.addresses = node.process.wait_ready()
+
+    def start_upstream(self, node, slots, service_time_us):
+        if node.service is None:
+            return
+        name = f"{node.name}-upstream"
+        ready = self.folder / f"{name}.ready"
+        node.upstream = Process(
+            name, [self.build / "standins/hyssopford-upstream", "--service",
+                   node.service, "--instance", node.name, "--slots", slots,
+                   "--service-time-us", service_time_us, "--node",
+                   node.addresses["local_address"], "--ready-file", ready],
+            self.folder, ready)
+        node.upstream_address = node.upstream.wait_ready()["address"]
+
+    def wait_for(self, what, condition, timeout=READY_TIMEOUT_S):
+        """Waits until a condition holds; returns the time it took."""
+        start = time.monotonic()
+        while time.monotonic() < start + timeout:
+            if condition():
+                return time.monotonic() - start
+            time.sleep(0.05)
+        raise SiteError(f"timed out: {what}")
+
+    def wait_converged(self):
+        expected = sorted(node.service for node in self.nodes if node.service)
+
+        def converged():
+            for node in self.nodes:
+                _, answer = node.operator("/v1/members")
+                seen = sorted(member["service"] for member in answer["members"]
+                              if member["upstream"] == "serving")
+                _, status = node.operator("/v1/status")
+                if (seen != expected or
+                        status["links"]["usable"] < len(self.nodes) - 1):
+                    return False
+            return True
+
+        return self.wait_for("all nodes know all upstreams", converged)
+
+    def stop(self):
+        """Stops upstreams, then nodes. Returns what did not end well."""
+        problems = []
+        for kind in ("upstream", "process"):
+            running = [getattr(node, kind) for node in self.nodes
+                       if getattr(node, kind) is not None]
+            for process in running:
+                process.terminate()
+            for process in running:
+                status = process.wait()
+                if status != 0:
+                    problems.append(f"{process.name} ended with {status}")
+        return problems
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -78,7 +78,7 @@
 }
 
 void NodeCore::on(const CallerRequest &Input, TimePoint Now, Actions &Out) {
-  if (ShuttingDown) {
+  if (ShuttingDown && !Input.ServeInShutdown) {
     Out.emplace_back(refusal(Input.Id, OutcomeReason::ShuttingDown));
     return;
   }
--- /dev/null
+++ b/src/net/codec/request_codec.cpp
@@ -0,0 +1,141 @@
+#include "codec.hpp"
+
+#include <string_view>
+
+namespace hyssopford::codec {
+
+namespace {
+
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>>
+encodeBytes(Builder &Out, std::string_view Bytes) {
+  return Out.CreateVector(reinterpret_cast<const std::uint8_t *>(Bytes.data()),
+                          Bytes.size());
+}
+
+Payload decodeBytes(const flatbuffers::Vector<std::uint8_t> &Bytes) {
+  return Payload(
+      std::string(reinterpret_cast<const char *>(Bytes.data()), Bytes.size()));
+}
+
+wire::TraceContext encodeTrace(const TraceContext &Value) {
+  return {Value.TraceHigh, Value.TraceLow, Value.ParentSpan, Value.Sampled};
+}
+
+TraceContext decodeTrace(const wire::TraceContext &Value) {
+  return {Value.trace_high(), Value.trace_low(), Value.parent_span(),
+          Value.sampled()};
+}
+
+} // namespace
+
+wire::NodeRun encodeRun(const NodeRun &Value) {
+  return {Value.Node.Value, Value.Run.Value};
+}
+
+NodeRun decodeRun(const wire::NodeRun &Value) {
+  return {NodeId{Value.node()}, Incarnation{Value.run()}};
+}
+
+wire::AttemptId encodeAttempt(const AttemptId &Value) {
+  return {encodeRun(Value.Ingress), Value.Sequence};
+}
+
+AttemptId decodeAttempt(const wire::AttemptId &Value) {
+  return {decodeRun(Value.ingress()), Value.sequence()};
+}
+
+flatbuffers::Offset<wire::Dispatch> encode(Builder &Out,
+                                           const Dispatch &Value) {
+  const auto Request = encodeBytes(Out, Value.Request.bytes());
+  const auto Service = Out.CreateString(Value.Service);
+  const auto Route = Out.CreateString(Value.Route);
+  const wire::AttemptId Attempt = encodeAttempt(Value.Attempt);
+  const wire::TraceContext Trace = encodeTrace(Value.Trace);
+  return wire::CreateDispatch(
+      Out, &Attempt, Value.Owner.Value, Service, Route, Value.Remaining.count(),
+      static_cast<std::uint8_t>(Value.Class), Value.Idempotent, Value.IsExtra,
+      Value.Fingerprint, &Trace, Request);
+}
+
+std::optional<Dispatch> decode(const wire::Dispatch &Value) {
+  Dispatch Result;
+  if (!decodeEnum(Value.priority(), Priority::Normal, Result.Class)) {
+    return std::nullopt;
+  }
+  Result.Attempt = decodeAttempt(*Value.attempt());
+  Result.Owner = Incarnation{Value.owner()};
+  Result.Service = text(*Value.service());
+  Result.Route = text(*Value.route());
+  Result.Remaining = Duration(Value.remaining_us());
+  Result.Idempotent = Value.idempotent();
+  Result.IsExtra = Value.is_extra();
+  Result.Fingerprint = Value.fingerprint();
+  Result.Trace = decodeTrace(*Value.trace());
+  Result.Request = decodeBytes(*Value.request());
+  return Result;
+}
+
+flatbuffers::Offset<wire::DispatchReply> encode(Builder &Out,
+                                                const DispatchReply &Value) {
+  const auto Answer = encodeBytes(Out, Value.Answer.bytes());
+  const wire::AttemptId Attempt = encodeAttempt(Value.Attempt);
+  const wire::LoadReport Load(Value.Load.Sequence, Value.Load.InFlight,
+                              Value.Load.Queued, Value.Load.Limit,
+                              Value.Load.ServiceTime.count());
+  return wire::CreateDispatchReply(
+      Out, &Attempt, static_cast<std::uint8_t>(Value.Result),
+      static_cast<std::uint8_t>(Value.Reason), Value.Status, &Load, Answer);
+}
+
+std::optional<DispatchReply> decode(const wire::DispatchReply &Value) {
+  DispatchReply Result;
+  if (!decodeEnum(Value.result(), Outcome::Unknown, Result.Result) ||
+      !decodeEnum(Value.reason(), OutcomeReason::ShuttingDown, Result.Reason)) {
+    return std::nullopt;
+  }
+  Result.Attempt = decodeAttempt(*Value.attempt());
+  Result.Status = Value.status();
+  const wire::LoadReport &Load = *Value.load();
+  Result.Load = LoadReport{Load.sequence(), Load.in_flight(), Load.queued(),
+                           Load.limit(), Duration(Load.service_time_us())};
+  Result.Answer = decodeBytes(*Value.answer());
+  return Result;
+}
+
+flatbuffers::Offset<wire::Cancel> encode(Builder &Out, const Cancel &Value) {
+  const wire::AttemptId Attempt = encodeAttempt(Value.Attempt);
+  return wire::CreateCancel(Out, &Attempt);
+}
+
+std::optional<Cancel> decode(const wire::Cancel &Value) {
+  return Cancel{decodeAttempt(*Value.attempt())};
+}
+
+flatbuffers::Offset<wire::StatusQuery> encode(Builder &Out,
+                                              const StatusQuery &Value) {
+  const wire::AttemptId Attempt = encodeAttempt(Value.Attempt);
+  return wire::CreateStatusQuery(Out, &Attempt, Value.Owner.Value);
+}
+
+std::optional<StatusQuery> decode(const wire::StatusQuery &Value) {
+  return StatusQuery{decodeAttempt(*Value.attempt()),
+                     Incarnation{Value.owner()}};
+}
+
+flatbuffers::Offset<wire::StatusReply> encode(Builder &Out,
+                                              const StatusReply &Value) {
+  const wire::AttemptId Attempt = encodeAttempt(Value.Attempt);
+  return wire::CreateStatusReply(Out, &Attempt,
+                                 static_cast<std::uint8_t>(Value.State));
+}
+
+std::optional<StatusReply> decode(const wire::StatusReply &Value) {
+  StatusReply Result;
+  if (!decodeEnum(Value.state(), AttemptState::CannotTell, Result.State)) {
+    return std::nullopt;
+  }
+  Result.Attempt = decodeAttempt(*Value.attempt());
+  return Result;
+}
+
+} // namespace hyssopford::codec
--- /dev/null
+++ b/src/net/http_forward.cpp
@@ -0,0 +1,263 @@
+#include "hyssopford/net/http_forward.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fmt/format.h>
+#include <iterator>
+#include <vector>
+
+namespace hyssopford {
+
+namespace {
+
+constexpr const char *TimeoutField = "Hyssopford-Timeout-Ms";
+constexpr const char *PriorityField = "Hyssopford-Priority";
+constexpr const char *ExtraField = "Hyssopford-Extra";
+constexpr const char *TraceField = "traceparent";
+/// Longest time that a caller may state: one day.
+constexpr std::int64_t MaximumTimeoutMs = 86'400'000;
+
+/// Fields of one connection only (RFC 9110, section 7.6.1), and those that
+/// are set anew.
+constexpr std::array<std::string_view, 12> DroppedFields{
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "expect",
+    "proxy-authentication-info"};
+
+/// Fields of requests that are set anew or end at this hop.
+constexpr std::array<std::string_view, 7> DroppedRequestFields{
+    "host",
+    "forwarded",
+    "x-forwarded-for",
+    "x-forwarded-host",
+    "x-forwarded-proto",
+    "traceparent",
+    "via"};
+
+template <std::size_t Size>
+bool contains(const std::array<std::string_view, Size> &Names,
+              std::string_view Name) {
+  return std::any_of(Names.begin(), Names.end(), [&](std::string_view Each) {
+    return equalsIgnoreCase(Each, Name);
+  });
+}
+
+bool isInternal(std::string_view Name) {
+  constexpr std::string_view Prefix = "hyssopford-";
+  return equalsIgnoreCase(Name.substr(0, Prefix.size()), Prefix);
+}
+
+/// Names that Connection fields declare as hop-by-hop.
+std::vector<std::string> connectionNames(const Poco::Net::HTTPMessage &Head) {
+  std::vector<std::string> Names;
+  for (auto Field = Head.find("Connection"); Field != Head.end(); ++Field) {
+    if (!equalsIgnoreCase(Field->first, "connection")) {
+      break;
+    }
+    std::string Name;
+    for (const char C : Field->second + ",") {
+      if (C == ',') {
+        Names.push_back(Name);
+        Name.clear();
+      } else if (C != ' ' && C != '\t') {
+        Name += C;
+      }
+    }
+  }
+  return Names;
+}
+
+bool isDropped(std::string_view Name, const std::vector<std::string> &Listed) {
+  return contains(DroppedFields, Name) || isInternal(Name) ||
+         std::any_of(Listed.begin(), Listed.end(), [&](const auto &Each) {
+           return equalsIgnoreCase(Each, Name);
+         });
+}
+
+void appendField(std::string &Out, std::string_view Name,
+                 std::string_view Value) {
+  Out.append(Name).append(": ").append(Value).append("\r\n");
+}
+
+std::string hostOf(const HttpRequest &Request) {
+  return Request.Facts.TargetOffset > 0 ? Request.Facts.Host
+                                        : Request.Head.get("Host", "");
+}
+
+void appendForwarded(std::string &Out, const HttpRequest &Request,
+                     bool Trusted) {
+  const std::string Ip = Request.Peer.substr(0, Request.Peer.rfind(':'));
+  const std::string Host = hostOf(Request);
+  const bool Quoted = Ip.find(':') != std::string::npos;
+  std::string Forwarded = fmt::format("for={0}{1}{0};host=\"{2}\";proto=http",
+                                      Quoted ? "\"" : "", Ip, Host);
+  std::string For = Ip;
+  if (Trusted && Request.Head.has("Forwarded")) {
+    Forwarded = Request.Head.get("Forwarded") + ", " + Forwarded;
+  }
+  if (Trusted && Request.Head.has("X-Forwarded-For")) {
+    For = Request.Head.get("X-Forwarded-For") + ", " + For;
+  }
+  appendField(Out, "Forwarded", Forwarded);
+  appendField(Out, "X-Forwarded-For", For);
+  appendField(Out, "X-Forwarded-Host", Host);
+  appendField(Out, "X-Forwarded-Proto", "http");
+  const std::string Via = Request.Head.get("Via", "");
+  appendField(Out, "Via",
+              Via.empty() ? "1.1 hyssopford" : Via + ", 1.1 hyssopford");
+}
+
+template <typename Number>
+bool parseNumber(std::string_view Text, Number &Value, int Base = 10) {
+  const char *const End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Value, Base);
+  return !Text.empty() && Parsed.ec == std::errc() && Parsed.ptr == End;
+}
+
+bool isLowerHex(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), [](char C) {
+    return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'f');
+  });
+}
+
+} // namespace
+
+HopFields readHopFields(const Poco::Net::HTTPRequest &Head, bool Trusted) {
+  HopFields Fields;
+  std::int64_t Milliseconds = 0;
+  if (parseNumber(Head.get(TimeoutField, ""), Milliseconds) &&
+      Milliseconds >= 0) {
+    Fields.Deadline =
+        std::chrono::milliseconds(std::min(Milliseconds, MaximumTimeoutMs));
+  }
+  Fields.Trace = parseTraceParent(Head.get(TraceField, ""));
+  if (Trusted) {
+    const std::string Class = Head.get(PriorityField, "");
+    if (Class == "high") {
+      Fields.Class = Priority::High;
+    } else if (Class == "normal") {
+      Fields.Class = Priority::Normal;
+    }
+    Fields.IsExtra = Head.get(ExtraField, "") == "1";
+  }
+  return Fields;
+}
+
+std::string hopFieldLines(const ForwardToUpstream &Attempt) {
+  const auto Milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Attempt.Remaining)
+          .count();
+  std::string Lines =
+      fmt::format("{}: {}\r\n{}: {}\r\n{}: {}\r\n", TimeoutField,
+                  std::max<std::int64_t>(Milliseconds, 0), PriorityField,
+                  Attempt.Class == Priority::High ? "high" : "normal",
+                  TraceField, renderTraceParent(Attempt.Trace));
+  if (Attempt.IsExtra) {
+    Lines += fmt::format("{}: 1\r\n", ExtraField);
+  }
+  return Lines;
+}
+
+Payload buildForwardedRequest(const HttpRequest &Request, bool Trusted) {
+  const Poco::Net::HTTPRequest &Head = Request.Head;
+  const std::vector<std::string> Listed = connectionNames(Head);
+  std::string Out;
+  Out.reserve(1'024 + Request.Body.size());
+  Out.append(Head.getMethod()).append(" ");
+  Out.append(Head.getURI(), Request.Facts.TargetOffset, std::string::npos);
+  Out.append(" HTTP/1.1\r\n");
+  appendField(Out, "Host", hostOf(Request));
+  for (const auto &[Name, Value] : Head) {
+    if (!isDropped(Name, Listed) && !contains(DroppedRequestFields, Name)) {
+      appendField(Out, Name, Value);
+    }
+  }
+  appendForwarded(Out, Request, Trusted);
+  // POST and PUT carry a length even if it is zero (RFC 9110, section 8.6).
+  if (Request.Facts.Framing != BodyFraming::None ||
+      Head.getMethod() == "POST" || Head.getMethod() == "PUT") {
+    appendField(Out, "Content-Length", std::to_string(Request.Body.size()));
+  }
+  Out.append("\r\n").append(Request.Body);
+  return Payload(std::move(Out));
+}
+
+Payload buildForwardedAnswer(const Poco::Net::HTTPResponse &Head,
+                             std::string_view Body, bool ToHead) {
+  const std::vector<std::string> Listed = connectionNames(Head);
+  std::string Out;
+  Out.reserve(512 + Body.size());
+  fmt::format_to(std::back_inserter(Out), "HTTP/1.1 {} {}\r\n",
+                 static_cast<int>(Head.getStatus()), Head.getReason());
+  for (const auto &[Name, Value] : Head) {
+    if (!isDropped(Name, Listed)) {
+      appendField(Out, Name, Value);
+    }
+  }
+  const int Status = static_cast<int>(Head.getStatus());
+  if (ToHead || Status == 304) {
+    if (Head.has("Content-Length")) {
+      appendField(Out, "Content-Length", Head.get("Content-Length"));
+    }
+  } else if (Status != 204) {
+    appendField(Out, "Content-Length", std::to_string(Body.size()));
+  }
+  Out.append("\r\n").append(Body);
+  return Payload(std::move(Out));
+}
+
+std::string_view pathOf(const Poco::Net::HTTPRequest &Head,
+                        const HttpHeadFacts &Facts) {
+  const std::string_view Target =
+      std::string_view(Head.getURI()).substr(Facts.TargetOffset);
+  return Target.substr(0, Target.find('?'));
+}
+
+std::optional<TraceContext> parseTraceParent(std::string_view Value) {
+  constexpr std::size_t Length = 55;
+  if (Value.size() < Length || Value[2] != '-' || Value[35] != '-' ||
+      Value[52] != '-') {
+    return std::nullopt;
+  }
+  const std::string_view Version = Value.substr(0, 2);
+  // Later versions may append fields after another dash.
+  if (Version == "ff" || (Version == "00" && Value.size() != Length) ||
+      (Value.size() > Length && Value[Length] != '-')) {
+    return std::nullopt;
+  }
+  TraceContext Trace;
+  std::uint8_t Flags = 0;
+  for (const std::string_view Part :
+       {Version, Value.substr(3, 32), Value.substr(36, 16),
+        Value.substr(53, 2)}) {
+    if (!isLowerHex(Part)) {
+      return std::nullopt;
+    }
+  }
+  parseNumber(Value.substr(3, 16), Trace.TraceHigh, 16);
+  parseNumber(Value.substr(19, 16), Trace.TraceLow, 16);
+  parseNumber(Value.substr(36, 16), Trace.ParentSpan, 16);
+  parseNumber(Value.substr(53, 2), Flags, 16);
+  if ((Trace.TraceHigh == 0 && Trace.TraceLow == 0) || Trace.ParentSpan == 0) {
+    return std::nullopt;
+  }
+  Trace.Sampled = (Flags & 1U) != 0;
+  return Trace;
+}
+
+std::string renderTraceParent(const TraceContext &Trace) {
+  return fmt::format("00-{:016x}{:016x}-{:016x}-{:02x}", Trace.TraceHigh,
+                     Trace.TraceLow, Trace.ParentSpan, Trace.Sampled ? 1 : 0);
+}
+
+} // namespace hyssopford
--- /dev/null
+++ b/src/net/http_reader.cpp
@@ -0,0 +1,288 @@
+#include "hyssopford/net/http_reader.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <algorithm>
+#include <charconv>
+
+namespace hyssopford {
+
+namespace {
+
+/// Longest chunk size line, extensions included.
+constexpr std::size_t ChunkLineLimit = 256;
+/// Longest trailer section; trailers are checked and dropped.
+constexpr std::size_t TrailerLimit = 8'192;
+/// Largest body space reserved before any byte of it has arrived.
+constexpr std::uint64_t ReserveLimit = 65'536;
+
+} // namespace
+
+HttpReader::HttpReader(Kind Messages, const HttpLimits &MessageLimits)
+    : MessageKind(Messages), Limits(MessageLimits) {}
+
+HttpReader::Progress HttpReader::advance() {
+  switch (State) {
+  case Stage::Head:
+    return readHead();
+  case Stage::Done:
+    return Progress::Complete;
+  case Stage::Broken:
+    return Progress::Failed;
+  default:
+    return readBody();
+  }
+}
+
+HttpReader::Progress HttpReader::finish() {
+  if (State == Stage::UntilClose) {
+    State = Stage::Done;
+    return Progress::Complete;
+  }
+  return State == Stage::Done ? Progress::Complete
+                              : refuse(400, "incomplete message");
+}
+
+void HttpReader::next() {
+  Buffer.erase(0, Position);
+  Position = 0;
+  Searched = 0;
+  State = Stage::Head;
+  Body.clear();
+  Facts = HttpHeadFacts();
+}
+
+HttpReader::Progress HttpReader::readHead() {
+  // RFC 9112, section 2.2: empty lines before a request line are ignored.
+  if (MessageKind == Kind::Request) {
+    while (Buffer.compare(Position, 2, "\r\n") == 0) {
+      Position += 2;
+    }
+    Searched = std::max(Searched, Position);
+  }
+  const std::size_t From = Searched > Position + 3 ? Searched - 3 : Position;
+  const std::size_t End = Buffer.find("\r\n\r\n", From);
+  if (End == std::string::npos) {
+    Searched = Buffer.size();
+    const std::size_t LineEnd = Buffer.find('\n', Position);
+    if (LineEnd != std::string::npos && LineEnd > Position &&
+        Buffer[LineEnd - 1] != '\r') {
+      return refuse(400, "line does not end with CRLF");
+    }
+    if (LineEnd == std::string::npos && buffered() > Limits.StartLine) {
+      return refuse(414, "request line too long");
+    }
+    // A bare LF pair could hide the end of the head from this search.
+    if (Buffer.find("\n\n", From) != std::string::npos) {
+      return refuse(400, "line does not end with CRLF");
+    }
+    if (buffered() > Limits.Head) {
+      return refuse(431, "header too large");
+    }
+    return Progress::NeedMore;
+  }
+  const std::size_t Size = End + 4 - Position;
+  if (Size > Limits.Head) {
+    return refuse(431, "header too large");
+  }
+  if (!parseHead(std::string_view(Buffer).substr(Position, Size))) {
+    State = Stage::Broken;
+    return Progress::Failed;
+  }
+  Position += Size;
+  if (MessageKind == Kind::Response && Facts.Status < 200) {
+    if (Facts.Status == 101) {
+      return refuse(502, "unexpected upgrade");
+    }
+    next();
+    return readHead();
+  }
+  return Progress::HeadReady;
+}
+
+bool HttpReader::parseHead(std::string_view Head) {
+  const auto Checked = MessageKind == Kind::Request
+                           ? checkRequestHead(Head, Limits, Fault)
+                           : checkResponseHead(Head, Limits, ToHead, Fault);
+  if (!Checked) {
+    return false;
+  }
+  Facts = *Checked;
+  try {
+    Poco::MemoryInputStream Stream(Head.data(),
+                                   static_cast<std::streamsize>(Head.size()));
+    if (MessageKind == Kind::Request) {
+      Request.clear();
+      Request.read(Stream);
+    } else {
+      Response.clear();
+      Response.read(Stream);
+    }
+  } catch (const Poco::Exception &) {
+    Fault = HttpFault{400, "malformed head"};
+    return false;
+  }
+  Left = Facts.ContentLength;
+  TrailerBytes = 0;
+  switch (Facts.Framing) {
+  case BodyFraming::None:
+    Left = 0;
+    State = Stage::LengthBody;
+    break;
+  case BodyFraming::Length:
+    State = Stage::LengthBody;
+    break;
+  case BodyFraming::Chunked:
+    State = Stage::ChunkSize;
+    break;
+  case BodyFraming::UntilClose:
+    State = Stage::UntilClose;
+    break;
+  }
+  return true;
+}
+
+HttpReader::Progress HttpReader::readBody() {
+  while (State != Stage::Done && State != Stage::Broken) {
+    bool Advanced = false;
+    switch (State) {
+    case Stage::LengthBody:
+    case Stage::ChunkData:
+    case Stage::UntilClose:
+      Advanced = readChunkData();
+      break;
+    case Stage::ChunkSize:
+      Advanced = readChunkSize();
+      break;
+    case Stage::ChunkEnd: {
+      std::string_view Line;
+      Advanced = takeLine(Line, 2);
+      if (Advanced && !Line.empty()) {
+        refuse(400, "chunk longer than its size");
+      } else if (Advanced) {
+        State = Stage::ChunkSize;
+      }
+      break;
+    }
+    default:
+      Advanced = readTrailer();
+      break;
+    }
+    if (!Advanced) {
+      break;
+    }
+  }
+  if (State == Stage::Broken) {
+    return Progress::Failed;
+  }
+  if (State == Stage::Done) {
+    return Progress::Complete;
+  }
+  // Once per call, as erasing at each small chunk would be quadratic.
+  Buffer.erase(0, Position);
+  Position = 0;
+  return Progress::NeedMore;
+}
+
+bool HttpReader::takeLine(std::string_view &Line, std::size_t Limit) {
+  const std::string_view Rest = std::string_view(Buffer).substr(Position);
+  const std::size_t End = Rest.find('\n');
+  if (End == std::string_view::npos) {
+    if (Rest.size() > Limit) {
+      refuse(400, "line too long");
+    }
+    return false;
+  }
+  if (End == 0 || Rest[End - 1] != '\r' || End > Limit) {
+    refuse(400, "line does not end with CRLF");
+    return false;
+  }
+  Line = Rest.substr(0, End - 1);
+  Position += End + 1;
+  return true;
+}
+
+bool HttpReader::readChunkSize() {
+  std::string_view Line;
+  if (!takeLine(Line, ChunkLineLimit)) {
+    return false;
+  }
+  const char *const Last = Line.data() + Line.size();
+  const auto Parsed = std::from_chars(Line.data(), Last, Left, 16);
+  const bool HasSize = Parsed.ec == std::errc() && Parsed.ptr != Line.data();
+  // An extension starts with a semicolon; white space before it is refused.
+  if (!HasSize || (Parsed.ptr != Last && *Parsed.ptr != ';') ||
+      std::any_of(Line.begin(), Line.end(),
+                  [](char C) { return C < 0x20 || C >= 0x7f; })) {
+    refuse(400, "malformed chunk size");
+    return false;
+  }
+  if (!fits(Left)) {
+    refuse(413, "body too large");
+    return false;
+  }
+  State = Left == 0 ? Stage::Trailer : Stage::ChunkData;
+  return true;
+}
+
+bool HttpReader::readChunkData() {
+  const bool Unbounded = State == Stage::UntilClose;
+  if (State == Stage::LengthBody && Body.empty()) {
+    if (!fits(Left)) {
+      refuse(413, "body too large");
+      return false;
+    }
+    Body.reserve(std::min(Left, ReserveLimit));
+  }
+  const std::size_t Taken =
+      Unbounded
+          ? buffered()
+          : static_cast<std::size_t>(std::min<std::uint64_t>(Left, buffered()));
+  if (Unbounded && !fits(Taken)) {
+    refuse(413, "body too large");
+    return false;
+  }
+  Body.append(Buffer, Position, Taken);
+  Position += Taken;
+  if (Unbounded) {
+    return false;
+  }
+  Left -= Taken;
+  if (Left > 0) {
+    return false;
+  }
+  State = State == Stage::LengthBody ? Stage::Done : Stage::ChunkEnd;
+  return true;
+}
+
+bool HttpReader::readTrailer() {
+  std::string_view Line;
+  const std::size_t Before = Position;
+  if (!takeLine(Line, TrailerLimit)) {
+    return false;
+  }
+  TrailerBytes += Position - Before;
+  if (Line.empty()) {
+    State = Stage::Done;
+    return true;
+  }
+  std::string_view Name;
+  std::string_view Value;
+  if (TrailerBytes > TrailerLimit || !splitFieldLine(Line, Name, Value)) {
+    refuse(400, "malformed trailer");
+    return false;
+  }
+  return true;
+}
+
+HttpReader::Progress HttpReader::refuse(int Status, std::string Reason) {
+  State = Stage::Broken;
+  Fault = HttpFault{Status, std::move(Reason)};
+  return Progress::Failed;
+}
+
+bool HttpReader::fits(std::uint64_t More) const {
+  return More <= Limits.Body && Body.size() <= Limits.Body - More;
+}
+
+} // namespace hyssopford
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,133 @@
+#include "hyssopford/net/http_server.hpp"
+
+#include "http_connection.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+#include <vector>
+
+namespace hyssopford {
+
+namespace {
+
+/// Pause after a failed accept, e.g. for lack of file descriptors.
+constexpr Duration AcceptRetry = 100ms;
+/// Connections accepted in one round; the others wait for the next one.
+constexpr int AcceptBatch = 8;
+constexpr int Backlog = 1'024;
+/// Position of the server's number in a request identifier.
+constexpr int NumberShift = 56;
+
+} // namespace
+
+HttpServer::HttpServer(EventLoop &EventSource, HttpServerHandler &Receiver,
+                       HttpServerSettings ServerSettings)
+    : Loop(EventSource), Handler(Receiver),
+      Settings(std::move(ServerSettings)) {
+  Socket.bind(Poco::Net::SocketAddress(Settings.Address), true);
+  Socket.listen(Backlog);
+  Socket.setBlocking(false);
+  Loop.add(Socket, Poco::Net::PollSet::POLL_READ, *this);
+  Listening = true;
+}
+
+HttpServer::~HttpServer() {
+  stopListening();
+  Loop.cancel(RetryTimer);
+}
+
+void HttpServer::reply(RequestId Id, const Payload &Answer,
+                       const std::string &Fields) {
+  const auto Found = InFlight.find(Id);
+  if (Found == InFlight.end()) {
+    return;
+  }
+  Connection &Target = *Found->second;
+  InFlight.erase(Found);
+  Target.reply(Answer, Fields);
+}
+
+void HttpServer::drain() {
+  if (Draining) {
+    return;
+  }
+  // Connections that wait in the backlog would be reset by closing.
+  onReady(Poco::Net::PollSet::POLL_READ);
+  Draining = true;
+  stopListening();
+  std::vector<std::shared_ptr<Connection>> Current;
+  for (const auto &Entry : Connections) {
+    Current.push_back(Entry.second);
+  }
+  for (const auto &Each : Current) {
+    Each->drain();
+  }
+}
+
+bool HttpServer::isQuiet() const {
+  return std::all_of(Connections.begin(), Connections.end(),
+                     [](const auto &Entry) { return Entry.second->isQuiet(); });
+}
+
+void HttpServer::onReady(int /*Modes*/) {
+  try {
+    for (int Count = 0; Count < AcceptBatch; ++Count) {
+      if (!Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+        return;
+      }
+      const Poco::Net::StreamSocket Accepted = Socket.acceptConnection();
+      if (Connections.size() >= Settings.MaximumConnections) {
+        continue;
+      }
+      auto New = std::make_shared<Connection>(*this);
+      Connections.emplace(New.get(), New);
+      New->start(Accepted);
+    }
+  } catch (const Poco::Exception &) {
+    Loop.remove(Socket);
+    RetryTimer = Loop.after(AcceptRetry, [this] {
+      if (Listening) {
+        Loop.add(Socket, Poco::Net::PollSet::POLL_READ, *this);
+      }
+    });
+  }
+}
+
+void HttpServer::stopListening() {
+  if (Listening) {
+    Listening = false;
+    Loop.remove(Socket);
+    Socket.close();
+  }
+}
+
+RequestId HttpServer::assign(Connection &Owner) {
+  const RequestId Id{(std::uint64_t{Settings.Number} << NumberShift) |
+                     ++LastRequest};
+  InFlight.emplace(Id, &Owner);
+  return Id;
+}
+
+void HttpServer::closed(Connection &Gone) {
+  const auto Found = Connections.find(&Gone);
+  if (Found != Connections.end()) {
+    // Its own handler may be running.
+    Loop.defer([Kept = std::move(Found->second)] {});
+    Connections.erase(Found);
+  }
+}
+
+Payload makeHttpAnswer(int Status, const std::string &Fields,
+                       const std::string &Body) {
+  const auto Code = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status);
+  return Payload(fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: {}\r\n\r\n{}",
+                             Status,
+                             Poco::Net::HTTPResponse::getReasonForStatus(Code),
+                             Fields, Body.size(), Body));
+}
+
+} // namespace hyssopford
--- /dev/null
+++ b/src/net/tcp_stream.cpp
@@ -0,0 +1,262 @@
+#include "hyssopford/net/tcp_stream.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <sys/socket.h>
+
+namespace hyssopford {
+
+namespace {
+
+constexpr std::size_t ReadSize = 65'536;
+/// Most pieces passed to one system call.
+constexpr std::size_t GatherLimit = 16;
+/// How long a closed stream reads on, so that a reset does not destroy the
+/// last answer in the peer's receive buffer.
+constexpr Duration LingerTime = 500ms;
+
+constexpr int PollRead = Poco::Net::PollSet::POLL_READ;
+constexpr int PollWrite = Poco::Net::PollSet::POLL_WRITE;
+constexpr int PollError = Poco::Net::PollSet::POLL_ERROR;
+
+} // namespace
+
+std::string_view TcpStream::Piece::rest() const {
+  const std::string_view All = Bytes.empty() ? Shared.bytes() : Bytes;
+  return All.substr(Offset);
+}
+
+TcpStream::TcpStream(EventLoop &EventSource, TcpStreamHandler &Receiver)
+    : Loop(EventSource), Handler(Receiver) {}
+
+TcpStream::~TcpStream() { close(); }
+
+void TcpStream::accept(const Poco::Net::StreamSocket &Accepted) {
+  Socket = Accepted;
+  Socket.setBlocking(false);
+  Socket.setNoDelay(true);
+  Open = true;
+  Modes = PollRead | PollError;
+  Loop.add(Socket, Modes, *this);
+}
+
+bool TcpStream::connect(const std::string &Address) {
+  try {
+    Socket = Poco::Net::StreamSocket();
+    Socket.connectNB(Poco::Net::SocketAddress(Address));
+    Socket.setNoDelay(true);
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+  Open = true;
+  Connecting = true;
+  Modes = PollWrite | PollError;
+  Loop.add(Socket, Modes, *this);
+  return true;
+}
+
+void TcpStream::write(std::string Bytes) { write(std::move(Bytes), Payload()); }
+
+void TcpStream::write(std::string Head, const Payload &Body,
+                      std::size_t Offset) {
+  if (!Open || Closing) {
+    return;
+  }
+  const bool WasEmpty = Queue.empty();
+  if (!Head.empty()) {
+    PendingBytes += Head.size();
+    Queue.push_back(Piece{std::move(Head), Payload(), 0});
+  }
+  if (Body.size() > Offset) {
+    PendingBytes += Body.size() - Offset;
+    Queue.push_back(Piece{std::string(), Body, Offset});
+  }
+  if (WasEmpty && !Connecting) {
+    flush();
+  }
+}
+
+void TcpStream::pauseReading(bool Pause) {
+  if (Paused != Pause) {
+    Paused = Pause;
+    updateModes();
+  }
+}
+
+void TcpStream::close() {
+  if (!Open) {
+    return;
+  }
+  Open = false;
+  Queue.clear();
+  PendingBytes = 0;
+  Loop.cancel(LingerTimer);
+  Loop.remove(Socket);
+  Socket.close();
+}
+
+void TcpStream::closeAfterWrite() {
+  if (!Open || Closing) {
+    return;
+  }
+  Closing = true;
+  if (Queue.empty()) {
+    shutdownWrite();
+  }
+}
+
+bool TcpStream::looksIdle() {
+  if (!Open || Connecting || !Queue.empty()) {
+    return false;
+  }
+  char Byte = 0;
+  const auto Got = ::recv(Socket.impl()->sockfd(), &Byte, 1,
+                          MSG_PEEK | MSG_DONTWAIT); // NOLINT
+  return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+std::string TcpStream::peerAddress() const {
+  try {
+    return Socket.peerAddress().toString();
+  } catch (const Poco::Exception &) {
+    return {};
+  }
+}
+
+void TcpStream::onReady(int Ready) {
+  if (Connecting) {
+    const int Fault = Socket.impl()->socketError();
+    if (Fault != 0) {
+      fail(std::strerror(Fault));
+      return;
+    }
+    if ((Ready & PollWrite) == 0) {
+      return;
+    }
+    Connecting = false;
+    updateModes();
+    Handler.onConnected();
+    if (Open && !Queue.empty()) {
+      flush();
+    }
+    return;
+  }
+  if ((Ready & PollWrite) != 0 && !Queue.empty()) {
+    flush();
+  }
+  if (Open && (Ready & (PollRead | PollError)) != 0) {
+    readAvailable();
+  }
+}
+
+void TcpStream::readAvailable() {
+  if (Paused && !Lingering) {
+    // Only errors and hang-ups are reported while reading is paused.
+    fail("connection reset");
+    return;
+  }
+  static thread_local std::array<char, ReadSize> Buffer;
+  int Got = 0;
+  try {
+    Got = Socket.receiveBytes(Buffer.data(), static_cast<int>(Buffer.size()));
+  } catch (const Poco::Exception &Fault) {
+    fail(Fault.displayText());
+    return;
+  }
+  if (Got == 0) {
+    fail("closed by peer", true);
+  } else if (Got > 0 && !Closing) {
+    Handler.onData(
+        std::string_view(Buffer.data(), static_cast<std::size_t>(Got)));
+  }
+}
+
+void TcpStream::flush() {
+  while (Open && !Queue.empty()) {
+    Poco::Net::SocketBufVec Buffers;
+    for (const Piece &Each : Queue) {
+      if (Buffers.size() == GatherLimit) {
+        break;
+      }
+      const std::string_view Rest = Each.rest();
+      Buffers.push_back(Poco::Net::Socket::makeBuffer(
+          const_cast<char *>(Rest.data()), Rest.size())); // NOLINT
+    }
+    int Sent = 0;
+    try {
+      Sent = Socket.sendBytes(Buffers);
+    } catch (const Poco::Exception &Fault) {
+      // Reported later, as the caller of write() may still use its objects.
+      Queue.clear();
+      PendingBytes = 0;
+      Loop.cancel(LingerTimer);
+      LingerTimer = Loop.after(
+          Duration{0}, [this, Text = Fault.displayText()] { fail(Text); });
+      return;
+    }
+    if (Sent <= 0) {
+      break;
+    }
+    auto Left = static_cast<std::size_t>(Sent);
+    PendingBytes -= Left;
+    while (Left > 0) {
+      Piece &First = Queue.front();
+      const std::size_t Taken = std::min(Left, First.rest().size());
+      First.Offset += Taken;
+      Left -= Taken;
+      if (First.rest().empty()) {
+        Queue.pop_front();
+      }
+    }
+  }
+  updateModes();
+  if (Open && Queue.empty()) {
+    if (Closing) {
+      shutdownWrite();
+    } else {
+      Handler.onDrained();
+    }
+  }
+}
+
+void TcpStream::updateModes() {
+  if (!Open || Connecting) {
+    return;
+  }
+  const bool Reads = !Paused || Lingering;
+  const int Wanted =
+      PollError | (Reads ? PollRead : 0) | (Queue.empty() ? 0 : PollWrite);
+  if (Wanted != Modes) {
+    Modes = Wanted;
+    Loop.update(Socket, Modes);
+  }
+}
+
+void TcpStream::fail(std::string_view Reason, bool Orderly) {
+  if (!Open) {
+    return;
+  }
+  const std::string Text(Reason);
+  close();
+  Handler.onClosed(Orderly, Text);
+}
+
+void TcpStream::shutdownWrite() {
+  Lingering = true;
+  updateModes();
+  Duration Wait = LingerTime;
+  try {
+    Socket.shutdownSend();
+  } catch (const Poco::Exception &) {
+    Wait = Duration{0};
+  }
+  Loop.cancel(LingerTimer);
+  LingerTimer = Loop.after(Wait, [this] { fail("closed"); });
+}
+
+} // namespace hyssopford
--- /dev/null
+++ b/src/net/upstream_exchange.cpp
@@ -0,0 +1,220 @@
+#include "upstream_exchange.hpp"
+
+#include "hyssopford/net/http_forward.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace hyssopford {
+
+UpstreamClient::Exchange::Exchange(UpstreamClient &Owner)
+    : Client(Owner), Loop(Owner.Loop), Stream(Owner.Loop, *this),
+      Reader(HttpReader::Kind::Response, Owner.Settings.AnswerLimits) {}
+
+UpstreamClient::Exchange::~Exchange() { Loop.cancel(Timer); }
+
+void UpstreamClient::Exchange::start(const ForwardToUpstream &NewAttempt) {
+  Attempt = NewAttempt;
+  Probe = false;
+  Reader.expectHeadResponse(Attempt.Request.bytes().starts_with("HEAD "));
+  begin(Attempt.Remaining);
+}
+
+void UpstreamClient::Exchange::startProbe(const std::string &Path,
+                                          Duration Timeout) {
+  Probe = true;
+  Attempt = ForwardToUpstream();
+  Attempt.Idempotent = true;
+  Attempt.Request = Payload(
+      fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", Path, Client.Address));
+  Reader.expectHeadResponse(false);
+  begin(Timeout);
+}
+
+void UpstreamClient::Exchange::abandon() {
+  Busy = false;
+  Loop.cancel(Timer);
+  Stream.close();
+}
+
+void UpstreamClient::Exchange::onConnected() {
+  Connected = true;
+  if (Busy) {
+    send();
+  }
+}
+
+void UpstreamClient::Exchange::onData(std::string_view Bytes) {
+  if (!Busy) {
+    // An idle connection is not to carry anything; isReusable() sees it too.
+    abandon();
+    Client.discard(*this);
+    return;
+  }
+  Reader.feed(Bytes);
+  advance();
+}
+
+void UpstreamClient::Exchange::onClosed(bool Orderly,
+                                        std::string_view /*Reason*/) {
+  if (!Busy) {
+    Client.discard(*this);
+    return;
+  }
+  if (Orderly && Connected &&
+      Reader.finish() == HttpReader::Progress::Complete) {
+    succeed();
+    return;
+  }
+  if (!Connected) {
+    // A loopback connection fails at once only if nothing listens.
+    Client.Handler.onRefusedConnection();
+    fail(OutcomeReason::ConnectFailed);
+    return;
+  }
+  if (!retryOnNewConnection()) {
+    fail(OutcomeReason::UpstreamClosed);
+  }
+}
+
+void UpstreamClient::Exchange::begin(Duration Timeout) {
+  Busy = true;
+  Sent = false;
+  Started = EventLoop::now();
+  Timer = Loop.after(std::max(Timeout, Duration{0}), [this] {
+    Timer = 0;
+    Stream.close();
+    fail(OutcomeReason::UpstreamTimeout);
+  });
+  if (Connected) {
+    send();
+  }
+}
+
+void UpstreamClient::Exchange::send() {
+  Sent = true;
+  const std::string_view Bytes = Attempt.Request.bytes();
+  const std::size_t LineEnd =
+      std::min(Bytes.find("\r\n"), Bytes.size() - 2) + 2;
+  std::string Head(Bytes.substr(0, LineEnd));
+  if (!Probe) {
+    ForwardToUpstream Now = Attempt;
+    Now.Remaining -= EventLoop::now() - Started;
+    Head += hopFieldLines(Now);
+  }
+  Stream.write(std::move(Head), Attempt.Request, LineEnd);
+}
+
+void UpstreamClient::Exchange::advance() {
+  while (true) {
+    switch (Reader.advance()) {
+    case HttpReader::Progress::NeedMore:
+      return;
+    case HttpReader::Progress::HeadReady:
+      continue;
+    case HttpReader::Progress::Complete:
+      succeed();
+      return;
+    case HttpReader::Progress::Failed:
+      Stream.close();
+      fail(Reader.fault().Status == 413 || Reader.fault().Status == 431
+               ? OutcomeReason::AnswerTooLarge
+               : OutcomeReason::UpstreamClosed);
+      return;
+    }
+  }
+}
+
+void UpstreamClient::Exchange::succeed() {
+  Loop.cancel(Timer);
+  Timer = 0;
+  Busy = false;
+  const int Status = Reader.facts().Status;
+  UpstreamAnswered Answer;
+  Answer.Attempt = Attempt.Attempt;
+  Answer.Status = static_cast<std::uint16_t>(Status);
+  const bool WasProbe = Probe;
+  if (!WasProbe) {
+    Answer.Answer =
+        buildForwardedAnswer(Reader.response(), Reader.body(),
+                             Attempt.Request.bytes().starts_with("HEAD "));
+  }
+  // An answer may overtake the end of its request; such a connection, or one
+  // with bytes after the answer, is in an unknown state.
+  const bool Reusable = Stream.isOpen() && Reader.facts().KeepAlive &&
+                        Stream.pending() == 0 && Reader.buffered() == 0;
+  const Duration Elapsed = EventLoop::now() - Started;
+  Attempt = ForwardToUpstream();
+  Attempt.Attempt = Answer.Attempt;
+  UpstreamClientHandler &Receiver = Client.Handler;
+  if (Reusable) {
+    Reader.next();
+    WasIdle = true;
+    IdleSince = EventLoop::now();
+    Client.release(*this);
+  } else {
+    Stream.close();
+    Client.discard(*this);
+  }
+  if (WasProbe) {
+    Receiver.onProbed(ProbeFinished{Status >= 200 && Status < 400, Elapsed});
+  } else {
+    Receiver.onAnswered(std::move(Answer));
+  }
+}
+
+void UpstreamClient::Exchange::fail(OutcomeReason Reason) {
+  Loop.cancel(Timer);
+  Timer = 0;
+  Busy = false;
+  const UpstreamFailed Failure{Attempt.Attempt, Reason, Sent};
+  const Duration Elapsed = EventLoop::now() - Started;
+  UpstreamClientHandler &Receiver = Client.Handler;
+  const bool WasProbe = Probe;
+  Client.discard(*this);
+  if (WasProbe) {
+    Receiver.onProbed(ProbeFinished{false, Elapsed});
+  } else {
+    Receiver.onFailed(Failure);
+  }
+}
+
+bool UpstreamClient::Exchange::retryOnNewConnection() {
+  // The upstream may close an idle connection just when it is reused. Only an
+  // idempotent request may be sent again.
+  if (!WasIdle || !Attempt.Idempotent || Reader.started()) {
+    return false;
+  }
+  const Duration Left = Attempt.Remaining - (EventLoop::now() - Started);
+  if (Left <= Duration{0}) {
+    return false;
+  }
+  Loop.cancel(Timer);
+  Timer = 0;
+  Busy = false;
+  Attempt.Remaining = Left;
+  const ForwardToUpstream Again = Attempt;
+  const bool WasProbe = Probe;
+  UpstreamClient &Owner = Client;
+  Owner.discard(*this);
+  const std::shared_ptr<Exchange> Fresh = Owner.openNew();
+  if (!Fresh) {
+    if (WasProbe) {
+      Owner.Handler.onProbed(ProbeFinished{false, Duration{0}});
+    } else {
+      Owner.Handler.onFailed(
+          UpstreamFailed{Again.Attempt, OutcomeReason::UpstreamClosed, true});
+    }
+    return true;
+  }
+  if (WasProbe) {
+    Fresh->startProbe(Owner.HealthPath, Left);
+  } else {
+    Owner.ByAttempt.insert_or_assign(Again.Attempt, Fresh.get());
+    Fresh->start(Again);
+  }
+  return true;
+}
+
+} // namespace hyssopford
--- /dev/null
+++ b/src/net/upstream_exchange.hpp
@@ -0,0 +1,70 @@
+/// @file
+/// @brief One connection of an UpstreamClient.
+#pragma once
+
+#include "hyssopford/net/http_reader.hpp"
+#include "hyssopford/net/tcp_stream.hpp"
+#include "hyssopford/net/upstream_client.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace hyssopford {
+
+/// @brief Carries one attempt or probe after the other.
+class UpstreamClient::Exchange final : public TcpStreamHandler {
+public:
+  explicit Exchange(UpstreamClient &Owner);
+  ~Exchange() override;
+  Exchange(const Exchange &) = delete;
+  Exchange &operator=(const Exchange &) = delete;
+
+  /// @brief Opens the connection.
+  /// @return whether the attempt to connect could be started
+  bool connect(const std::string &Target) { return Stream.connect(Target); }
+
+  /// @brief Sends an attempt as soon as the connection is open.
+  void start(const ForwardToUpstream &NewAttempt);
+
+  /// @brief Sends a probe as soon as the connection is open.
+  void startProbe(const std::string &Path, Duration Timeout);
+
+  /// @brief Closes the connection; the attempt does not end in an event.
+  void abandon();
+
+  /// @return whether a request may be sent on this idle connection
+  bool isReusable() { return Stream.looksIdle(); }
+
+  TimePoint idleSince() const { return IdleSince; }
+  const AttemptId &attempt() const { return Attempt.Attempt; }
+  bool isProbe() const { return Probe; }
+
+private:
+  void onConnected() override;
+  void onData(std::string_view Bytes) override;
+  void onClosed(bool Orderly, std::string_view Reason) override;
+
+  void begin(Duration Timeout);
+  void send();
+  void advance();
+  void succeed();
+  void fail(OutcomeReason Reason);
+  bool retryOnNewConnection();
+
+  UpstreamClient &Client;
+  EventLoop &Loop;
+  TcpStream Stream;
+  HttpReader Reader;
+  ForwardToUpstream Attempt;
+  TimePoint Started;
+  TimePoint IdleSince;
+  EventLoop::TimerId Timer = 0;
+  bool Busy = false;
+  bool Probe = false;
+  bool Connected = false;
+  bool Sent = false;
+  /// True if the connection carried an earlier exchange.
+  bool WasIdle = false;
+};
+
+} // namespace hyssopford
--- /dev/null
+++ b/tests/net/message_codec_test.cpp
@@ -0,0 +1,81 @@
+/// @file
+/// @brief Tests of the conversion between messages and frames.
+#include "hyssopford/net/message_codec.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssopford;
+
+namespace {
+
+std::vector<PeerMessage> everyMessage() {
+  const AttemptId Attempt{{NodeId{7}, Incarnation{8}}, 9};
+  Dispatch Request;
+  Request.Attempt = Attempt;
+  Request.Owner = Incarnation{11};
+  Request.Service = "deposits";
+  Request.Route = "deposit";
+  Request.Remaining = 1500us;
+  Request.Class = Priority::High;
+  Request.Idempotent = true;
+  Request.IsExtra = true;
+  Request.Fingerprint = 12;
+  Request.Trace = {13, 14, 15, true};
+  Request.Request = Payload(std::string("POST / HTTP/1.1\r\n\r\n\0x", 21));
+  DispatchReply Reply;
+  Reply.Attempt = Attempt;
+  Reply.Result = Outcome::NotRun;
+  Reply.Reason = OutcomeReason::ShuttingDown;
+  Reply.Status = 503;
+  Reply.Load = {1, 2, 3, 4, 5us};
+  Reply.Answer = Payload("answer");
+  MemberRecord Record;
+  Record.Id = {NodeId{1}, Incarnation{2}};
+  Record.Update = 3;
+  Record.State = MemberState::Leaving;
+  Record.Address = "127.0.0.1:1";
+  Record.FailureDomain = "a";
+  Record.Region = "west";
+  Record.Service = "deposits";
+  Record.Upstream = UpstreamState::Draining;
+  Record.Slots = 6;
+  return {Request,
+          Reply,
+          Cancel{Attempt},
+          StatusQuery{Attempt, Incarnation{3}},
+          StatusReply{Attempt, AttemptState::Finished},
+          Gossip{{Record, Record}}};
+}
+
+} // namespace
+
+TEST_CASE("message codec", "[frame]") {
+  Error Fault;
+
+  SECTION("every message survives") {
+    for (const PeerMessage &Each : everyMessage()) {
+      const std::string Bytes = encodeMessage(Each);
+      REQUIRE(decodeMessage(Bytes, Fault) == Each);
+      // The bytes of a link are not aligned.
+      const std::string Shifted = "x" + Bytes;
+      REQUIRE(decodeMessage(std::string_view(Shifted).substr(1), Fault) ==
+              Each);
+    }
+  }
+  SECTION("every shortened frame is refused or still valid, never a fault") {
+    for (const PeerMessage &Each : everyMessage()) {
+      const std::string Bytes = encodeMessage(Each);
+      for (std::size_t Size = 0; Size < Bytes.size(); ++Size) {
+        decodeMessage(std::string_view(Bytes).substr(0, Size), Fault);
+      }
+      REQUIRE_FALSE(decodeMessage(Bytes.substr(0, 4), Fault));
+      REQUIRE(Fault.Code == 301);
+    }
+  }
+  SECTION("a value out of range is refused") {
+    StatusReply Wrong;
+    Wrong.State = static_cast<AttemptState>(200);
+    REQUIRE_FALSE(decodeMessage(encodeMessage(Wrong), Fault));
+    REQUIRE(Fault.Code == 302);
+  }
+}
