Claim idempotency keys and quarantine crashing requests

Cause: keyed requests ran without a claim, and a request that crashes upstreams was retried on every one of them. A claim id now has a sequence of its own, because a released claim id is never used again.

--- a/include/hyssopford/core/ids.hpp
+++ b/include/hyssopford/core/ids.hpp
@@ -52,11 +52,12 @@
   friend auto operator<=>(const AttemptId &, const AttemptId &) = default;
 };
 
-/// @brief Identifies one claim on an idempotency key. It is unique for one
-/// request at one ingress run.
+/// @brief Identifies one claim on an idempotency key. A claim that is released
+/// is never used again: a later round of the same request has a new sequence.
+/// Sequences of one ingress run increase strictly.
 struct ClaimId {
   NodeRun Ingress;
-  RequestId Request;
+  std::uint64_t Sequence = 0;
 
   friend auto operator<=>(const ClaimId &, const ClaimId &) = default;
 };
--- a/include/hyssopford/core/message.hpp
+++ b/include/hyssopford/core/message.hpp
@@ -3,10 +3,12 @@
 #pragma once
 
 #include "hyssopford/core/ids.hpp"
+#include "hyssopford/core/key_message.hpp"
 #include "hyssopford/core/load_report.hpp"
 #include "hyssopford/core/member.hpp"
 #include "hyssopford/core/outcome.hpp"
 #include "hyssopford/core/payload.hpp"
+#include "hyssopford/core/quarantine_message.hpp"
 #include "hyssopford/core/routing_config.hpp"
 #include "hyssopford/core/time.hpp"
 #include "hyssopford/core/trace_context.hpp"
@@ -98,7 +100,10 @@
 };
 
 /// @brief Any message between nodes.
-using PeerMessage = std::variant<Dispatch, DispatchReply, Cancel, StatusQuery,
-                                 StatusReply, Gossip>;
+using PeerMessage =
+    std::variant<Dispatch, DispatchReply, Cancel, StatusQuery, StatusReply,
+                 Gossip, KeyClaim, KeyClaimReply, KeyRelease, KeyOutcome,
+                 KeyAck, SealRequest, SealReply, RosterRequest, RosterUpdate,
+                 QuarantineNotice>;
 
 } // namespace hyssopford
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -5,8 +5,10 @@
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/ingress_system.hpp"
+#include "hyssopford/core/key_system.hpp"
 #include "hyssopford/core/membership_system.hpp"
 #include "hyssopford/core/owner_system.hpp"
+#include "hyssopford/core/quarantine_system.hpp"
 #include "hyssopford/core/random_source.hpp"
 #include "hyssopford/core/routing_config.hpp"
 
@@ -29,6 +31,8 @@
   std::vector<std::string> Seeds;
   /// Start value of the random source.
   std::uint64_t Seed = 1;
+  /// Limits of idempotency keys.
+  KeySettings Keys;
 
   friend bool operator==(const NodeCoreSettings &,
                          const NodeCoreSettings &) = default;
@@ -81,6 +85,8 @@
   const RoutingConfig &config() const { return Config; }
 
   const IngressSystem &ingress() const { return Ingress; }
+  const KeySystem &keys() const { return Keys; }
+  const QuarantineSystem &quarantine() const { return Quarantine; }
   const OwnerSystem &owner() const { return Owner; }
   const MembershipSystem &membership() const { return Membership; }
   /// @}
@@ -112,8 +118,20 @@
   void receive(NodeRun From, const Gossip &Message, TimePoint Now,
                Actions &Out);
 
+  void receive(NodeRun From, const QuarantineNotice &Message, TimePoint Now,
+               Actions &Out);
+  /// Messages about idempotency keys.
+  template <typename Message>
+  void receive(NodeRun From, const Message &Received, TimePoint Now,
+               Actions &Out) {
+    Keys.receive(From, Received, Now, Out);
+  }
+
   /// Delivers messages that a system addressed to this node itself.
   void deliverLocal(TimePoint Now, Actions &Produced, Actions &Out);
+  /// Starts requests whose keys were granted, and passes attempts on to the
+  /// owner that the quarantine lets through.
+  void startReleased(TimePoint Now, Actions &Out);
   void refreshCandidates();
 
   NodeRun Self;
@@ -122,6 +140,8 @@
   MembershipSystem Membership;
   IngressSystem Ingress;
   OwnerSystem Owner;
+  KeySystem Keys;
+  QuarantineSystem Quarantine;
   std::uint64_t CandidateRevision = 0;
   bool ShuttingDown = false;
   bool ShutdownReported = false;
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -32,7 +32,9 @@
   /// @{
 
   /// @brief Admits, queues or refuses an attempt.
-  void admit(NodeId From, const Dispatch &Attempt, TimePoint Now, Actions &Out);
+  /// @param Refusal reason for which a new attempt is refused; None to admit
+  void admit(NodeId From, const Dispatch &Attempt, TimePoint Now, Actions &Out,
+             OutcomeReason Refusal = OutcomeReason::None);
 
   /// @brief Drops an attempt that nobody waits for.
   void cancel(AttemptId Attempt, TimePoint Now, Actions &Out);
--- a/include/hyssopford/core/time.hpp
+++ b/include/hyssopford/core/time.hpp
@@ -27,5 +27,7 @@
 using std::chrono_literals::operator""ms;
 using std::chrono_literals::operator""s;
 using std::chrono_literals::operator""us;
+using std::chrono_literals::operator""h;
+using std::chrono_literals::operator""min;
 
 } // namespace hyssopford
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -1,21 +1,12 @@
 #include "hyssopford/core/ingress_system.hpp"
 
+#include "hyssopford/core/fingerprint.hpp"
+
 #include <algorithm>
 #include <utility>
 
 namespace hyssopford {
 
-namespace {
-
-std::uint64_t fingerprintOf(const CallerRequest &Request,
-                            const Route &Matched) {
-  const std::uint64_t RouteHash = hashBytes(Matched.Name);
-  return hashPair(hashPair(RouteHash, hashBytes(Request.Method)),
-                  Request.BodyHash);
-}
-
-} // namespace
-
 IngressSystem::IngressSystem(NodeRun Run, RandomSource &Source)
     : Self(Run), Random(Source) {}
 
@@ -65,6 +56,11 @@
     Requests.erase(Row.Request.Id);
     return;
   }
+  if (Reply.Reason == OutcomeReason::Quarantined) {
+    // Another attempt might crash another upstream.
+    settle(Row, Reply.Result, Reply.Reason, Out);
+    return;
+  }
   if (Reply.Result == Outcome::NotRun || Row.Idempotent) {
     tryNext(Row, Now, Out);
     return;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -1,5 +1,7 @@
 #include "hyssopford/core/node_core.hpp"
 
+#include "hyssopford/core/fingerprint.hpp"
+
 #include <algorithm>
 #include <initializer_list>
 #include <utility>
@@ -30,7 +32,8 @@
 NodeCore::NodeCore(const NodeCoreSettings &Settings)
     : Self{nodeIdOf(Settings.Address), Settings.Run}, Random(Settings.Seed),
       Membership(ownRecord(Settings, Self), Settings.Seeds, Random),
-      Ingress(Self, Random), Owner(Self) {
+      Ingress(Self, Random), Owner(Self), Keys(Self, Settings.Keys, Random),
+      Quarantine(Self, Random) {
   Actions None;
   Ingress.linkUp(Self, TimePoint{}, None);
 }
@@ -47,10 +50,12 @@
   Ingress.tick(Now, Produced);
   Owner.tick(Now, Produced);
   Membership.tick(Now, Produced);
+  Quarantine.tick(Now, Produced);
+  Keys.tick(Membership.members(), Config, Now, Produced);
   deliverLocal(Now, Produced, Out);
   refreshCandidates();
   if (ShuttingDown && !ShutdownReported && Owner.inFlight() == 0 &&
-      Ingress.inFlight() == 0) {
+      Ingress.inFlight() == 0 && Keys.idle()) {
     ShutdownReported = true;
     Out.emplace_back(ShutdownComplete{});
   }
@@ -61,6 +66,7 @@
     return false;
   }
   Config = std::move(NewConfig);
+  Quarantine.adopt(Config);
   CandidateRevision = 0;
   refreshCandidates();
   return true;
@@ -69,7 +75,8 @@
 std::optional<TimePoint> NodeCore::nextWakeup() const {
   std::optional<TimePoint> Next;
   for (const std::optional<TimePoint> &Each :
-       {Ingress.nextWakeup(), Owner.nextWakeup(), Membership.nextWakeup()}) {
+       {Ingress.nextWakeup(), Owner.nextWakeup(), Membership.nextWakeup(),
+        Keys.nextWakeup(), Quarantine.nextWakeup()}) {
     if (Each && (!Next || *Each < *Next)) {
       Next = Each;
     }
@@ -88,21 +95,38 @@
     Out.emplace_back(refusal(Input.Id, OutcomeReason::NoRoute));
     return;
   }
-  Ingress.start(Input, *Matched, Now, Out);
+  const std::uint64_t Fingerprint = fingerprintOf(Input, *Matched);
+  if (Quarantine.isQuarantined(Fingerprint, Now)) {
+    Out.emplace_back(refusal(Input.Id, OutcomeReason::Quarantined));
+    return;
+  }
+  Route Limited = *Matched;
+  if (Quarantine.isSuspect(Fingerprint, Now)) {
+    Limited.TryLimit = 1;
+  }
+  if (!Keys.begin(Input, Limited, Now, Out)) {
+    Ingress.start(Input, Limited, Now, Out);
+  }
 }
 
 void NodeCore::on(const CallerGone &Input, TimePoint Now, Actions &Out) {
-  Ingress.cancel(Input.Id, Now, Out);
+  if (!Keys.callerGone(Input.Id, Now, Out)) {
+    Ingress.cancel(Input.Id, Now, Out);
+  }
 }
 
 void NodeCore::on(const PeerLinkUp &Input, TimePoint Now, Actions &Out) {
   Membership.linkUp(Input.Peer, Now, Out);
   Ingress.linkUp(Input.Peer, Now, Out);
+  Keys.linkUp(Input.Peer, Now, Out);
+  Quarantine.linkUp(Input.Peer, Now, Out);
 }
 
 void NodeCore::on(const PeerLinkDown &Input, TimePoint Now, Actions &Out) {
   Membership.linkDown(Input.Peer, Now, Out);
   Ingress.linkDown(Input.Peer, Now, Out);
+  Keys.linkDown(Input.Peer);
+  Quarantine.linkDown(Input.Peer);
 }
 
 void NodeCore::on(const PeerMessageReceived &Input, TimePoint Now,
@@ -116,6 +140,7 @@
 }
 
 void NodeCore::on(const UpstreamFailed &Input, TimePoint Now, Actions &Out) {
+  Quarantine.failed(Input, Now, Out);
   Owner.failed(Input, Now, Out);
 }
 
@@ -125,6 +150,7 @@
 }
 
 void NodeCore::on(const UpstreamGone &Input, TimePoint Now, Actions &Out) {
+  Quarantine.gone(Input, Now, Out);
   Owner.withdraw(Input, Now, Out);
   Membership.setUpstream(UpstreamAnnounced{"", 0, UpstreamState::None}, Now,
                          Out);
@@ -133,19 +159,21 @@
 void NodeCore::on(const ProbeFinished & /*Input*/, TimePoint /*Now*/,
                   Actions & /*Out*/) {}
 
-void NodeCore::on(const StoreReplied & /*Input*/, TimePoint /*Now*/,
-                  Actions & /*Out*/) {}
+void NodeCore::on(const StoreReplied &Input, TimePoint Now, Actions &Out) {
+  Keys.receive(Input, Now, Out);
+}
 
 void NodeCore::on(const ShutdownRequested & /*Input*/, TimePoint Now,
                   Actions &Out) {
   ShuttingDown = true;
   Owner.drain();
   Membership.leave(Now, Out);
+  Keys.leave(Now);
 }
 
 void NodeCore::receive(NodeRun From, const Dispatch &Message, TimePoint Now,
-                       Actions &Out) {
-  Owner.admit(From.Node, Message, Now, Out);
+                       Actions & /*Out*/) {
+  Quarantine.dispatch(From, Message, Now);
 }
 
 void NodeCore::receive(NodeRun From, const DispatchReply &Message,
@@ -173,16 +201,47 @@
   Membership.receive(From, Message, Now, Out);
 }
 
+void NodeCore::receive(NodeRun From, const QuarantineNotice &Message,
+                       TimePoint Now, Actions &Out) {
+  Quarantine.receive(From, Message, Now, Out);
+}
+
 void NodeCore::deliverLocal(TimePoint Now, Actions &Produced, Actions &Out) {
+  startReleased(Now, Produced);
   for (std::size_t Index = 0; Index < Produced.size(); ++Index) {
-    const auto *Message = std::get_if<SendToPeer>(&Produced[Index]);
+    // Handlers append to Produced, so nothing may refer into it.
+    Action Each = std::move(Produced[Index]);
+    if (const auto *Reply = std::get_if<ReplyToCaller>(&Each)) {
+      if (Keys.finish(*Reply, Now, Produced)) {
+        Out.push_back(std::move(Each));
+      }
+      continue;
+    }
+    if (const auto *Forward = std::get_if<ForwardToUpstream>(&Each)) {
+      Quarantine.started(Forward->Attempt);
+    }
+    auto *Message = std::get_if<SendToPeer>(&Each);
+    if (Message != nullptr) {
+      if (auto *Reply = std::get_if<DispatchReply>(&Message->Message)) {
+        Quarantine.ended(*Reply, Now, Produced);
+      }
+    }
     if (Message == nullptr || Message->To != Self.Node) {
-      Out.push_back(std::move(Produced[Index]));
+      Out.push_back(std::move(Each));
       continue;
     }
-    const PeerMessage Local = Message->Message;
-    std::visit([&](const auto &Each) { receive(Self, Each, Now, Produced); },
-               Local);
+    std::visit([&](const auto &Local) { receive(Self, Local, Now, Produced); },
+               Message->Message);
+    startReleased(Now, Produced);
+  }
+}
+
+void NodeCore::startReleased(TimePoint Now, Actions &Out) {
+  for (const ClaimedRequest &Each : Keys.takeClaimed()) {
+    Ingress.start(Each.Request, Each.Matched, Now, Out);
+  }
+  for (const GatedAttempt &Each : Quarantine.takeGated(Now)) {
+    Owner.admit(Each.From.Node, Each.Attempt, Now, Out, Each.Refusal);
   }
 }
 
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -8,7 +8,7 @@
 OwnerSystem::OwnerSystem(NodeRun Run) : Self(Run) {}
 
 void OwnerSystem::admit(NodeId From, const Dispatch &Attempt, TimePoint Now,
-                        Actions &Out) {
+                        Actions &Out, OutcomeReason Refusal) {
   const AttemptId Id = Attempt.Attempt;
   const auto Known = Finished.find(Id);
   if (Known != Finished.end()) {
@@ -35,6 +35,10 @@
     Out.emplace_back(SendToPeer{From, std::move(Stale)});
     return;
   }
+  if (Refusal != OutcomeReason::None) {
+    refuse(From, Id, Outcome::NotRun, Refusal, Now, Out);
+    return;
+  }
   if (Draining || Upstream.State == UpstreamState::Draining) {
     refuse(From, Id, Outcome::NotRun, OutcomeReason::Draining, Now, Out);
     return;
--- /dev/null
+++ b/src/core/quarantine_system.cpp
@@ -0,0 +1,424 @@
+#include "hyssopford/core/quarantine_system.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace hyssopford {
+
+QuarantineSystem::QuarantineSystem(NodeRun Run, RandomSource &Source)
+    : Self(Run), Random(Source) {}
+
+void QuarantineSystem::dispatch(NodeRun From, const Dispatch &Attempt,
+                                TimePoint Now) {
+  if (isQuarantined(Attempt.Fingerprint, Now)) {
+    Refused.push_back(GatedAttempt{From, Attempt, OutcomeReason::Quarantined});
+    return;
+  }
+  const bool IsGated =
+      std::any_of(Gate.begin(), Gate.end(), [&](const GatedRow &Row) {
+        return Row.Attempt.Attempt == Attempt.Attempt;
+      });
+  if (IsGated) {
+    return;
+  }
+  if (Gate.size() >= MaxGated) {
+    Refused.push_back(GatedAttempt{From, Attempt, OutcomeReason::QueueFull});
+    return;
+  }
+  Gate.push_back(GatedRow{From, Attempt, Now});
+}
+
+void QuarantineSystem::started(const AttemptId &Attempt) {
+  const auto Found = Attempts.find(Attempt);
+  if (Found != Attempts.end()) {
+    Found->second.Running = true;
+  }
+}
+
+void QuarantineSystem::ended(DispatchReply &Reply, TimePoint Now,
+                             Actions &Out) {
+  const auto Found = Attempts.find(Reply.Attempt);
+  if (Found == Attempts.end()) {
+    return;
+  }
+  const AttemptRow Row = Found->second;
+  Attempts.erase(Found);
+  if (Reply.Result == Outcome::Unknown && isSuspect(Row.Fingerprint, Now)) {
+    Reply.Reason = OutcomeReason::Quarantined;
+  }
+  if (Reply.Result != Outcome::Answered || !Row.Running) {
+    return;
+  }
+  if (Trusted.size() >= MaxTrusted && !Trusted.contains(Row.Fingerprint)) {
+    std::erase_if(Trusted, [&](const auto &Entry) {
+      return Entry.second + TrustTime <= Now;
+    });
+  }
+  if (Trusted.size() < MaxTrusted) {
+    Trusted[Row.Fingerprint] = Now;
+  }
+  if (Row.RunsAlone && clear(Clearance{Row.Fingerprint, Duration{0}}, Now)) {
+    announce({Row.Fingerprint}, Links.size(), Now, Out);
+  }
+}
+
+void QuarantineSystem::failed(const UpstreamFailed &Failure, TimePoint Now,
+                              Actions &Out) {
+  const auto Found = Attempts.find(Failure.Attempt);
+  if (Found == Attempts.end() || !Failure.BytesSent ||
+      Failure.Reason != OutcomeReason::UpstreamClosed) {
+    return;
+  }
+  Failures.push_back(FailureRow{Now, Found->second.Fingerprint});
+  Found->second.Running = false;
+  const bool NoneLeft =
+      std::none_of(Attempts.begin(), Attempts.end(),
+                   [](const auto &Entry) { return Entry.second.Running; });
+  std::vector<std::uint64_t> Together;
+  for (const FailureRow &Row : Failures) {
+    if (Row.At + ResetWindow >= Now) {
+      Together.push_back(Row.Fingerprint);
+    }
+  }
+  // One lost connection alone may be an idle timeout of the upstream.
+  if (NoneLeft && Together.size() > 1) {
+    crash(std::move(Together), Now, Out);
+  }
+}
+
+void QuarantineSystem::gone(const UpstreamGone &Gone, TimePoint Now,
+                            Actions &Out) {
+  if (!Gone.Crashed) {
+    return;
+  }
+  std::vector<std::uint64_t> Running;
+  for (const auto &[Id, Row] : Attempts) {
+    if (Row.Running) {
+      Running.push_back(Row.Fingerprint);
+    }
+  }
+  for (const FailureRow &Row : Failures) {
+    if (Row.At + CrashWindow >= Now) {
+      Running.push_back(Row.Fingerprint);
+    }
+  }
+  crash(std::move(Running), Now, Out);
+}
+
+std::vector<GatedAttempt> QuarantineSystem::takeGated(TimePoint Now) {
+  std::vector<GatedAttempt> Result = std::exchange(Refused, {});
+  while (!Gate.empty()) {
+    GatedRow &Row = Gate.front();
+    GatedAttempt Next{Row.From, std::move(Row.Attempt), OutcomeReason::None};
+    const Duration Waited = Now - Row.Arrived;
+    if (isQuarantined(Next.Attempt.Fingerprint, Now)) {
+      Next.Refusal = OutcomeReason::Quarantined;
+    } else if (Waited > Duration{0} && Waited >= Next.Attempt.Remaining) {
+      Next.Refusal = OutcomeReason::DeadlineExceeded;
+    } else if (!mayAdmit(Next.Attempt, Now)) {
+      Row.Attempt = std::move(Next.Attempt);
+      break;
+    } else {
+      Next.Attempt.Remaining -= Waited;
+      Attempts.try_emplace(
+          Next.Attempt.Attempt,
+          AttemptRow{Next.Attempt.Fingerprint, Now + Next.Attempt.Remaining,
+                     false, isSuspect(Next.Attempt.Fingerprint, Now)});
+    }
+    Result.push_back(std::move(Next));
+    Gate.pop_front();
+  }
+  return Result;
+}
+
+void QuarantineSystem::receive(NodeRun /*From*/, const QuarantineNotice &Notice,
+                               TimePoint Now, Actions &Out) {
+  std::set<std::uint64_t> Changed;
+  for (const CrashSighting &Each : Notice.Sightings) {
+    if (learn(Each, Now, Out)) {
+      Changed.insert(Each.Fingerprint);
+    }
+  }
+  for (const Clearance &Each : Notice.Cleared) {
+    if (clear(Each, Now)) {
+      Changed.insert(Each.Fingerprint);
+    }
+  }
+  if (!Changed.empty()) {
+    announce(Changed, GossipPeers, Now, Out);
+  }
+}
+
+void QuarantineSystem::linkUp(NodeRun Peer, TimePoint Now, Actions &Out) {
+  Links.insert(Peer.Node);
+  std::set<std::uint64_t> Known;
+  for (const auto &[Fingerprint, Row] : Fingerprints) {
+    Known.insert(Fingerprint);
+  }
+  if (!Known.empty()) {
+    Out.emplace_back(SendToPeer{Peer.Node, describe(Known, Now)});
+  }
+}
+
+void QuarantineSystem::linkDown(NodeId Peer) { Links.erase(Peer); }
+
+void QuarantineSystem::adopt(const RoutingConfig &Config) {
+  Lifts.clear();
+  for (const QuarantineLift &Lift : Config.Lifts) {
+    std::uint64_t &Serial = Lifts[Lift.Fingerprint];
+    Serial = std::max(Serial, Lift.Serial);
+  }
+  for (const auto &[Fingerprint, Serial] : Lifts) {
+    const auto Found = Fingerprints.find(Fingerprint);
+    if (Found == Fingerprints.end()) {
+      continue;
+    }
+    std::erase_if(Found->second.Crashes, [&](const auto &Entry) {
+      return Entry.second.LiftSerial < Serial;
+    });
+    if (Found->second.Crashes.empty()) {
+      Fingerprints.erase(Found);
+    }
+  }
+}
+
+void QuarantineSystem::tick(TimePoint Now, Actions &Out) {
+  std::erase_if(Fingerprints, [&](const auto &Entry) {
+    return Entry.second.LastCrash + QuarantineTime <= Now;
+  });
+  // An attempt whose end was not seen must not block the gate for ever.
+  std::erase_if(Attempts, [&](const auto &Entry) {
+    return Entry.second.Deadline + CrashWindow <= Now;
+  });
+  while (!Failures.empty() && Failures.front().At + CrashWindow < Now) {
+    Failures.pop_front();
+  }
+  if (!NextGossip || Now < *NextGossip) {
+    return;
+  }
+  std::set<std::uint64_t> Fresh;
+  for (const auto &[Fingerprint, Row] : Fingerprints) {
+    if (Row.GossipUntil > Now) {
+      Fresh.insert(Fingerprint);
+    }
+  }
+  NextGossip.reset();
+  if (!Fresh.empty()) {
+    NextGossip = Now + GossipPeriod;
+    announce(Fresh, GossipPeers, Now, Out);
+  }
+}
+
+bool QuarantineSystem::isQuarantined(std::uint64_t Fingerprint,
+                                     TimePoint Now) const {
+  const auto Found = Fingerprints.find(Fingerprint);
+  return Found != Fingerprints.end() && quarantines(Found->second) &&
+         Found->second.LastCrash + QuarantineTime > Now;
+}
+
+bool QuarantineSystem::isSuspect(std::uint64_t Fingerprint,
+                                 TimePoint Now) const {
+  const auto Found = Fingerprints.find(Fingerprint);
+  return Found != Fingerprints.end() && !Found->second.Crashes.empty() &&
+         Found->second.LastCrash + SuspectTime > Now;
+}
+
+std::vector<QuarantineEntry> QuarantineSystem::list(TimePoint Now) const {
+  std::vector<QuarantineEntry> Result;
+  for (const auto &[Fingerprint, Row] : Fingerprints) {
+    if (isQuarantined(Fingerprint, Now)) {
+      Result.push_back(QuarantineEntry{Fingerprint, Row.Crashes.size(),
+                                       Row.LastCrash + QuarantineTime});
+    }
+  }
+  return Result;
+}
+
+std::optional<TimePoint> QuarantineSystem::nextWakeup() const {
+  std::optional<TimePoint> Next = NextGossip;
+  const auto Consider = [&](TimePoint Due) {
+    Next = Next ? std::min(*Next, Due) : Due;
+  };
+  for (const auto &[Fingerprint, Row] : Fingerprints) {
+    Consider(Row.LastCrash + QuarantineTime);
+  }
+  if (!Gate.empty()) {
+    Consider(Gate.front().Arrived + Gate.front().Attempt.Remaining);
+  }
+  return Next;
+}
+
+bool QuarantineSystem::quarantines(const FingerprintRow &Row) {
+  std::set<NodeId> Owners;
+  bool Alone = false;
+  for (const auto &[Crash, Sighting] : Row.Crashes) {
+    Owners.insert(Crash.first.Node);
+    Alone = Alone || Sighting.Alone;
+  }
+  return Owners.size() >= 2 || (Row.Crashes.size() >= 2 && Alone);
+}
+
+bool QuarantineSystem::mayAdmit(const Dispatch &Attempt, TimePoint Now) const {
+  if (Attempts.contains(Attempt.Attempt)) {
+    return true;
+  }
+  if (isSuspect(Attempt.Fingerprint, Now)) {
+    return Attempts.empty();
+  }
+  return std::none_of(Attempts.begin(), Attempts.end(),
+                      [](const auto &Entry) { return Entry.second.RunsAlone; });
+}
+
+void QuarantineSystem::crash(std::vector<std::uint64_t> Running, TimePoint Now,
+                             Actions &Out) {
+  if (Running.empty()) {
+    return;
+  }
+  // Lost connections and the loss of the upstream are one crash.
+  if (!LastCrashAt || *LastCrashAt + CrashWindow < Now) {
+    ++NextCrash;
+  }
+  LastCrashAt = Now;
+  const bool Alone = Running.size() == 1;
+  std::vector<std::uint64_t> Suspects;
+  std::copy_if(Running.begin(), Running.end(), std::back_inserter(Suspects),
+               [&](std::uint64_t Fingerprint) {
+                 const auto Answered = Trusted.find(Fingerprint);
+                 return Answered == Trusted.end() ||
+                        Answered->second + TrustTime <= Now;
+               });
+  if (Suspects.empty()) {
+    Suspects = std::move(Running);
+  }
+  std::set<std::uint64_t> Changed;
+  for (const std::uint64_t Fingerprint : Suspects) {
+    const auto Lift = Lifts.find(Fingerprint);
+    const CrashSighting Sighting{
+        Fingerprint, Self,
+        NextCrash,   Lift == Lifts.end() ? 0 : Lift->second,
+        Alone,       Duration{0}};
+    if (learn(Sighting, Now, Out)) {
+      Changed.insert(Fingerprint);
+    }
+  }
+  announce(Changed, Links.size(), Now, Out);
+}
+
+bool QuarantineSystem::learn(const CrashSighting &Sighting, TimePoint Now,
+                             Actions &Out) {
+  const TimePoint At = Now - Sighting.Age;
+  const auto Lift = Lifts.find(Sighting.Fingerprint);
+  const bool Lifted = Lift != Lifts.end() && Sighting.LiftSerial < Lift->second;
+  if (Lifted || At + QuarantineTime <= Now) {
+    return false;
+  }
+  FingerprintRow *Row = rowFor(Sighting.Fingerprint);
+  if (Row == nullptr ||
+      (Row->Cleared && *Row->Cleared >= At && !Sighting.Alone)) {
+    return false;
+  }
+  const bool IsNew =
+      Row->Crashes
+          .try_emplace(CrashId(Sighting.Owner, Sighting.Crash),
+                       SightingRow{At, Sighting.LiftSerial, Sighting.Alone})
+          .second;
+  Row->LastCrash = std::max(Row->LastCrash, At);
+  if (quarantines(*Row) && !Row->Reported) {
+    Row->Reported = true;
+    Out.emplace_back(
+        Notice{"request_quarantined",
+               {{"fingerprint", fmt::format("{:016x}", Sighting.Fingerprint)},
+                {"crashes", fmt::format("{}", Row->Crashes.size())}}});
+  }
+  return IsNew;
+}
+
+bool QuarantineSystem::clear(const Clearance &Cleared, TimePoint Now) {
+  const auto Found = Fingerprints.find(Cleared.Fingerprint);
+  if (Found == Fingerprints.end() || quarantines(Found->second)) {
+    return false;
+  }
+  FingerprintRow &Row = Found->second;
+  const TimePoint At = Now - Cleared.Age;
+  const std::size_t Removed =
+      std::erase_if(Row.Crashes, [&](const auto &Entry) {
+        return !Entry.second.Alone && Entry.second.At <= At;
+      });
+  if (Removed > 0) {
+    Row.Cleared = std::max(Row.Cleared.value_or(At), At);
+  }
+  return Removed > 0;
+}
+
+QuarantineSystem::FingerprintRow *
+QuarantineSystem::rowFor(std::uint64_t Fingerprint) {
+  const auto Found = Fingerprints.find(Fingerprint);
+  if (Found != Fingerprints.end()) {
+    return &Found->second;
+  }
+  if (Fingerprints.size() >= MaxFingerprints) {
+    // The oldest suspect makes room; quarantines stay.
+    auto Oldest = Fingerprints.end();
+    for (auto Each = Fingerprints.begin(); Each != Fingerprints.end(); ++Each) {
+      if (!quarantines(Each->second) &&
+          (Oldest == Fingerprints.end() ||
+           Each->second.LastCrash < Oldest->second.LastCrash)) {
+        Oldest = Each;
+      }
+    }
+    if (Oldest == Fingerprints.end()) {
+      return nullptr;
+    }
+    Fingerprints.erase(Oldest);
+  }
+  return &Fingerprints[Fingerprint];
+}
+
+void QuarantineSystem::announce(const std::set<std::uint64_t> &Changed,
+                                std::size_t Peers, TimePoint Now,
+                                Actions &Out) {
+  for (const std::uint64_t Fingerprint : Changed) {
+    const auto Found = Fingerprints.find(Fingerprint);
+    if (Found != Fingerprints.end() && Found->second.GossipUntil <= Now) {
+      Found->second.GossipUntil = Now + GossipTime;
+    }
+  }
+  if (!NextGossip) {
+    NextGossip = Now + GossipPeriod;
+  }
+  const QuarantineNotice News = describe(Changed, Now);
+  std::vector<NodeId> Targets(Links.begin(), Links.end());
+  for (std::size_t Count = 0; Count < Peers && !Targets.empty(); ++Count) {
+    const std::size_t Index = Peers >= Targets.size() + Count
+                                  ? Targets.size() - 1
+                                  : Random.below(Targets.size());
+    Out.emplace_back(SendToPeer{Targets[Index], News});
+    Targets[Index] = Targets.back();
+    Targets.pop_back();
+  }
+}
+
+QuarantineNotice
+QuarantineSystem::describe(const std::set<std::uint64_t> &Wanted,
+                           TimePoint Now) const {
+  QuarantineNotice Result;
+  for (const std::uint64_t Fingerprint : Wanted) {
+    const auto Found = Fingerprints.find(Fingerprint);
+    if (Found == Fingerprints.end() ||
+        Result.Sightings.size() >= MaxSightings) {
+      continue;
+    }
+    for (const auto &[Crash, Row] : Found->second.Crashes) {
+      Result.Sightings.push_back(CrashSighting{Fingerprint, Crash.first,
+                                               Crash.second, Row.LiftSerial,
+                                               Row.Alone, Now - Row.At});
+    }
+    if (Found->second.Cleared) {
+      Result.Cleared.push_back(
+          Clearance{Fingerprint, Now - *Found->second.Cleared});
+    }
+  }
+  return Result;
+}
+
+} // namespace hyssopford
