--- a/src/core/key_system.cpp
+++ b/src/core/key_system.cpp
@@ -364,7 +364,9 @@
     Row.Running = true;
     RequestTimers.cancel(Row.Request.Id);
     ClaimedRequest Ready{Row.Request, Row.Matched};
-    Ready.Request.Deadline = std::max(Row.Deadline - Now, Duration{1});
+    if (Rules.checksDeadline()) {
+      Ready.Request.Deadline = Row.Deadline - Now;
+    }
     Claimed.push_back(std::move(Ready));
     return;
   }
