--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "hyssopford/core/action.hpp"
+#include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/ingress_system.hpp"
 #include "hyssopford/core/key_system.hpp"
 #include "hyssopford/core/membership_system.hpp"
 #include "hyssopford/core/owner_system.hpp"
+#include "hyssopford/core/probe_system.hpp"
 #include "hyssopford/core/quarantine_system.hpp"
 #include "hyssopford/core/random_source.hpp"
 #include "hyssopford/core/routing_config.hpp"
@@ -31,6 +33,8 @@
   std::vector<std::string> Seeds;
   /// Start value of the random source.
   std::uint64_t Seed = 1;
+  /// Constants of routing, admission and probing.
+  DecisionSettings Decisions;
   /// Limits of idempotency keys.
   KeySettings Keys;
 
@@ -88,6 +92,7 @@
   const KeySystem &keys() const { return Keys; }
   const QuarantineSystem &quarantine() const { return Quarantine; }
   const OwnerSystem &owner() const { return Owner; }
+  const ProbeSystem &probes() const { return Probes; }
   const MembershipSystem &membership() const { return Membership; }
   /// @}
 
@@ -140,6 +145,7 @@
   MembershipSystem Membership;
   IngressSystem Ingress;
   OwnerSystem Owner;
+  ProbeSystem Probes;
   KeySystem Keys;
   QuarantineSystem Quarantine;
   std::uint64_t CandidateRevision = 0;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -32,7 +32,9 @@
 NodeCore::NodeCore(const NodeCoreSettings &Settings)
     : Self{nodeIdOf(Settings.Address), Settings.Run}, Random(Settings.Seed),
       Membership(ownRecord(Settings, Self), Settings.Seeds, Random),
-      Ingress(Self, Random), Owner(Self), Keys(Self, Settings.Keys, Random),
+      Ingress(Self, Random, Settings.Decisions.Routing, Settings.Region),
+      Owner(Self, Settings.Decisions.Admission),
+      Probes(Settings.Decisions.Probing), Keys(Self, Settings.Keys, Random),
       Quarantine(Self, Random) {
   Actions None;
   Ingress.linkUp(Self, TimePoint{}, None);
@@ -49,6 +51,7 @@
   Actions Produced;
   Ingress.tick(Now, Produced);
   Owner.tick(Now, Produced);
+  Probes.tick(Now, Produced);
   Membership.tick(Now, Produced);
   Quarantine.tick(Now, Produced);
   Keys.tick(Membership.members(), Config, Now, Produced);
@@ -75,8 +78,8 @@
 std::optional<TimePoint> NodeCore::nextWakeup() const {
   std::optional<TimePoint> Next;
   for (const std::optional<TimePoint> &Each :
-       {Ingress.nextWakeup(), Owner.nextWakeup(), Membership.nextWakeup(),
-        Keys.nextWakeup(), Quarantine.nextWakeup()}) {
+       {Ingress.nextWakeup(), Owner.nextWakeup(), Probes.nextWakeup(),
+        Membership.nextWakeup(), Keys.nextWakeup(), Quarantine.nextWakeup()}) {
     if (Each && (!Next || *Each < *Next)) {
       Next = Each;
     }
@@ -137,27 +140,37 @@
 
 void NodeCore::on(const UpstreamAnswered &Input, TimePoint Now, Actions &Out) {
   Owner.answered(Input, Now, Out);
+  Probes.observe(true, Now);
+  Owner.suspect(Probes.suspected(), Now, Out);
 }
 
 void NodeCore::on(const UpstreamFailed &Input, TimePoint Now, Actions &Out) {
   Quarantine.failed(Input, Now, Out);
   Owner.failed(Input, Now, Out);
+  if (isUpstreamFault(Input.Reason)) {
+    Probes.observe(false, Now);
+    Owner.suspect(Probes.suspected(), Now, Out);
+  }
 }
 
 void NodeCore::on(const UpstreamAnnounced &Input, TimePoint Now, Actions &Out) {
   Owner.announce(Input, Now, Out);
+  Probes.announce(Input, Now);
   Membership.setUpstream(Input, Now, Out);
 }
 
 void NodeCore::on(const UpstreamGone &Input, TimePoint Now, Actions &Out) {
   Quarantine.gone(Input, Now, Out);
   Owner.withdraw(Input, Now, Out);
+  Probes.withdraw();
   Membership.setUpstream(UpstreamAnnounced{"", 0, UpstreamState::None}, Now,
                          Out);
 }
 
-void NodeCore::on(const ProbeFinished & /*Input*/, TimePoint /*Now*/,
-                  Actions & /*Out*/) {}
+void NodeCore::on(const ProbeFinished &Input, TimePoint Now, Actions &Out) {
+  Probes.finish(Input, Now, Out);
+  Owner.suspect(Probes.suspected(), Now, Out);
+}
 
 void NodeCore::on(const StoreReplied &Input, TimePoint Now, Actions &Out) {
   Keys.receive(Input, Now, Out);
