Use own outstanding attempts where reports are old

A report now states its age, and the weight it loses goes to an estimate from the own outstanding attempts instead of the mean of the service.

--- a/include/hyssopford/core/candidate_table.hpp
+++ b/include/hyssopford/core/candidate_table.hpp
@@ -65,6 +65,8 @@
   std::vector<CandidateView> Views;
   std::vector<History> Histories;
   std::size_t UsableCount = 0;
+  /// Outstanding attempts at all candidates.
+  std::size_t Outstanding = 0;
   /// Ejected candidates, the earliest trial first.
   std::set<std::pair<TimePoint, NodeId>> Ejected;
 };
@@ -153,6 +155,8 @@
   void refreshNeeded();
   /// Moves a candidate across the boundary of the usable ones if needed.
   void place(Location At);
+  /// Takes over a changed number of outstanding attempts.
+  static void countOpen(Location At);
   void swapRows(ServicePool &Pool, std::size_t First, std::size_t Second);
   std::size_t domainIndex(const std::string &Domain);
   void eject(Location At, TimePoint Now, Actions &Out);
--- a/include/hyssopford/core/load_report.hpp
+++ b/include/hyssopford/core/load_report.hpp
@@ -20,6 +20,8 @@
   std::uint32_t Limit = 1;
   /// Smoothed service time of recent answers.
   Duration ServiceTime{0};
+  /// Age of the report when it was sent; 0 if it was made for the message.
+  Duration Age{0};
 
   friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
--- a/include/hyssopford/core/selection_policy.hpp
+++ b/include/hyssopford/core/selection_policy.hpp
@@ -50,6 +50,8 @@
   double ServiceTime = 0.0;
   /// Time from sending an attempt to its answer in µs.
   double Latency = 0.0;
+  /// Outstanding attempts of this ingress per candidate.
+  double Outstanding = 0.0;
 
   friend bool operator==(const ServiceMean &, const ServiceMean &) = default;
 };
--- a/src/core/candidate_table.cpp
+++ b/src/core/candidate_table.cpp
@@ -130,7 +130,7 @@
     View.OldestSent = Now;
   }
   Past.Open.emplace(Sequence, Now);
-  View.Outstanding = static_cast<std::uint32_t>(Past.Open.size());
+  countOpen(Found->second);
   if (Past.RecentSends.size() < RecentSendsMax) {
     Past.RecentSends.push_back(Now);
   }
@@ -147,7 +147,7 @@
       Found->second.Pool->Histories[Found->second.Index];
   CandidateView &View = Found->second.Pool->Views[Found->second.Index];
   Past.Open.erase(Sequence);
-  View.Outstanding = static_cast<std::uint32_t>(Past.Open.size());
+  countOpen(Found->second);
   View.SentSince = std::min(View.SentSince, View.Outstanding);
   if (!Past.Open.empty()) {
     View.OldestSent = Past.Open.begin()->second;
@@ -168,12 +168,13 @@
     return;
   }
   View.Report = Load;
-  View.ReportedAt = Now;
-  // Attempts sent within the last round trip reach the owner after it made
-  // this report.
+  const Duration RoundTrip = RoundTrips[View.Domain];
+  View.ReportedAt = Now - RoundTrip / 2 - Load.Age;
+  // Attempts sent less than a round trip before the report was made reached
+  // the owner after it.
   std::deque<TimePoint> &Sends =
       Pool.Histories[Found->second.Index].RecentSends;
-  while (!Sends.empty() && Sends.front() + RoundTrips[View.Domain] <= Now) {
+  while (!Sends.empty() && Sends.front() + RoundTrip + Load.Age <= Now) {
     Sends.pop_front();
   }
   View.SentSince =
@@ -241,6 +242,7 @@
   std::vector<ServicePool::History> OldHistories =
       std::exchange(Pool.Histories, {});
   Pool.UsableCount = 0;
+  Pool.Outstanding = 0;
   Pool.Ejected.clear();
   const auto All = Known.find(Service);
   if (All == Known.end()) {
@@ -268,6 +270,7 @@
     if (Past.Ejected) {
       Pool.Ejected.emplace(Past.EjectedUntil, Each.Owner.Node);
     }
+    Pool.Outstanding += View.Outstanding;
     Pool.Views.push_back(View);
     Pool.Histories.push_back(std::move(Past));
     const Location At{&Pool, Pool.Views.size() - 1};
@@ -303,6 +306,16 @@
   }
 }
 
+void CandidateTable::countOpen(Location At) {
+  ServicePool &Pool = *At.Pool;
+  CandidateView &View = Pool.Views[At.Index];
+  const std::size_t Count = Pool.Histories[At.Index].Open.size();
+  Pool.Outstanding = Pool.Outstanding - View.Outstanding + Count;
+  View.Outstanding = static_cast<std::uint32_t>(Count);
+  Pool.Mean.Outstanding = static_cast<double>(Pool.Outstanding) /
+                          static_cast<double>(Pool.Views.size());
+}
+
 void CandidateTable::swapRows(ServicePool &Pool, std::size_t First,
                               std::size_t Second) {
   std::swap(Pool.Views[First], Pool.Views[Second]);
--- a/src/core/estimated_delay_policy.cpp
+++ b/src/core/estimated_delay_policy.cpp
@@ -13,6 +13,9 @@
 /// Machines slow down before all slots are taken, and a report misses the
 /// requests that other nodes are sending.
 constexpr double SharingCost = 0.5;
+/// Attempts added to own outstanding ones before they are compared, so that
+/// small numbers don't count as large ratios.
+constexpr double OutstandingPrior = 1.0;
 /// Multiple of the expected time after which a missing reply counts.
 constexpr double OverdueFactor = 2.0;
 
@@ -70,16 +73,21 @@
 double EstimatedDelayPolicy::score(const Selection &Input,
                                    std::size_t Index) const {
   const CandidateView &View = Input.Candidates[Index];
-  const bool Reported = View.Report.Sequence != 0;
-  const double Limit = Reported ? std::max<std::uint32_t>(View.Report.Limit, 1)
-                                : std::max<std::uint32_t>(View.Slots, 1);
-  const double Weight =
-      Reported ? ageWeight(Input.Now - View.ReportedAt, Settings.ReportHalfLife)
-               : 0.0;
-  const double ReportedLoad = View.Report.InFlight + View.Report.Queued;
-  const double Load = Weight * ReportedLoad +
-                      (1.0 - Weight) * Input.Mean.Utilisation * Limit +
-                      View.SentSince;
+  const bool HasReport = View.Report.Sequence != 0;
+  const double Limit = HasReport ? std::max<std::uint32_t>(View.Report.Limit, 1)
+                                 : std::max<std::uint32_t>(View.Slots, 1);
+  const double Weight = HasReport ? ageWeight(Input.Now - View.ReportedAt,
+                                              Settings.ReportHalfLife)
+                                  : 0.0;
+  // Without a fresh report the own outstanding attempts tell more than the
+  // mean: an upstream that answers slowly keeps them longer.
+  const double OwnShare = (View.Outstanding + OutstandingPrior) /
+                          (Input.Mean.Outstanding + OutstandingPrior);
+  const double Reported =
+      View.Report.InFlight + View.Report.Queued + View.SentSince;
+  const double Load = Weight * Reported + (1.0 - Weight) *
+                                              Input.Mean.Utilisation * Limit *
+                                              OwnShare;
   const double MeanService =
       Input.Mean.ServiceTime > 0.0 ? Input.Mean.ServiceTime : FirstServiceTime;
   const double OwnService = micros(View.Report.ServiceTime);
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -219,10 +219,12 @@
 }
 
 LoadReport OwnerSystem::load() const {
-  return LoadReport{ReportSequence, static_cast<std::uint32_t>(Running.size()),
+  return LoadReport{ReportSequence,
+                    static_cast<std::uint32_t>(Running.size()),
                     static_cast<std::uint32_t>(Queue.size()),
                     Limit.value(Latest),
-                    Duration(static_cast<std::int64_t>(ServiceTime))};
+                    Duration(static_cast<std::int64_t>(ServiceTime)),
+                    Duration{0}};
 }
 
 std::vector<const Dispatch *> OwnerSystem::running() const {
--- a/tests/core/owner_system_test.cpp
+++ b/tests/core/owner_system_test.cpp
@@ -60,7 +60,7 @@
   Test.admit(dispatchOf(4), 10ms);
   REQUIRE(Test.started() == 0);
   REQUIRE(Test.Owner.load() ==
-          LoadReport{Test.Owner.load().Sequence, 2, 1, 2, 10ms});
+          LoadReport{Test.Owner.load().Sequence, 2, 1, 2, 10ms, 0ms});
 
   SECTION("a freed slot starts the next attempt") {
     Test.answer(2, 20ms);
--- a/tests/core/selection_test.cpp
+++ b/tests/core/selection_test.cpp
@@ -22,7 +22,7 @@
   CandidateView Result;
   Result.Owner = nodeRun(Node);
   Result.Slots = 4;
-  Result.Report = LoadReport{1, InFlight, 0, 4, 10ms};
+  Result.Report = LoadReport{1, InFlight, 0, 4, 10ms, 0ms};
   return Result;
 }
 
@@ -149,11 +149,11 @@
   REQUIRE(Pool.usable().empty());
   Table.linkUp(nodeRun(1));
   REQUIRE(Pool.usable().size() == 1);
-  Table.report(NodeId{1}, {5, 3, 1, 4, 10ms}, at(1ms));
+  Table.report(NodeId{1}, {5, 3, 1, 4, 10ms, 0ms}, at(1ms));
   const auto View = [&] { return Pool.usable()[0]; };
 
   SECTION("an older report never replaces a newer one") {
-    Table.report(NodeId{1}, {4, 0, 0, 4, 10ms}, at(2ms));
+    Table.report(NodeId{1}, {4, 0, 0, 4, 10ms, 0ms}, at(2ms));
     REQUIRE(View().Report.InFlight == 3);
   }
   SECTION("a new run of the owner starts its own sequence") {
@@ -163,14 +163,14 @@
     REQUIRE(Pool.usable().empty());
     Table.linkUp(nodeRun(1, 2));
     REQUIRE(View().Report.Sequence == 0);
-    Table.report(NodeId{1}, {1, 2, 0, 4, 10ms}, at(2ms));
+    Table.report(NodeId{1}, {1, 2, 0, 4, 10ms, 0ms}, at(2ms));
     REQUIRE(View().Report.InFlight == 2);
   }
   SECTION("attempts of the last round trip are added to a report") {
     Table.sent(NodeId{1}, 1, at(2ms));
     Table.sent(NodeId{1}, 2, at(9500us));
     REQUIRE(View().SentSince == 2);
-    Table.report(NodeId{1}, {6, 3, 1, 4, 10ms}, at(10ms));
+    Table.report(NodeId{1}, {6, 3, 1, 4, 10ms, 0ms}, at(10ms));
     REQUIRE(View().SentSince == 1);
     Table.ended(NodeId{1}, 2);
     Table.ended(NodeId{1}, 1);
--- a/tools/experiment/site.cpp
+++ b/tools/experiment/site.cpp
@@ -319,7 +319,12 @@
     By.Reports.pop_front();
   }
   const bool OldEnough = By.Reports.front().first + ReportAge <= Time.now();
-  return OldEnough ? By.Reports.front().second : LoadReport{};
+  if (!OldEnough) {
+    return LoadReport{};
+  }
+  LoadReport Old = By.Reports.front().second;
+  Old.Age = Time.now() - By.Reports.front().first;
+  return Old;
 }
 
 Duration Site::oneWay(const SiteNode &From, const SiteNode &To) const {
