Let reports age faster and count the uncertainty of the load

The half-life is now 10 ms, and the delay is the mean excess over the limit given the turnover since the report.

--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -14,7 +14,7 @@
   /// Candidates compared for one choice.
   std::uint32_t Samples = 3;
   /// Age at which a load report has half its weight; 0 disables ageing.
-  Duration ReportHalfLife = 50ms;
+  Duration ReportHalfLife = 10ms;
   /// Weight of the round trip in the score; 0 disables it.
   double LocalityWeight = 1.0;
   /// Round trip assumed for a failure domain before it was measured.
--- a/src/core/estimated_delay_policy.cpp
+++ b/src/core/estimated_delay_policy.cpp
@@ -1,6 +1,7 @@
 #include "hyssopford/core/estimated_delay_policy.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace hyssopford {
@@ -9,10 +10,6 @@
 
 /// Service time assumed before the first report, in µs.
 constexpr double FirstServiceTime = 5'000.0;
-/// Share of a service time charged at full utilisation while slots are free.
-/// Machines slow down before all slots are taken, and a report misses the
-/// requests that other nodes are sending.
-constexpr double SharingCost = 0.5;
 /// Attempts added to own outstanding ones before they are compared, so that
 /// small numbers don't count as large ratios.
 constexpr double OutstandingPrior = 1.0;
@@ -28,6 +25,11 @@
              : micros(HalfLife) / (micros(HalfLife) + micros(Age));
 }
 
+/// Approximates the mean of max(0, X) for X of the given mean and variance.
+double expectedExcess(double Mean, double Variance) {
+  return (Mean + std::sqrt(Mean * Mean + Variance)) / 2.0;
+}
+
 } // namespace
 
 std::optional<std::size_t> EstimatedDelayPolicy::choose(const Selection &Input,
@@ -76,9 +78,9 @@
   const bool HasReport = View.Report.Sequence != 0;
   const double Limit = HasReport ? std::max<std::uint32_t>(View.Report.Limit, 1)
                                  : std::max<std::uint32_t>(View.Slots, 1);
-  const double Weight = HasReport ? ageWeight(Input.Now - View.ReportedAt,
-                                              Settings.ReportHalfLife)
-                                  : 0.0;
+  const Duration Age = Input.Now - View.ReportedAt;
+  const double Weight =
+      HasReport ? ageWeight(Age, Settings.ReportHalfLife) : 0.0;
   // Without a fresh report the own outstanding attempts tell more than the
   // mean: an upstream that answers slowly keeps them longer.
   const double OwnShare = (View.Outstanding + OutstandingPrior) /
@@ -94,16 +96,18 @@
   const double Service =
       OwnService > 0.0 ? Weight * OwnService + (1.0 - Weight) * MeanService
                        : MeanService;
-  const double Busy = std::min(Load / Limit, 1.0);
-  const double Queueing = std::max(0.0, Load + 1.0 - Limit) * Service / Limit +
-                          SharingCost * Service * Busy * Busy;
+  // The requests that came and went since the report make the load uncertain.
+  const double Turnover = std::min(1.0, micros(Age) / Service);
+  const double Variance = 1.0 + 2.0 * Load * Turnover;
+  const double Queueing =
+      expectedExcess(Load + 1.0 - Limit, Variance) * Service / Limit;
   const double RoundTrip =
       Settings.LocalityWeight * micros(Input.RoundTrips[View.Domain]);
   double Score = RoundTrip + Queueing + Service;
   if (View.Outstanding > 0) {
     // A reply that does not come is the only sign of a sudden stall.
-    const double Age = micros(Input.Now - View.OldestSent);
-    Score += std::max(0.0, Age - OverdueFactor * Score);
+    const double Pending = micros(Input.Now - View.OldestSent);
+    Score += std::max(0.0, Pending - OverdueFactor * Score);
   }
   const double Failing =
       View.FailureShare *
