Bound the queue to 30 ms (tail) and 60 ms (cost)

A refusal costs one round trip and a token; waiting longer than some service times costs more. The tests of the queue now state the bound they rely on.

--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -58,7 +58,7 @@
   /// Whether the limit follows the measured latency.
   bool AdaptiveLimit = true;
   /// Longest expected wait in the queue.
-  Duration QueueDelayMax = 100ms;
+  Duration QueueDelayMax = 30ms;
   /// Most attempts in the queue, which bounds its memory.
   std::size_t QueueLengthMax = 1024;
   /// High-priority starts after which a waiting normal attempt is started.
@@ -118,7 +118,7 @@
   Settings.Routing.Samples = 2;
   Settings.Routing.HedgeQuantile = 0.98;
   Settings.Routing.ExtraPerThousand = 45;
-  Settings.Admission.QueueDelayMax = 200ms;
+  Settings.Admission.QueueDelayMax = 60ms;
   Settings.Probing.BudgetPpm = 2'700;
   Settings.Probing.IdleAfter = 5s;
   return Settings;
--- a/tests/core/owner_system_test.cpp
+++ b/tests/core/owner_system_test.cpp
@@ -11,9 +11,15 @@
 
 namespace {
 
+AdmissionSettings longQueue() {
+  AdmissionSettings Settings;
+  Settings.QueueDelayMax = 100ms;
+  return Settings;
+}
+
 /// An owner whose upstream has two slots and a service time of 10 ms.
 struct Fixture {
-  OwnerSystem Owner{nodeRun(1)};
+  OwnerSystem Owner{nodeRun(1), longQueue()};
   Actions Out;
 
   Fixture() {
