--- a/tests/core/owner_system_test.cpp
+++ b/tests/core/owner_system_test.cpp
@@ -11,9 +11,15 @@
 
 namespace {
 
+AdmissionSettings longQueue() {
+  AdmissionSettings Settings;
+  Settings.QueueDelayMax = 100ms;
+  return Settings;
+}
+
 /// An owner whose upstream has two slots and a service time of 10 ms.
 struct Fixture {
-  OwnerSystem Owner{nodeRun(1)};
+  OwnerSystem Owner{nodeRun(1), longQueue()};
   Actions Out;
 
   Fixture() {
@@ -60,7 +66,7 @@
   Test.admit(dispatchOf(4), 10ms);
   REQUIRE(Test.started() == 0);
   REQUIRE(Test.Owner.load() ==
-          LoadReport{Test.Owner.load().Sequence, 2, 1, 2, 10ms});
+          LoadReport{Test.Owner.load().Sequence, 2, 1, 2, 10ms, 0ms});
 
   SECTION("a freed slot starts the next attempt") {
     Test.answer(2, 20ms);
