--- a/include/hyssopford/core/config_event.hpp
+++ b/include/hyssopford/core/config_event.hpp
@@ -80,17 +80,4 @@
                          const HistoryResult &) = default;
 };
 
-/// @brief Error numbers of configuration changes.
-/// @{
-inline constexpr int PatchBaseNotCurrent = 120;
-inline constexpr int PatchIdReused = 121;
-inline constexpr int ConfigStoreUnavailable = 122;
-inline constexpr int ConfigStoreOlder = 123;
-inline constexpr int ConfigHeadTooLarge = 124;
-inline constexpr int ConfigHeadUnreadable = 125;
-inline constexpr int PatchFieldInvalid = 126;
-inline constexpr int PatchQueueFull = 127;
-inline constexpr int PatchEffectUnknown = 128;
-/// @}
-
 } // namespace hyssopford
--- a/include/hyssopford/core/message.hpp
+++ b/include/hyssopford/core/message.hpp
@@ -4,10 +4,12 @@
 
 #include "hyssopford/core/config_message.hpp"
 #include "hyssopford/core/ids.hpp"
+#include "hyssopford/core/key_message.hpp"
 #include "hyssopford/core/load_report.hpp"
 #include "hyssopford/core/membership_message.hpp"
 #include "hyssopford/core/outcome.hpp"
 #include "hyssopford/core/payload.hpp"
+#include "hyssopford/core/quarantine_message.hpp"
 #include "hyssopford/core/routing_config.hpp"
 #include "hyssopford/core/time.hpp"
 #include "hyssopford/core/trace_context.hpp"
@@ -98,6 +100,8 @@
 using PeerMessage =
     std::variant<Dispatch, DispatchReply, Cancel, StatusQuery, StatusReply,
                  Gossip, Ping, PingRequest, Ack, SyncRequest, SyncReply,
-                 ConfigDigest, ConfigRequest, ConfigPush>;
+                 ConfigDigest, ConfigRequest, ConfigPush, KeyClaim,
+                 KeyClaimReply, KeyRelease, KeyOutcome, KeyAck, SealRequest,
+                 SealReply, RosterRequest, RosterUpdate, QuarantineNotice>;
 
 } // namespace hyssopford
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -1,4 +1,5 @@
 #include "hyssopford/core/config_system.hpp"
+#include "hyssopford/core/error_codes.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -324,8 +325,8 @@
   HistoryCalls.erase(Found);
   HistoryResult Answer;
   Answer.Request = Input.Request;
-  Error LastError{ConfigStoreUnavailable, "config.history", "store",
-                  "the store is not available: " + Result.Reason};
+  Error LastError{numberOf(ErrorCode::StoreUnavailable), "config.history",
+                  "store", "the store is not available: " + Result.Reason};
   if (Result.Status == StoreStatus::Missing) {
     LastError.Reason = "there is no such archive";
     if (Input.Archive == 0) {
@@ -333,7 +334,7 @@
       return;
     }
   } else if (Result.Status == StoreStatus::Done && Input.Archive == 0) {
-    LastError.Code = ConfigHeadUnreadable;
+    LastError.Code = numberOf(ErrorCode::HeadUnreadable);
     if (std::optional<ConfigHead> Head =
             Codec.parseHead(Result.Value, LastError)) {
       Answer.Changes = std::move(Head->History);
@@ -342,7 +343,7 @@
       return;
     }
   } else if (Result.Status == StoreStatus::Done) {
-    LastError.Code = ConfigHeadUnreadable;
+    LastError.Code = numberOf(ErrorCode::HeadUnreadable);
     if (auto Changes = Codec.parseArchive(Result.Value, LastError)) {
       Answer.Changes = std::move(*Changes);
       Out.emplace_back(std::move(Answer));
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -1,5 +1,7 @@
 #include "hyssopford/core/node_core.hpp"
+#include "hyssopford/core/error_codes.hpp"
 
+#include "hyssopford/core/fingerprint.hpp"
 #include "hyssopford/core/site_duties.hpp"
 
 #include <algorithm>
@@ -35,7 +37,8 @@
       Directory(Settings.Address, Random),
       Ingress(Self, Random, Settings.Decisions.Routing, Settings.Region),
       Owner(Self, Settings.Decisions.Admission),
-      Probes(Settings.Decisions.Probing) {
+      Probes(Settings.Decisions.Probing), Keys(Self, Settings.Keys, Random),
+      Quarantine(Self, Random) {
   if (Codec != nullptr) {
     Configs.emplace(*Codec, Random);
   }
@@ -58,6 +61,8 @@
   Owner.tick(Now, Produced);
   Probes.tick(Now, Produced);
   Membership.tick(Now, Produced);
+  Quarantine.tick(Now, Produced);
+  Keys.tick(Membership.members(), Config, Now, Produced);
   Directory.tick(Now, Produced);
   if (Configs) {
     Configs->tick(Now, Produced);
@@ -67,7 +72,7 @@
   // A run that another one supersedes ends only if it may start again.
   const bool MayEnd = !Membership.superseded() || Membership.requiredRun();
   if (ShuttingDown && MayEnd && !ShutdownReported && Owner.inFlight() == 0 &&
-      Ingress.inFlight() == 0) {
+      Ingress.inFlight() == 0 && Keys.idle()) {
     ShutdownReported = true;
     Out.emplace_back(ShutdownComplete{});
   }
@@ -78,6 +83,7 @@
     return false;
   }
   Config = std::move(NewConfig);
+  Quarantine.adopt(Config);
   Membership.setConfigVersion(Config.Version);
   CandidateRevision = 0;
   refreshCandidates();
@@ -88,7 +94,8 @@
   std::optional<TimePoint> Next;
   for (const std::optional<TimePoint> &Each :
        {Ingress.nextWakeup(), Owner.nextWakeup(), Probes.nextWakeup(),
-        Membership.nextWakeup(), Directory.nextWakeup(),
+        Membership.nextWakeup(), Directory.nextWakeup(), Keys.nextWakeup(),
+        Quarantine.nextWakeup(),
         Configs ? Configs->nextWakeup() : std::nullopt}) {
     if (Each && (!Next || *Each < *Next)) {
       Next = Each;
@@ -98,7 +105,7 @@
 }
 
 void NodeCore::on(const CallerRequest &Input, TimePoint Now, Actions &Out) {
-  if (ShuttingDown) {
+  if (ShuttingDown && !Input.ServeInShutdown) {
     Out.emplace_back(refusal(Input.Id, OutcomeReason::ShuttingDown));
     return;
   }
@@ -108,11 +115,24 @@
     Out.emplace_back(refusal(Input.Id, OutcomeReason::NoRoute));
     return;
   }
-  Ingress.start(Input, *Matched, Now, Out);
+  const std::uint64_t Fingerprint = fingerprintOf(Input, *Matched);
+  if (Quarantine.isQuarantined(Fingerprint, Now)) {
+    Out.emplace_back(refusal(Input.Id, OutcomeReason::Quarantined));
+    return;
+  }
+  Route Limited = *Matched;
+  if (Quarantine.isSuspect(Fingerprint, Now)) {
+    Limited.TryLimit = 1;
+  }
+  if (!Keys.begin(Input, Limited, Now, Out)) {
+    Ingress.start(Input, Limited, Now, Out);
+  }
 }
 
 void NodeCore::on(const CallerGone &Input, TimePoint Now, Actions &Out) {
-  Ingress.cancel(Input.Id, Now, Out);
+  if (!Keys.callerGone(Input.Id, Now, Out)) {
+    Ingress.cancel(Input.Id, Now, Out);
+  }
 }
 
 void NodeCore::on(const PeerLinkUp &Input, TimePoint Now, Actions &Out) {
@@ -121,6 +141,8 @@
     Configs->linkUp(Input.Peer, Now, Out);
   }
   Ingress.linkUp(Input.Peer, Now, Out);
+  Keys.linkUp(Input.Peer, Now, Out);
+  Quarantine.linkUp(Input.Peer, Now, Out);
 }
 
 void NodeCore::on(const PeerLinkDown &Input, TimePoint Now, Actions &Out) {
@@ -129,6 +151,8 @@
     Configs->linkDown(Input.Peer);
   }
   Ingress.linkDown(Input.Peer, Now, Out);
+  Keys.linkDown(Input.Peer);
+  Quarantine.linkDown(Input.Peer);
 }
 
 void NodeCore::on(const PeerMessageReceived &Input, TimePoint Now,
@@ -144,6 +168,7 @@
 }
 
 void NodeCore::on(const UpstreamFailed &Input, TimePoint Now, Actions &Out) {
+  Quarantine.failed(Input, Now, Out);
   Owner.failed(Input, Now, Out);
   if (isUpstreamFault(Input.Reason)) {
     Probes.observe(false, Now);
@@ -158,6 +183,7 @@
 }
 
 void NodeCore::on(const UpstreamGone &Input, TimePoint Now, Actions &Out) {
+  Quarantine.gone(Input, Now, Out);
   Owner.withdraw(Input, Now, Out);
   Probes.withdraw();
   Membership.setUpstream(UpstreamAnnounced{"", 0, UpstreamState::None}, Now,
@@ -170,6 +196,7 @@
 }
 
 void NodeCore::on(const StoreReplied &Input, TimePoint Now, Actions &Out) {
+  Keys.receive(Input, Now, Out);
   Directory.receive(Input, Now);
   if (Configs) {
     Configs->receive(Input, Now, Out);
@@ -187,8 +214,8 @@
                   PatchStatus::Rejected,
                   Config.Version,
                   Input.DryRun,
-                  {Error{ConfigStoreUnavailable, "config.store", "",
-                         "this node has no access to the configuration"}}});
+                  {Error{numberOf(ErrorCode::StoreUnavailable), "config.store",
+                         "", "this node has no access to the configuration"}}});
 }
 
 void NodeCore::on(const HistoryRequested &Input, TimePoint Now, Actions &Out) {
@@ -199,7 +226,7 @@
   HistoryResult Answer;
   Answer.Request = Input.Request;
   Answer.Errors.push_back(
-      Error{ConfigStoreUnavailable, "config.store", "",
+      Error{numberOf(ErrorCode::StoreUnavailable), "config.store", "",
             "this node has no access to the configuration"});
   Out.emplace_back(std::move(Answer));
 }
@@ -209,12 +236,13 @@
   ShuttingDown = true;
   Owner.drain();
   Membership.leave(Now, Out);
+  Keys.leave(Now);
 }
 
 void NodeCore::receive(NodeRun From, const Dispatch &Message, TimePoint Now,
-                       Actions &Out) {
+                       Actions & /*Out*/) {
   Membership.noteTraffic(From.Node, Now);
-  Owner.admit(From.Node, Message, Now, Out);
+  Quarantine.dispatch(From, Message, Now);
 }
 
 void NodeCore::receive(NodeRun From, const DispatchReply &Message,
@@ -243,6 +271,8 @@
                        Actions &Out) {
   if constexpr (requires { Membership.receive(From, Received, Now, Out); }) {
     Membership.receive(From, Received, Now, Out);
+  } else if constexpr (requires { Keys.receive(From, Received, Now, Out); }) {
+    Keys.receive(From, Received, Now, Out);
   } else if (Configs) {
     Configs->receive(From, Received, Now, Out);
   }
@@ -254,16 +284,47 @@
   }
 }
 
+void NodeCore::receive(NodeRun From, const QuarantineNotice &Message,
+                       TimePoint Now, Actions &Out) {
+  Quarantine.receive(From, Message, Now, Out);
+}
+
 void NodeCore::deliverLocal(TimePoint Now, Actions &Produced, Actions &Out) {
+  startReleased(Now, Produced);
   for (std::size_t Index = 0; Index < Produced.size(); ++Index) {
-    const auto *Message = std::get_if<SendToPeer>(&Produced[Index]);
+    // Handlers append to Produced, so nothing may refer into it.
+    Action Each = std::move(Produced[Index]);
+    if (const auto *Reply = std::get_if<ReplyToCaller>(&Each)) {
+      if (Keys.finish(*Reply, Now, Produced)) {
+        Out.push_back(std::move(Each));
+      }
+      continue;
+    }
+    if (const auto *Forward = std::get_if<ForwardToUpstream>(&Each)) {
+      Quarantine.started(Forward->Attempt);
+    }
+    auto *Message = std::get_if<SendToPeer>(&Each);
+    if (Message != nullptr) {
+      if (auto *Reply = std::get_if<DispatchReply>(&Message->Message)) {
+        Quarantine.ended(*Reply, Now, Produced);
+      }
+    }
     if (Message == nullptr || Message->To != Self.Node) {
-      Out.push_back(std::move(Produced[Index]));
+      Out.push_back(std::move(Each));
       continue;
     }
-    const PeerMessage Local = Message->Message;
-    std::visit([&](const auto &Each) { receive(Self, Each, Now, Produced); },
-               Local);
+    std::visit([&](const auto &Local) { receive(Self, Local, Now, Produced); },
+               Message->Message);
+    startReleased(Now, Produced);
+  }
+}
+
+void NodeCore::startReleased(TimePoint Now, Actions &Out) {
+  for (const ClaimedRequest &Each : Keys.takeClaimed()) {
+    Ingress.start(Each.Request, Each.Matched, Now, Out);
+  }
+  for (const GatedAttempt &Each : Quarantine.takeGated(Now)) {
+    Owner.admit(Each.From.Node, Each.Attempt, Now, Out, Each.Refusal);
   }
 }
 
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -47,7 +47,7 @@
       Finished(FinishedRetention, Chosen.FinishedBytesMax) {}
 
 void OwnerSystem::admit(NodeId From, const Dispatch &Attempt, TimePoint Now,
-                        Actions &Out) {
+                        Actions &Out, OutcomeReason Refusal) {
   Latest = Now;
   const AttemptId Id = Attempt.Attempt;
   Finished.forget(Now);
@@ -70,7 +70,10 @@
     return;
   }
   AdmittedAttempt Row{From, Attempt, Now, Now + Attempt.Remaining, Now};
-  if (const std::optional<OutcomeReason> Reason = refusalReason(Attempt)) {
+  const std::optional<OutcomeReason> Reason = Refusal == OutcomeReason::None
+                                                  ? refusalReason(Attempt)
+                                                  : std::optional(Refusal);
+  if (Reason) {
     endQueued(Row, *Reason, Now, Out);
     return;
   }
@@ -219,10 +222,12 @@
 }
 
 LoadReport OwnerSystem::load() const {
-  return LoadReport{ReportSequence, static_cast<std::uint32_t>(Running.size()),
+  return LoadReport{ReportSequence,
+                    static_cast<std::uint32_t>(Running.size()),
                     static_cast<std::uint32_t>(Queue.size()),
                     Limit.value(Latest),
-                    Duration(static_cast<std::int64_t>(ServiceTime))};
+                    Duration(static_cast<std::int64_t>(ServiceTime)),
+                    Duration{0}};
 }
 
 std::vector<const Dispatch *> OwnerSystem::running() const {
--- a/src/core/patch_writer.cpp
+++ b/src/core/patch_writer.cpp
@@ -1,4 +1,5 @@
 #include "hyssopford/core/patch_writer.hpp"
+#include "hyssopford/core/error_codes.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -25,7 +26,7 @@
   const auto Check = [&](const char *Name, const std::string &Value,
                          std::size_t Limit) {
     if (Value.empty() || Value.size() > Limit) {
-      Errors.push_back(patchError(PatchFieldInvalid,
+      Errors.push_back(patchError(numberOf(ErrorCode::PatchFieldInvalid),
                                   std::string(Name) + " must have 1 to " +
                                       std::to_string(Limit) + " bytes, has " +
                                       std::to_string(Value.size())));
@@ -47,8 +48,8 @@
                          Actions &Out) {
   std::vector<Error> Errors = fieldErrors(Input);
   if (Errors.empty() && Queue.size() >= QueueLimit) {
-    Errors.push_back(
-        patchError(PatchQueueFull, "too many patches wait at this node"));
+    Errors.push_back(patchError(numberOf(ErrorCode::PatchQueueFull),
+                                "too many patches wait at this node"));
   }
   if (!Errors.empty()) {
     Out.emplace_back(PatchResult{Input.Request, Input.PatchId,
@@ -158,14 +159,14 @@
   }
   if (Current->Uncertain) {
     finish(PatchStatus::Unresolved, 0,
-           {storeError(PatchEffectUnknown,
+           {storeError(numberOf(ErrorCode::WriteUnresolved),
                        "the store did not say whether the patch took effect; "
                        "submit it again with the same identifier: " +
                            Result.Reason)},
            Now, Out);
     return;
   }
-  reject({storeError(ConfigStoreUnavailable,
+  reject({storeError(numberOf(ErrorCode::StoreUnavailable),
                      "the store is not available, nothing was changed: " +
                          Result.Reason)},
          Now, Out);
@@ -188,7 +189,7 @@
   std::optional<ConfigHead> Head =
       Found ? Codec.parseHead(Result.Value, LastError) : ConfigHead{};
   if (!Head) {
-    LastError.Code = ConfigHeadUnreadable;
+    LastError.Code = numberOf(ErrorCode::HeadUnreadable);
     LastError.Step = "config.store";
     reject({LastError}, Now, Out);
     return;
@@ -222,7 +223,7 @@
   }
   if (Head.Version < InForce) {
     reject(
-        {storeError(ConfigStoreOlder,
+        {storeError(numberOf(ErrorCode::StoreOlder),
                     "the store serves version " + std::to_string(Head.Version) +
                         ", older than version " + std::to_string(InForce) +
                         " in force; try again")},
@@ -257,7 +258,7 @@
     return false;
   }
   if (!isSamePatch(*Found, Input)) {
-    reject({patchError(PatchIdReused,
+    reject({patchError(numberOf(ErrorCode::PatchIdReused),
                        "version " + std::to_string(Found->Version) + " by " +
                            Found->Author + " has the same patch identifier")},
            Now, Out);
@@ -268,7 +269,7 @@
 }
 
 void PatchWriter::rejectStale(TimePoint Now, Actions &Out) {
-  reject({patchError(PatchBaseNotCurrent,
+  reject({patchError(numberOf(ErrorCode::BaseOutdated),
                      "the patch is for version " +
                          std::to_string(Current->Input.Base) +
                          ", the current version is " +
@@ -327,7 +328,7 @@
     return;
   }
   if (TooLarge) {
-    reject({patchError(ConfigHeadTooLarge,
+    reject({patchError(numberOf(ErrorCode::DocumentTooLarge),
                        "the configuration would take " +
                            std::to_string(Value.size()) +
                            " bytes in the store, the limit is " +
@@ -356,7 +357,7 @@
         Changes->front().Version == Current->Moving.FirstVersion &&
         Changes->back().Version < Current->NewHead.Version;
     if (!Usable) {
-      reject({storeError(ConfigHeadUnreadable,
+      reject({storeError(numberOf(ErrorCode::HeadUnreadable),
                          "archive " +
                              configArchiveKey(Current->Moving.FirstVersion) +
                              " holds something else: " + LastError.Reason)},
--- a/tests/core/config_system_test.cpp
+++ b/tests/core/config_system_test.cpp
@@ -1,5 +1,6 @@
 /// @file
 /// @brief Tests of configuration changes over several nodes.
+#include "hyssopford/core/error_codes.hpp"
 #include "site_fake.hpp"
 
 #include <algorithm>
@@ -43,8 +44,9 @@
   std::uint64_t LastRequest = 1'000;
 };
 
-int errorOf(const PatchResult &Result) {
-  return Result.Errors.empty() ? 0 : Result.Errors.front().Code;
+ErrorCode errorOf(const PatchResult &Result) {
+  return static_cast<ErrorCode>(
+      Result.Errors.empty() ? 0 : Result.Errors.front().Code);
 }
 
 } // namespace
@@ -75,15 +77,17 @@
     CHECK(Site.core(2).config().Version == 2);
   }
   SECTION("another patch with the same identifier is rejected") {
-    CHECK(errorOf(Site.patch(2, "p2", 2, "set other")) == PatchIdReused);
+    CHECK(errorOf(Site.patch(2, "p2", 2, "set other")) ==
+          ErrorCode::PatchIdReused);
   }
   SECTION("a patch for an older base is rejected") {
     const PatchResult Stale = Site.patch(2, "p3", 1, "set other");
-    CHECK(errorOf(Stale) == PatchBaseNotCurrent);
+    CHECK(errorOf(Stale) == ErrorCode::BaseOutdated);
     CHECK(Stale.Version == 2);
   }
   SECTION("a patch that cannot be applied or makes an invalid document") {
-    CHECK(errorOf(Site.patch(2, "p3", 2, "nonsense")) == 111);
+    CHECK(errorOf(Site.patch(2, "p3", 2, "nonsense")) ==
+          ErrorCode::PatchConflict);
     CHECK(Site.patch(2, "p4", 2, "set invalid").Errors.size() == 2);
     CHECK(Site.patch(2, "", 2, "set x").Status == PatchStatus::Rejected);
   }
@@ -137,7 +141,7 @@
     Site.run(4ms);
     Site.store().faults().Down = true;
     CHECK(Site.awaitResult(4, 5).Status == PatchStatus::Unresolved);
-    CHECK(errorOf(Site.awaitResult(4, 5)) == PatchEffectUnknown);
+    CHECK(errorOf(Site.awaitResult(4, 5)) == ErrorCode::WriteUnresolved);
     Site.store().faults().Down = false;
     CHECK(Site.patch(4, "p2", 1, "set two").Version == 2);
     CHECK(Site.inForceWithin(2, 3s));
@@ -151,7 +155,7 @@
     Site.store().faults().Down = true;
     const PatchResult Result = Site.patch(4, "p2", 1, "set two");
     CHECK(Result.Status == PatchStatus::Rejected);
-    CHECK(errorOf(Result) == ConfigStoreUnavailable);
+    CHECK(errorOf(Result) == ErrorCode::StoreUnavailable);
     Site.run(60s);
     Site.store().faults().Down = false;
     Site.run(5s);
@@ -173,7 +177,8 @@
   }
   SECTION("the store refuses calls beyond its rate") {
     Site.store().faults().WriteLimit = 0;
-    CHECK(errorOf(Site.patch(4, "p2", 1, "set two")) == ConfigStoreUnavailable);
+    CHECK(errorOf(Site.patch(4, "p2", 1, "set two")) ==
+          ErrorCode::StoreUnavailable);
     Site.store().faults().WriteLimit = 300;
     CHECK(Site.patch(4, "p2", 1, "set two").Status == PatchStatus::Accepted);
   }
@@ -186,7 +191,7 @@
   Site.store().faults().ServeOlder = true;
 
   SECTION("on running nodes, which also reject patches on it") {
-    CHECK(errorOf(Site.patch(4, "p3", 1, "set x")) == ConfigStoreOlder);
+    CHECK(errorOf(Site.patch(4, "p3", 1, "set x")) == ErrorCode::StoreOlder);
     Site.run(40s);
     CHECK(Site.lowestVersion() == 2);
   }
@@ -282,7 +287,7 @@
   RunningSite Site(3);
   const PatchResult Result =
       Site.patch(0, "big", 1, "set " + std::string(460'000, 'x'));
-  CHECK(errorOf(Result) == ConfigHeadTooLarge);
+  CHECK(errorOf(Result) == ErrorCode::DocumentTooLarge);
   CHECK(Result.Errors.at(0).Reason.find("900000") != std::string::npos);
   CHECK(Site.lowestVersion() == 1);
 }
