--- a/include/hyssopford/core/membership_system.hpp
+++ b/include/hyssopford/core/membership_system.hpp
@@ -170,6 +170,8 @@
   /// End of each suspicion, and time of each death.
   std::map<NodeId, TimePoint> SuspectUntil;
   std::map<NodeId, TimePoint> DeadSince;
+  /// True while records from a table comparison are merged.
+  bool FromSync = false;
   std::optional<TimePoint> LastInput;
   TimePoint NextGossip;
   TimePoint NextPlan;
--- a/src/core/membership_system.cpp
+++ b/src/core/membership_system.cpp
@@ -91,7 +91,11 @@
 void MembershipSystem::receive(NodeRun From, const SyncReply &Message,
                                TimePoint Now, Actions &Out) {
   Sync.receive(Message, Now);
+  // What a comparison finds is no news: it spreads by further comparisons, and
+  // a joining node must not repeat the whole table.
+  FromSync = true;
   mergeAll(From, Message.Records, Now, Out);
+  FromSync = false;
   for (const MemberRecord &Record : Message.Records) {
     const MemberRecord *Known = Table.find(Record.Id.Node);
     if (Known != nullptr && isNewer(*Known, Record)) {
@@ -288,7 +292,9 @@
     Out.emplace_back(memberNotice("member_joined", Record));
   }
   Table.put(Record);
-  News.add(Node);
+  if (!FromSync) {
+    News.add(Node);
+  }
   NextPlan = std::min(NextPlan, Now + PlanPeriod / 8);
 }
 
--- a/tests/core/site_fake.hpp
+++ b/tests/core/site_fake.hpp
@@ -52,6 +52,8 @@
   void addNodes(std::size_t Count, std::size_t Domains, std::size_t SeedCount);
   void start(std::size_t Index);
   void startAll();
+  /// Tells every node of all others at once.
+  void fillTables();
   /// Ends the process; its connections close.
   void crash(std::size_t Index);
   /// Ends the VM; its links fall silent.
@@ -134,6 +136,7 @@
   std::multimap<TimePoint, std::function<void()>> Queue;
   standin::StoreTable Store;
   std::vector<Watch> Watches;
+  std::set<std::pair<TimePoint, std::size_t>> Wakeups;
   std::uint64_t StoreCalls = 0;
 };
 
