Refuse attempts that waited out a pause of their owner

Change: NodeCore detects a pause by a gap between inputs and refuses attempts that arrive right after it as not-run. Conclusion: without synchronized clocks an owner cannot tell the age of a frame, but it can tell that it was paused.

--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -46,6 +46,12 @@
 /// the same settings, events and times give the same actions.
 class NodeCore {
 public:
+  /// A gap between two inputs or ticks that shows that the process was paused;
+  /// gossip alone ticks more often.
+  static constexpr Duration PauseLimit = 1500ms;
+  /// Time after a pause for which frames may be as old as the pause.
+  static constexpr Duration PauseGrace = 200ms;
+
   /// @name Construction
   /// @{
 
@@ -132,6 +138,8 @@
     Keys.receive(From, Received, Now, Out);
   }
 
+  /// Detects that the process was paused.
+  void noteTime(TimePoint Now);
   /// Delivers messages that a system addressed to this node itself.
   void deliverLocal(TimePoint Now, Actions &Produced, Actions &Out);
   /// Starts requests whose keys were granted, and passes attempts on to the
@@ -149,6 +157,8 @@
   KeySystem Keys;
   QuarantineSystem Quarantine;
   std::uint64_t CandidateRevision = 0;
+  std::optional<TimePoint> LastActive;
+  std::optional<TimePoint> RefuseUntil;
   bool ShuttingDown = false;
   bool ShutdownReported = false;
 };
--- a/include/hyssopford/core/quarantine_system.hpp
+++ b/include/hyssopford/core/quarantine_system.hpp
@@ -78,7 +78,9 @@
   /// @{
 
   /// @brief Takes an attempt that a peer dispatched to this owner.
-  void dispatch(NodeRun From, const Dispatch &Attempt, TimePoint Now);
+  /// @param Refusal reason for which the attempt must not run; None if it may
+  void dispatch(NodeRun From, const Dispatch &Attempt, TimePoint Now,
+                OutcomeReason Refusal = OutcomeReason::None);
 
   /// @brief Notes that the owner started an attempt.
   void started(const AttemptId &Attempt);
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -41,6 +41,7 @@
 }
 
 void NodeCore::handle(const Event &Input, TimePoint Now, Actions &Out) {
+  noteTime(Now);
   Actions Produced;
   std::visit([&](const auto &Each) { on(Each, Now, Produced); }, Input);
   deliverLocal(Now, Produced, Out);
@@ -48,6 +49,7 @@
 }
 
 void NodeCore::tick(TimePoint Now, Actions &Out) {
+  noteTime(Now);
   Actions Produced;
   Ingress.tick(Now, Produced);
   Owner.tick(Now, Produced);
@@ -186,7 +188,12 @@
 
 void NodeCore::receive(NodeRun From, const Dispatch &Message, TimePoint Now,
                        Actions & /*Out*/) {
-  Quarantine.dispatch(From, Message, Now);
+  // The deadline of a frame that waited out a pause may be long over, and so
+  // may the retention of its key.
+  const bool MayBeOld = RefuseUntil && Now < *RefuseUntil && From != Self;
+  Quarantine.dispatch(From, Message, Now,
+                      MayBeOld ? OutcomeReason::StaleFrame
+                               : OutcomeReason::None);
 }
 
 void NodeCore::receive(NodeRun From, const DispatchReply &Message,
@@ -219,6 +226,13 @@
   Quarantine.receive(From, Message, Now, Out);
 }
 
+void NodeCore::noteTime(TimePoint Now) {
+  if (LastActive && Now - *LastActive > PauseLimit) {
+    RefuseUntil = Now + PauseGrace;
+  }
+  LastActive = Now;
+}
+
 void NodeCore::deliverLocal(TimePoint Now, Actions &Produced, Actions &Out) {
   startReleased(Now, Produced);
   for (std::size_t Index = 0; Index < Produced.size(); ++Index) {
--- a/src/core/quarantine_system.cpp
+++ b/src/core/quarantine_system.cpp
@@ -9,9 +9,12 @@
     : Self(Run), Random(Source) {}
 
 void QuarantineSystem::dispatch(NodeRun From, const Dispatch &Attempt,
-                                TimePoint Now) {
+                                TimePoint Now, OutcomeReason Refusal) {
   if (isQuarantined(Attempt.Fingerprint, Now)) {
-    Refused.push_back(GatedAttempt{From, Attempt, OutcomeReason::Quarantined});
+    Refusal = OutcomeReason::Quarantined;
+  }
+  if (Refusal != OutcomeReason::None) {
+    Refused.push_back(GatedAttempt{From, Attempt, Refusal});
     return;
   }
   const bool IsGated =
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -133,8 +133,10 @@
       handle(Node, Each);
     }
   }
-  Row.TickAt = TimePoint::max();
-  scheduleTick(Node);
+  if (isUp(Node)) {
+    Row.TickAt = TimePoint::max();
+    scheduleTick(Node);
+  }
 }
 
 void Fleet::crashUpstream(std::size_t Node) {
