--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -48,6 +48,12 @@
 /// the same settings, events and times give the same actions.
 class NodeCore {
 public:
+  /// A gap between two inputs or ticks that shows that the process was paused;
+  /// gossip alone ticks more often.
+  static constexpr Duration PauseLimit = 1500ms;
+  /// Time after a pause for which frames may be as old as the pause.
+  static constexpr Duration PauseGrace = 200ms;
+
   /// @name Construction
   /// @{
 
@@ -145,6 +151,8 @@
   void receive(NodeRun From, const Message &Received, TimePoint Now,
                Actions &Out);
 
+  /// Detects that the process was paused.
+  void noteTime(TimePoint Now);
   /// Delivers messages that a system addressed to this node itself.
   void deliverLocal(TimePoint Now, Actions &Produced, Actions &Out);
   /// Starts requests whose keys were granted, and passes attempts on to the
@@ -168,6 +176,8 @@
   QuarantineSystem Quarantine;
   std::uint64_t CandidateRevision = 0;
   std::uint64_t DutyRevision = 0;
+  std::optional<TimePoint> LastActive;
+  std::optional<TimePoint> RefuseUntil;
   bool ShuttingDown = false;
   bool ShutdownReported = false;
 };
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -48,6 +48,7 @@
 }
 
 void NodeCore::handle(const Event &Input, TimePoint Now, Actions &Out) {
+  noteTime(Now);
   Actions Produced;
   Membership.noteTime(Now, Produced);
   std::visit([&](const auto &Each) { on(Each, Now, Produced); }, Input);
@@ -56,6 +57,7 @@
 }
 
 void NodeCore::tick(TimePoint Now, Actions &Out) {
+  noteTime(Now);
   Actions Produced;
   Membership.noteTime(Now, Produced);
   Ingress.tick(Now, Produced);
@@ -242,7 +244,12 @@
 
 void NodeCore::receive(NodeRun From, const Dispatch &Message, TimePoint Now,
                        Actions & /*Out*/) {
-  Quarantine.dispatch(From, Message, Now);
+  // The deadline of a frame that waited out a pause may be long over, and so
+  // may the retention of its key.
+  const bool MayBeOld = RefuseUntil && Now < *RefuseUntil && From != Self;
+  Quarantine.dispatch(From, Message, Now,
+                      MayBeOld ? OutcomeReason::StaleFrame
+                               : OutcomeReason::None);
 }
 
 void NodeCore::receive(NodeRun From, const DispatchReply &Message,
@@ -288,6 +295,13 @@
   Quarantine.receive(From, Message, Now, Out);
 }
 
+void NodeCore::noteTime(TimePoint Now) {
+  if (LastActive && Now - *LastActive > PauseLimit) {
+    RefuseUntil = Now + PauseGrace;
+  }
+  LastActive = Now;
+}
+
 void NodeCore::deliverLocal(TimePoint Now, Actions &Produced, Actions &Out) {
   startReleased(Now, Produced);
   for (std::size_t Index = 0; Index < Produced.size(); ++Index) {
