Add logs, metrics, trace context and span export

Change: a logger with escaped values and a rate limit per event name; a registry of the metrics in one catalogue, with summaries on Boost.Accumulators; a traceparent parser and renderer; a span exporter with a bounded queue and its own thread; a stand-in collector. docs/metrics.md is held to the catalogue by a test. Node settings use the profiles of core/decision_settings.hpp.

--- a/include/hyssopford/config/node_settings.hpp
+++ b/include/hyssopford/config/node_settings.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "hyssopford/config/secret.hpp"
+#include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/error.hpp"
 #include "hyssopford/core/log_level.hpp"
 #include "hyssopford/core/node_core.hpp"
@@ -16,7 +17,8 @@
 
 namespace hyssopford {
 
-/// @brief Which objective has more weight.
+/// @brief Which objective has more weight; tailProfile and costProfile hold the
+/// constants.
 enum class Profile : std::uint8_t {
   /// Tail latency.
   Tail,
@@ -24,27 +26,6 @@
   Cost
 };
 
-/// @brief Values that a profile stands for.
-struct ProfileValues {
-  /// Candidates sampled for each attempt.
-  std::uint32_t SampledCandidates = 2;
-  /// Whether idempotent requests are hedged.
-  bool Hedging = true;
-  /// Upper bound of retries and hedges, in calls per million first attempts.
-  std::uint32_t ExtraCallsPpm = 100'000;
-  /// Upper bound of probing, in µs of probe per second and slot, i.e.
-  /// millionths of a slot.
-  std::uint32_t ProbeBudgetPpm = 9'000;
-
-  friend bool operator==(const ProfileValues &,
-                         const ProfileValues &) = default;
-};
-
-/// @brief Gives the values of a profile.
-/// @param Chosen the profile
-/// @return its values, as listed in docs/settings.md
-ProfileValues profileValues(Profile Chosen);
-
 /// @brief Addresses on which a node listens, each "ip:port".
 struct AddressSettings {
   std::string Callers;
@@ -207,8 +188,9 @@
 /// @name Use
 /// @{
 
-/// @brief Gives the values of the profile with the overrides of the settings.
-ProfileValues effectiveProfile(const NodeSettings &Settings);
+/// @brief Gives the constants of the profile with the overrides of the
+/// settings.
+DecisionSettings decisionSettings(const NodeSettings &Settings);
 
 /// @brief Gives the part of the settings that the decision core needs.
 /// @param Settings the settings
--- /dev/null
+++ b/include/hyssopford/telemetry/metric_catalogue.hpp
@@ -0,0 +1,178 @@
+/// @file
+/// @brief Every metric of the system; docs/metrics.md describes each of them.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace hyssopford {
+
+/// @brief Type of a metric in the Prometheus text format.
+enum class MetricType : std::uint8_t {
+  /// Only grows.
+  Counter,
+  Gauge,
+  /// Quantiles, sum and count of observations.
+  Summary
+};
+
+/// @brief Names a metric in code. The order is that of MetricCatalogue.
+enum class MetricId : std::uint8_t {
+  Requests,
+  RequestSeconds,
+  RequestAttempts,
+  RequestsInFlight,
+  LateReplies,
+  ExtraCalls,
+  CallerConnections,
+  HeldBytes,
+  RefusedRequests,
+  OwnerInFlight,
+  OwnerQueued,
+  OwnerLimit,
+  OwnerServiceSeconds,
+  UpstreamCalls,
+  UpstreamSeconds,
+  UpstreamConnections,
+  Probes,
+  ProbeSeconds,
+  Members,
+  PeerLinks,
+  PeerFrames,
+  PeerBytes,
+  RefusedFrames,
+  ConfigVersion,
+  Patches,
+  StoreCalls,
+  Keys,
+  KeyCapacity,
+  Quarantined,
+  Notices,
+  SpansExported,
+  SpansDropped,
+  SpansQueued,
+  LogLinesSuppressed,
+  SeriesDropped,
+  ProcessCpuSeconds,
+  ProcessResidentBytes,
+  BuildInfo
+};
+
+/// @brief Name, type and labels of a metric.
+struct MetricDefinition {
+  MetricId Id;
+  MetricType Type;
+  std::string_view Name;
+  /// Names of the labels, separated by commas; empty if there are none.
+  std::string_view Labels;
+  std::string_view Help;
+};
+
+constexpr std::size_t MetricCount =
+    static_cast<std::size_t>(MetricId::BuildInfo) + 1;
+
+/// @brief Every metric in the order of MetricId.
+constexpr std::array<MetricDefinition, MetricCount> MetricCatalogue{{
+    {MetricId::Requests, MetricType::Counter, "hyssopford_requests_total",
+     "outcome,reason", "Requests of callers that ended at this ingress."},
+    {MetricId::RequestSeconds, MetricType::Summary,
+     "hyssopford_request_seconds", "outcome",
+     "Time from a caller's complete request to the outcome."},
+    {MetricId::RequestAttempts, MetricType::Counter,
+     "hyssopford_request_attempts_total", "",
+     "Attempts made for requests that ended at this ingress."},
+    {MetricId::RequestsInFlight, MetricType::Gauge,
+     "hyssopford_requests_in_flight", "",
+     "Requests of callers in flight at this ingress."},
+    {MetricId::LateReplies, MetricType::Counter,
+     "hyssopford_late_replies_total", "",
+     "Replies of owners for attempts that were already settled."},
+    {MetricId::ExtraCalls, MetricType::Counter, "hyssopford_extra_calls_total",
+     "kind", "Retries and hedges sent by this ingress."},
+    {MetricId::CallerConnections, MetricType::Gauge,
+     "hyssopford_caller_connections", "", "Open connections of callers."},
+    {MetricId::HeldBytes, MetricType::Gauge, "hyssopford_held_bytes", "",
+     "Bytes of requests and answers held by this node."},
+    {MetricId::RefusedRequests, MetricType::Counter,
+     "hyssopford_refused_requests_total", "cause",
+     "Requests refused by a limit or for their form before routing."},
+    {MetricId::OwnerInFlight, MetricType::Gauge, "hyssopford_owner_in_flight",
+     "", "Attempts running on the upstream of this VM."},
+    {MetricId::OwnerQueued, MetricType::Gauge, "hyssopford_owner_queued", "",
+     "Attempts queued for the upstream of this VM."},
+    {MetricId::OwnerLimit, MetricType::Gauge, "hyssopford_owner_limit", "",
+     "Concurrency limit of the upstream of this VM."},
+    {MetricId::OwnerServiceSeconds, MetricType::Gauge,
+     "hyssopford_owner_service_seconds", "",
+     "Smoothed service time of the upstream of this VM."},
+    {MetricId::UpstreamCalls, MetricType::Counter,
+     "hyssopford_upstream_calls_total", "result",
+     "Requests forwarded to the upstream of this VM."},
+    {MetricId::UpstreamSeconds, MetricType::Summary,
+     "hyssopford_upstream_seconds", "",
+     "Time from forwarding a request to the upstream's complete answer."},
+    {MetricId::UpstreamConnections, MetricType::Gauge,
+     "hyssopford_upstream_connections", "",
+     "Open connections to the upstream of this VM."},
+    {MetricId::Probes, MetricType::Counter, "hyssopford_probes_total", "result",
+     "Probes of the upstream of this VM."},
+    {MetricId::ProbeSeconds, MetricType::Counter,
+     "hyssopford_probe_seconds_total", "",
+     "Time that probes took; its rate divided by the slots is the share that "
+     "the probe budget bounds."},
+    {MetricId::Members, MetricType::Gauge, "hyssopford_members", "state",
+     "Nodes of the site as this node sees them."},
+    {MetricId::PeerLinks, MetricType::Gauge, "hyssopford_peer_links", "",
+     "Usable links to peers."},
+    {MetricId::PeerFrames, MetricType::Counter, "hyssopford_peer_frames_total",
+     "direction,class", "Frames on peer links; class is data or control."},
+    {MetricId::PeerBytes, MetricType::Counter, "hyssopford_peer_bytes_total",
+     "direction,class", "Bytes on peer links; class is data or control."},
+    {MetricId::RefusedFrames, MetricType::Counter,
+     "hyssopford_refused_frames_total", "cause",
+     "Frames of peers that were too long, malformed or not authentic."},
+    {MetricId::ConfigVersion, MetricType::Gauge, "hyssopford_config_version",
+     "", "Version of the configuration in force on this node."},
+    {MetricId::Patches, MetricType::Counter, "hyssopford_patches_total",
+     "result", "Patches submitted to this node."},
+    {MetricId::StoreCalls, MetricType::Counter, "hyssopford_store_calls_total",
+     "operation,status", "Calls of this node to the store."},
+    {MetricId::Keys, MetricType::Gauge, "hyssopford_keys", "",
+     "Idempotency keys held by this node."},
+    {MetricId::KeyCapacity, MetricType::Gauge, "hyssopford_key_capacity", "",
+     "Most idempotency keys that this node holds."},
+    {MetricId::Quarantined, MetricType::Gauge, "hyssopford_quarantined", "",
+     "Fingerprints in quarantine."},
+    {MetricId::Notices, MetricType::Counter, "hyssopford_notices_total",
+     "event", "Notices of the decision core, by event name."},
+    {MetricId::SpansExported, MetricType::Counter,
+     "hyssopford_spans_exported_total", "", "Spans that the collector took."},
+    {MetricId::SpansDropped, MetricType::Counter,
+     "hyssopford_spans_dropped_total", "cause",
+     "Spans dropped because the queue was full or an export failed."},
+    {MetricId::SpansQueued, MetricType::Gauge, "hyssopford_spans_queued", "",
+     "Spans waiting for export."},
+    {MetricId::LogLinesSuppressed, MetricType::Counter,
+     "hyssopford_log_lines_suppressed_total", "",
+     "Log lines suppressed by the rate limit."},
+    {MetricId::SeriesDropped, MetricType::Counter,
+     "hyssopford_metric_samples_dropped_total", "",
+     "Samples not counted because their metric has too many label values."},
+    {MetricId::ProcessCpuSeconds, MetricType::Counter,
+     "hyssopford_process_cpu_seconds_total", "",
+     "Processor time of this process."},
+    {MetricId::ProcessResidentBytes, MetricType::Gauge,
+     "hyssopford_process_resident_bytes", "",
+     "Resident memory of this process."},
+    {MetricId::BuildInfo, MetricType::Gauge, "hyssopford_build_info", "version",
+     "Always 1; the label gives the version of the program."},
+}};
+
+/// @brief Finds the definition of a metric.
+constexpr const MetricDefinition &definitionOf(MetricId Id) {
+  return MetricCatalogue.at(static_cast<std::size_t>(Id));
+}
+
+} // namespace hyssopford
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -281,20 +281,11 @@
   return Invalid;
 }
 
-ProfileValues profileValues(Profile Chosen) {
-  ProfileValues Result;
-  if (Chosen == Profile::Cost) {
-    Result.Hedging = false;
-    Result.ExtraCallsPpm = 50'000;
-    Result.ProbeBudgetPpm = 2'500;
-  }
-  return Result;
-}
-
-ProfileValues effectiveProfile(const NodeSettings &Settings) {
-  ProfileValues Result = profileValues(Settings.Objective);
-  Result.ProbeBudgetPpm =
-      Settings.ProbeBudgetPpm.value_or(Result.ProbeBudgetPpm);
+DecisionSettings decisionSettings(const NodeSettings &Settings) {
+  DecisionSettings Result =
+      Settings.Objective == Profile::Tail ? tailProfile() : costProfile();
+  Result.Probing.BudgetPpm =
+      Settings.ProbeBudgetPpm.value_or(Result.Probing.BudgetPpm);
   return Result;
 }
 
@@ -307,6 +298,7 @@
   Result.Region = Settings.Region;
   Result.Seeds = Settings.Seeds;
   Result.Seed = Seed;
+  Result.Decisions = decisionSettings(Settings);
   return Result;
 }
 
--- a/src/config/node_settings_render.cpp
+++ b/src/config/node_settings_render.cpp
@@ -77,7 +77,7 @@
   Document["limits"] = limitsOf(Settings.Limits);
   Document["timeouts"] = timeoutsOf(Settings.Timeouts);
   Document["profile"] = Settings.Objective == Profile::Tail ? "tail" : "cost";
-  Document["probe_budget_ppm"] = effectiveProfile(Settings).ProbeBudgetPpm;
+  Document["probe_budget_ppm"] = decisionSettings(Settings).Probing.BudgetPpm;
   Document["drain_deadline_ms"] = milliseconds(Settings.DrainDeadline);
   Document["keys"] = {{"retention_ms", milliseconds(Settings.Keys.Retention)},
                       {"table_size", Settings.Keys.TableSize}};
--- a/tests/config/node_settings_test.cpp
+++ b/tests/config/node_settings_test.cpp
@@ -134,24 +134,27 @@
 TEST_CASE("profiles", "[settings]") {
   NodeSettings Settings = fullSettings();
   Settings.ProbeBudgetPpm.reset();
-  REQUIRE(effectiveProfile(Settings).Hedging);
+  REQUIRE(decisionSettings(Settings) == tailProfile());
   // Deployment A allows less than 1 % of the slots for probes, B 0.3 %.
-  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm < 10'000);
+  REQUIRE(decisionSettings(Settings).Probing.BudgetPpm < 10'000);
   Settings.Objective = Profile::Cost;
-  REQUIRE_FALSE(effectiveProfile(Settings).Hedging);
-  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm <= 3'000);
+  REQUIRE(decisionSettings(Settings) == costProfile());
+  REQUIRE(decisionSettings(Settings).Probing.BudgetPpm <= 3'000);
   Settings.ProbeBudgetPpm = 0;
-  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm == 0);
+  REQUIRE(decisionSettings(Settings).Probing.BudgetPpm == 0);
 }
 
 TEST_CASE("the core gets the fields that it needs", "[settings]") {
   const NodeCoreSettings Core = coreSettings(fullSettings(), Incarnation{5}, 9);
-  REQUIRE(Core == NodeCoreSettings{"192.0.2.7:7101",
-                                   Incarnation{5},
-                                   "fd-1",
-                                   "north",
-                                   {"192.0.2.8:7101"},
-                                   9});
+  NodeCoreSettings Expected;
+  Expected.Address = "192.0.2.7:7101";
+  Expected.Run = Incarnation{5};
+  Expected.FailureDomain = "fd-1";
+  Expected.Region = "north";
+  Expected.Seeds = {"192.0.2.8:7101"};
+  Expected.Seed = 9;
+  Expected.Decisions.Probing.BudgetPpm = 100;
+  REQUIRE(Core == Expected);
 }
 
 TEST_CASE("secrets", "[settings]") {
--- /dev/null
+++ b/tests/telemetry/logger_test.cpp
@@ -0,0 +1,82 @@
+/// @file
+/// @brief Tests of log lines.
+#include "hyssopford/telemetry/logger.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssopford;
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+
+namespace {
+
+class MemorySink final : public LogSink {
+public:
+  void write(std::string_view Line) override { Lines.emplace_back(Line); }
+
+  std::vector<std::string> Lines;
+};
+
+} // namespace
+
+TEST_CASE("log lines", "[log]") {
+  MemorySink Sink;
+  Logger::WallTime Now{1'767'225'600s};
+  Logger Log(LogLevel::Info, Sink, [&Now] { return Now; });
+
+  SECTION("one line of fields for each event") {
+    Now += 7ms;
+    Log.log(LogLevel::Warning, "member_dead",
+            {{"peer", "192.0.2.7:7101"}, {"age_ms", 3000}, {"note", "a b"}});
+    REQUIRE(Sink.Lines ==
+            std::vector<std::string>{
+                "time=2026-01-01T00:00:00.007Z level=warning event=member_dead "
+                "peer=192.0.2.7:7101 age_ms=3000 note=\"a b\""});
+  }
+  SECTION("events below the level are not written") {
+    Log.log(LogLevel::Debug, "detail");
+    REQUIRE(Sink.Lines.empty());
+  }
+  SECTION("a value can forge neither a line nor a terminal command") {
+    REQUIRE(renderLogValue("a\nlevel=error \"\\\t\x1b[2J\xc3\xa9") ==
+            "\"a\\nlevel=error \\\"\\\\\\t\\x1b[2J\\xc3\\xa9\"");
+    REQUIRE(renderLogValue("") == "\"\"");
+    REQUIRE(renderLogValue("a=b") == "\"a=b\"");
+  }
+  SECTION("a long value is cut") {
+    Log.log(LogLevel::Info, "long", {{"value", std::string(5'000, 'x')}});
+    REQUIRE(Sink.Lines[0].size() < Logger::MaxValueLength + 100);
+  }
+  SECTION("an event that repeats is limited without hiding others") {
+    for (std::uint64_t Count = 0; Count < Logger::LinesPerWindow + 5; ++Count) {
+      Log.log(LogLevel::Info, "storm");
+    }
+    Log.log(LogLevel::Info, "other");
+    REQUIRE(Sink.Lines.size() == Logger::LinesPerWindow + 1);
+    REQUIRE(Log.suppressed() == 5);
+
+    SECTION("the next line carries the count") {
+      Now += 1s;
+      Log.log(LogLevel::Info, "storm");
+      REQUIRE(Sink.Lines.back().ends_with("event=storm suppressed=5"));
+      Log.flushSuppressed();
+      REQUIRE(Sink.Lines.back().ends_with("event=storm suppressed=5"));
+    }
+    SECTION("the count of an event that stops is not lost") {
+      Log.flushSuppressed();
+      REQUIRE(Sink.Lines.size() == Logger::LinesPerWindow + 1);
+      Now += 1s;
+      Log.flushSuppressed();
+      REQUIRE(Sink.Lines.back().ends_with(
+          "event=log_lines_suppressed name=storm count=5"));
+    }
+  }
+  SECTION("a clock that is set back opens a new window") {
+    for (std::uint64_t Count = 0; Count < Logger::LinesPerWindow; ++Count) {
+      Log.log(LogLevel::Info, "storm");
+    }
+    Now -= 3600s;
+    Log.log(LogLevel::Info, "storm");
+    REQUIRE(Log.suppressed() == 0);
+  }
+}
