--- a/include/hyssopford/config/node_settings.hpp
+++ b/include/hyssopford/config/node_settings.hpp
@@ -26,7 +26,8 @@
   Cost
 };
 
-/// @brief Addresses on which a node listens, each "ip:port".
+/// @brief Addresses on which a node listens, each "ip:port". Port 0 takes a
+/// free port, which only tests and demos can use.
 struct AddressSettings {
   std::string Callers;
   /// Address by which peers know the node; gives it its identifier.
@@ -81,13 +82,14 @@
 };
 
 /// @brief Table of idempotency keys.
-struct KeySettings {
+struct KeyTableSettings {
   /// How long a key and its outcome are kept; a guarantee to callers.
   Duration Retention = std::chrono::hours(24);
   /// Keys held at a time; a full table rejects new ones.
-  std::uint64_t TableSize = 100'000;
+  std::uint64_t TableSize = 400'000;
 
-  friend bool operator==(const KeySettings &, const KeySettings &) = default;
+  friend bool operator==(const KeyTableSettings &,
+                         const KeyTableSettings &) = default;
 };
 
 /// @brief Tracing of requests.
@@ -124,7 +126,7 @@
   std::optional<std::uint32_t> ProbeBudgetPpm;
   /// Longest wait for requests in flight at shutdown.
   Duration DrainDeadline = 30s;
-  KeySettings Keys;
+  KeyTableSettings Keys;
   TracingSettings Tracing;
   LogLevel Level = LogLevel::Info;
 
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -39,10 +39,10 @@
 void readAddresses(const Json &Value, AddressSettings &Target,
                    FaultList &Faults) {
   ObjectReader Reader(Value, "/addresses", Faults);
-  Reader.text("callers", addressRule(), Target.Callers, true);
-  Reader.text("peers", addressRule(), Target.Peers, true);
-  Reader.text("announcements", addressRule(), Target.Announcements, true);
-  Reader.text("operators", addressRule(), Target.Operators, true);
+  Reader.text("callers", listenAddressRule(), Target.Callers, true);
+  Reader.text("peers", listenAddressRule(), Target.Peers, true);
+  Reader.text("announcements", listenAddressRule(), Target.Announcements, true);
+  Reader.text("operators", listenAddressRule(), Target.Operators, true);
   Reader.finish();
 }
 
@@ -83,7 +83,7 @@
   Reader.finish();
 }
 
-void readKeys(const Json &Value, KeySettings &Target, FaultList &Faults) {
+void readKeys(const Json &Value, KeyTableSettings &Target, FaultList &Faults) {
   ObjectReader Reader(Value, "/keys", Faults);
   readMilliseconds(Reader, "retention_ms", MinRetentionMs, MaxRetentionMs,
                    Target.Retention);
@@ -154,7 +154,8 @@
       {"/addresses/operators", &Addresses.Operators}};
   for (std::size_t Right = 1; Right < All.size(); ++Right) {
     for (std::size_t Left = 0; Left < Right; ++Left) {
-      if (*All[Left].second == *All[Right].second) {
+      if (*All[Left].second == *All[Right].second &&
+          !All[Left].second->ends_with(":0")) {
         Faults.add(ErrorCode::SettingConflict, All[Right].first,
                    fmt::format("the same as {}; expected distinct addresses",
                                All[Left].first));
@@ -299,6 +300,8 @@
   Result.Seeds = Settings.Seeds;
   Result.Seed = Seed;
   Result.Decisions = decisionSettings(Settings);
+  Result.Keys.Retention = Settings.Keys.Retention;
+  Result.Keys.MaxRecords = Settings.Keys.TableSize;
   return Result;
 }
 
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -47,7 +47,7 @@
       Finished(FinishedRetention, Chosen.FinishedBytesMax) {}
 
 void OwnerSystem::admit(NodeId From, const Dispatch &Attempt, TimePoint Now,
-                        Actions &Out) {
+                        Actions &Out, OutcomeReason Refusal) {
   Latest = Now;
   const AttemptId Id = Attempt.Attempt;
   Finished.forget(Now);
@@ -70,7 +70,10 @@
     return;
   }
   AdmittedAttempt Row{From, Attempt, Now, Now + Attempt.Remaining, Now};
-  if (const std::optional<OutcomeReason> Reason = refusalReason(Attempt)) {
+  const std::optional<OutcomeReason> Reason = Refusal == OutcomeReason::None
+                                                  ? refusalReason(Attempt)
+                                                  : std::optional(Refusal);
+  if (Reason) {
     endQueued(Row, *Reason, Now, Out);
     return;
   }
--- a/tests/config/node_settings_test.cpp
+++ b/tests/config/node_settings_test.cpp
@@ -11,6 +11,7 @@
 
 using namespace hyssopford;
 using nlohmann::json;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -120,6 +121,12 @@
                                {113, "/addresses/announcements"},
                                {113, "/addresses/operators"}});
   }
+  SECTION("free ports do not contradict each other") {
+    for (auto &Address : Document["addresses"]) {
+      Address = "127.0.0.1:0";
+    }
+    REQUIRE(faultsOf(Document).empty());
+  }
   SECTION("limits and token files") {
     Document["limits"]["line_bytes"] = 40'000;
     Document["limits"]["memory_bytes"] = 1'048'576;
@@ -154,6 +161,8 @@
   Expected.Seeds = {"192.0.2.8:7101"};
   Expected.Seed = 9;
   Expected.Decisions.Probing.BudgetPpm = 100;
+  Expected.Keys.Retention = 24h;
+  Expected.Keys.MaxRecords = 400'000;
   REQUIRE(Core == Expected);
 }
 
