--- a/include/hyssopford/core/error_codes.hpp
+++ b/include/hyssopford/core/error_codes.hpp
@@ -52,7 +52,7 @@
   NodeUnreachable = 502,
   AnswerForm = 503,
   WatchTimeout = 504,
-  AlreadyDrained = 505,
+  UnknownNode = 505,
   NotDrained = 506,
   NotQuarantined = 507,
   InputUnreadable = 508,
