--- a/include/hyssopford/config/node_settings.hpp
+++ b/include/hyssopford/config/node_settings.hpp
@@ -81,17 +81,6 @@
                          const TimeoutSettings &) = default;
 };
 
-/// @brief Table of idempotency keys.
-struct KeyTableSettings {
-  /// How long a key and its outcome are kept; a guarantee to callers.
-  Duration Retention = std::chrono::hours(24);
-  /// Keys held at a time; a full table rejects new ones.
-  std::uint64_t TableSize = 400'000;
-
-  friend bool operator==(const KeyTableSettings &,
-                         const KeyTableSettings &) = default;
-};
-
 /// @brief Tracing of requests.
 struct TracingSettings {
   /// Traces started by this node that are sampled, per million.
@@ -126,7 +115,8 @@
   std::optional<std::uint32_t> ProbeBudgetPpm;
   /// Longest wait for requests in flight at shutdown.
   Duration DrainDeadline = 30s;
-  KeyTableSettings Keys;
+  /// Table of idempotency keys.
+  KeySettings Keys;
   TracingSettings Tracing;
   LogLevel Level = LogLevel::Info;
 
--- a/include/hyssopford/core/message.hpp
+++ b/include/hyssopford/core/message.hpp
@@ -2,10 +2,11 @@
 /// @brief Messages between nodes.
 #pragma once
 
+#include "hyssopford/core/config_message.hpp"
 #include "hyssopford/core/ids.hpp"
 #include "hyssopford/core/key_message.hpp"
 #include "hyssopford/core/load_report.hpp"
-#include "hyssopford/core/member.hpp"
+#include "hyssopford/core/membership_message.hpp"
 #include "hyssopford/core/outcome.hpp"
 #include "hyssopford/core/payload.hpp"
 #include "hyssopford/core/quarantine_message.hpp"
@@ -95,18 +96,12 @@
   friend bool operator==(const StatusReply &, const StatusReply &) = default;
 };
 
-/// @brief Spreads member records.
-struct Gossip {
-  std::vector<MemberRecord> Records;
-
-  friend bool operator==(const Gossip &, const Gossip &) = default;
-};
-
 /// @brief Any message between nodes.
 using PeerMessage =
     std::variant<Dispatch, DispatchReply, Cancel, StatusQuery, StatusReply,
-                 Gossip, KeyClaim, KeyClaimReply, KeyRelease, KeyOutcome,
-                 KeyAck, SealRequest, SealReply, RosterRequest, RosterUpdate,
-                 QuarantineNotice>;
+                 Gossip, Ping, PingRequest, Ack, SyncRequest, SyncReply,
+                 ConfigDigest, ConfigRequest, ConfigPush, KeyClaim,
+                 KeyClaimReply, KeyRelease, KeyOutcome, KeyAck, SealRequest,
+                 SealReply, RosterRequest, RosterUpdate, QuarantineNotice>;
 
 } // namespace hyssopford
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -83,11 +83,11 @@
   Reader.finish();
 }
 
-void readKeys(const Json &Value, KeyTableSettings &Target, FaultList &Faults) {
+void readKeys(const Json &Value, KeySettings &Target, FaultList &Faults) {
   ObjectReader Reader(Value, "/keys", Faults);
   readMilliseconds(Reader, "retention_ms", MinRetentionMs, MaxRetentionMs,
                    Target.Retention);
-  Reader.integer("table_size", 1, MaxTableSize, Target.TableSize);
+  Reader.integer("table_size", 1, MaxTableSize, Target.MaxRecords);
   Reader.finish();
 }
 
@@ -300,8 +300,7 @@
   Result.Seeds = Settings.Seeds;
   Result.Seed = Seed;
   Result.Decisions = decisionSettings(Settings);
-  Result.Keys.Retention = Settings.Keys.Retention;
-  Result.Keys.MaxRecords = Settings.Keys.TableSize;
+  Result.Keys = Settings.Keys;
   return Result;
 }
 
--- a/src/config/node_settings_render.cpp
+++ b/src/config/node_settings_render.cpp
@@ -80,7 +80,7 @@
   Document["probe_budget_ppm"] = decisionSettings(Settings).Probing.BudgetPpm;
   Document["drain_deadline_ms"] = milliseconds(Settings.DrainDeadline);
   Document["keys"] = {{"retention_ms", milliseconds(Settings.Keys.Retention)},
-                      {"table_size", Settings.Keys.TableSize}};
+                      {"table_size", Settings.Keys.MaxRecords}};
   Document["tracing"] = tracingOf(Settings.Tracing);
   Document["log_level"] = Levels.at(static_cast<std::size_t>(Settings.Level));
   return Document.dump(2);
--- a/src/core/roster_system.cpp
+++ b/src/core/roster_system.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Keeps the numbers of this system's store calls apart from those of others.
-constexpr std::uint64_t CallNumbers = std::uint64_t{1} << 60U;
-
 bool contains(const std::vector<RosterMember> &Members, NodeRun Id) {
   return std::any_of(
       Members.begin(), Members.end(),
@@ -370,7 +367,7 @@
 
 void RosterSystem::call(ServiceRow &Row, StoreOperation Operation,
                         TimePoint Now, Actions &Out) {
-  Row.Call = CallNumbers + NextCall++;
+  Row.Call = storeCallNumber(StoreUser::Roster, NextCall++);
   Row.CallSent = Now;
   Out.emplace_back(StoreCall{Row.Call, std::move(Operation)});
 }
--- a/src/net/codec/request_codec.cpp
+++ b/src/net/codec/request_codec.cpp
@@ -4,8 +4,6 @@
 
 namespace hyssopford::codec {
 
-namespace {
-
 flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>>
 encodeBytes(Builder &Out, std::string_view Bytes) {
   return Out.CreateVector(reinterpret_cast<const std::uint8_t *>(Bytes.data()),
@@ -17,6 +15,8 @@
       std::string(reinterpret_cast<const char *>(Bytes.data()), Bytes.size()));
 }
 
+namespace {
+
 wire::TraceContext encodeTrace(const TraceContext &Value) {
   return {Value.TraceHigh, Value.TraceLow, Value.ParentSpan, Value.Sampled};
 }
@@ -84,7 +84,8 @@
                               Value.Load.ServiceTime.count());
   return wire::CreateDispatchReply(
       Out, &Attempt, static_cast<std::uint8_t>(Value.Result),
-      static_cast<std::uint8_t>(Value.Reason), Value.Status, &Load, Answer);
+      static_cast<std::uint8_t>(Value.Reason), Value.Status, &Load, Answer,
+      Value.Held.count());
 }
 
 std::optional<DispatchReply> decode(const wire::DispatchReply &Value) {
@@ -95,6 +96,7 @@
   }
   Result.Attempt = decodeAttempt(*Value.attempt());
   Result.Status = Value.status();
+  Result.Held = Duration(Value.held_us());
   const wire::LoadReport &Load = *Value.load();
   Result.Load = LoadReport{Load.sequence(), Load.in_flight(), Load.queued(),
                            Load.limit(), Duration(Load.service_time_us())};
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -166,6 +166,10 @@
 
 void NodeRuntime::perform(ShutdownComplete & /*What*/) {}
 
+void NodeRuntime::perform(PatchResult & /*What*/) {}
+
+void NodeRuntime::perform(HistoryResult & /*What*/) {}
+
 void NodeRuntime::beginShutdown() {
   if (ShuttingDown) {
     return;
