--- a/include/hyssopford/core/error_codes.hpp
+++ b/include/hyssopford/core/error_codes.hpp
@@ -33,7 +33,15 @@
   CollectorRefused = 202,
   /// @}
 
-  /// @name Operators' port
+  /// @name Network
+  /// @{
+  FrameRefused = 301,
+  FrameValue = 302,
+  LinkEnded = 303,
+  LinkNotAccepted = 304,
+  /// @}
+
+  /// @name Node and operators' port
   /// @{
   TokenMissing = 401,
   TokenInsufficient = 402,
@@ -48,6 +56,7 @@
   HeadUnreadable = 411,
   PatchFieldInvalid = 412,
   PatchQueueFull = 413,
+  AnnouncementForm = 414,
   /// @}
 
   /// @name hyssopctl
@@ -61,6 +70,13 @@
   NotQuarantined = 507,
   InputUnreadable = 508,
   /// @}
+
+  /// @name Decision core
+  /// @{
+  RosterHeader = 601,
+  RosterLine = 602,
+  RosterOrder = 603,
+  /// @}
 };
 
 /// @brief Gives the number that an Error carries.
--- a/src/core/roster.cpp
+++ b/src/core/roster.cpp
@@ -1,4 +1,5 @@
 #include "hyssopford/core/roster.hpp"
+#include "hyssopford/core/error_codes.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -139,14 +140,15 @@
 std::optional<Roster> decodeRoster(std::string_view Text,
                                    std::uint64_t Revision, Error &Reason) {
   if (cut(Text, '\n') != Header) {
-    Reason = Error{301, "roster.decode", "", "unknown header"};
+    Reason = Error{numberOf(ErrorCode::RosterHeader), "roster.decode", "",
+                   "unknown header"};
     return std::nullopt;
   }
   std::vector<RosterEpoch> Epochs;
   while (!Text.empty()) {
     const std::string_view Line = cut(Text, '\n');
     if (!parseLine(Line, Epochs)) {
-      Reason = Error{302, "roster.decode", "",
+      Reason = Error{numberOf(ErrorCode::RosterLine), "roster.decode", "",
                      fmt::format("line \"{}\" is not valid", Line)};
       return std::nullopt;
     }
@@ -156,7 +158,8 @@
   };
   if (Epochs.empty() || std::adjacent_find(Epochs.begin(), Epochs.end(),
                                            Ordered) != Epochs.end()) {
-    Reason = Error{303, "roster.decode", "", "epochs are not increasing"};
+    Reason = Error{numberOf(ErrorCode::RosterOrder), "roster.decode", "",
+                   "epochs are not increasing"};
     return std::nullopt;
   }
   Roster Result;
--- a/src/net/codec/message_codec.cpp
+++ b/src/net/codec/message_codec.cpp
@@ -1,4 +1,5 @@
 #include "hyssopford/net/message_codec.hpp"
+#include "hyssopford/core/error_codes.hpp"
 
 #include "codec.hpp"
 #include "verified_frame.hpp"
@@ -94,12 +95,14 @@
 std::optional<PeerMessage> decodeMessage(std::string_view Bytes, Error &Fault) {
   const codec::VerifiedFrame Verified(Bytes);
   if (!Verified.frame()) {
-    Fault = Error{301, "frame.verify", "", "the verifier refused the frame"};
+    Fault = Error{numberOf(ErrorCode::FrameRefused), "frame.verify", "",
+                  "the verifier refused the frame"};
     return std::nullopt;
   }
   auto Result = decodeBody(*Verified.frame());
   if (!Result) {
-    Fault = Error{302, "frame.decode", "", "a value is out of range"};
+    Fault = Error{numberOf(ErrorCode::FrameValue), "frame.decode", "",
+                  "a value is out of range"};
   }
   return Result;
 }
--- a/src/net/peer_links.cpp
+++ b/src/net/peer_links.cpp
@@ -1,4 +1,5 @@
 #include "hyssopford/net/peer_links.hpp"
+#include "hyssopford/core/error_codes.hpp"
 
 #include "hyssopford/net/message_codec.hpp"
 #include "peer_link.hpp"
@@ -39,7 +40,8 @@
   Opening.emplace(Peer, New.get());
   if (!New->connect(Peer, Address)) {
     New->drop();
-    ended(*New, Error{303, "link.connect", Address, "cannot connect"});
+    ended(*New, Error{numberOf(ErrorCode::LinkEnded), "link.connect", Address,
+                      "cannot connect"});
   }
 }
 
@@ -74,8 +76,8 @@
     All.emplace(New.get(), New);
     New->accept(Accepted);
   } catch (const Poco::Exception &Fault) {
-    Handler.onLinkRefused(
-        Error{304, "link.accept", address(), Fault.displayText()});
+    Handler.onLinkRefused(Error{numberOf(ErrorCode::LinkNotAccepted),
+                                "link.accept", address(), Fault.displayText()});
   }
 }
 
@@ -122,7 +124,8 @@
     Old.drop();
     release(Old);
     Handler.onLinkDown(Peer,
-                       Error{303, "link.replaced", "", "the peer reconnected"});
+                       Error{numberOf(ErrorCode::LinkEnded), "link.replaced",
+                             "", "the peer reconnected"});
   }
   Links.emplace(Peer, &New);
   return true;
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -1,4 +1,5 @@
 #include "hyssopford/node/upstream_registry.hpp"
+#include "hyssopford/core/error_codes.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -12,7 +13,8 @@
 constexpr std::uint32_t MaximumSlots = 65'536;
 
 bool refuse(Error &Fault, const std::string &Reason) {
-  Fault = Error{401, "upstream.announce", "", Reason};
+  Fault = Error{numberOf(ErrorCode::AnnouncementForm), "upstream.announce", "",
+                Reason};
   return false;
 }
 
