Slow starts on a stalled upstream and recall queued attempts

During a straggler the requests already sent made the tail: the owner kept starting new ones as nothing had been measured yet, and non-idempotent ones can't be hedged. The owner now takes the time of running attempts as service time and starts one trial per four service times while none ends as usual. The ingress sends a status query for a late non-idempotent attempt, which takes it out of the queue so that the retry is safe. The budget starts with 5 tokens and holds 30, so that a stall finds more of them.

--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -29,10 +29,12 @@
   /// Hedges are never sent earlier than this.
   Duration HedgeFloor = 1ms;
   /// Retries and hedges per 1,000 original requests. 95 keeps the share below
-  /// 10 % although each service starts with ExtraBurst tokens.
+  /// 10 % although each service starts with ExtraStart tokens.
   std::uint32_t ExtraPerThousand = 95;
   /// Most retries and hedges in a burst.
-  std::uint32_t ExtraBurst = 10;
+  std::uint32_t ExtraBurst = 30;
+  /// Retries that a service may use before its first requests pay for them.
+  std::uint32_t ExtraStart = 5;
   /// Upstreams of one service in the node's own region that get a link; 0
   /// disables subsets.
   std::size_t SubsetSize = 8;
--- a/include/hyssopford/core/ingress_system.hpp
+++ b/include/hyssopford/core/ingress_system.hpp
@@ -32,6 +32,8 @@
   std::uint64_t Hedges = 0;
   /// Retries not sent because the budget was spent.
   std::uint64_t RetriesDenied = 0;
+  /// Status queries sent to take a late attempt out of a queue.
+  std::uint64_t Recalls = 0;
   /// Replies to attempts already settled.
   std::uint64_t LateReplies = 0;
 
@@ -168,6 +170,7 @@
   void startAttempt(RequestRow &Row, TimePoint Now, Actions &Out);
   void retry(RequestRow &Row, TimePoint Now, Actions &Out);
   void hedge(RequestRow &Row, TimePoint Now, Actions &Out);
+  void recall(RequestRow &Row, TimePoint Now, Actions &Out);
   std::optional<NodeRun> choose(const RequestRow &Row, ServicePool &Pool,
                                 TimePoint Now);
   void dispatch(RequestRow &Row, ServicePool &Pool, NodeRun Owner,
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -93,7 +93,17 @@
 private:
   std::optional<OutcomeReason> refusalReason(const Dispatch &Attempt) const;
   Duration expectedWait(Priority Class) const;
+  /// Limit in force: while what runs has stalled, only trials start.
+  std::uint32_t limit() const;
+  bool stalled() const;
+  /// Sum of the times for which the running attempts have run, in µs.
+  double runningTime() const;
+  /// Service time to expect in µs; the time of running attempts counts as far
+  /// as it exceeds that of recent answers.
+  double expectedService() const;
   void startQueued(TimePoint Now, Actions &Out);
+  AdmittedAttempt
+  takeRunning(std::unordered_map<AttemptId, AdmittedAttempt>::iterator At);
   void end(const AdmittedAttempt &Row, DispatchReply Reply, TimePoint Now,
            Actions &Out);
   void endQueued(const AdmittedAttempt &Row, OutcomeReason Reason,
@@ -109,6 +119,11 @@
   TimePoint Latest;
   /// Smoothed service time in µs; 0 before the first answer.
   double ServiceTime = 0.0;
+  TimePoint LatestStart;
+  /// Time of the latest answer that took no longer than usual.
+  TimePoint LatestUsual;
+  /// Sum of the start times of the running attempts, in µs.
+  std::int64_t StartSum = 0;
   ConcurrencyLimit Limit;
   AdmissionQueue Queue;
   std::unordered_map<AttemptId, AdmittedAttempt> Running;
--- a/include/hyssopford/core/retry_budget.hpp
+++ b/include/hyssopford/core/retry_budget.hpp
@@ -16,7 +16,8 @@
   /// @param Settings share and burst
   explicit RetryBudget(const RoutingSettings &Settings)
       : PerRequest(Settings.ExtraPerThousand),
-        Capacity(Settings.ExtraBurst * PerToken), Level(Capacity) {}
+        Capacity(Settings.ExtraBurst * PerToken),
+        Level(Settings.ExtraStart * PerToken) {}
 
   /// @brief Adds the share of one original request.
   void fund() { Level = std::min(Capacity, Level + PerRequest); }
@@ -25,10 +26,13 @@
   /// @return false if the budget is spent
   bool takeRetry() { return take(PerToken); }
 
-  /// @brief Takes one token for a hedge. Half of the capacity stays reserved
+  /// @return whether a hedge may be sent. Half of the capacity stays reserved
   /// for retries, which settle requests that otherwise fail.
+  bool allowsHedge() const { return Level >= PerToken + Capacity / 2; }
+
+  /// @brief Takes one token for a hedge.
   /// @return false if too little is left
-  bool takeHedge() { return take(PerToken + Capacity / 2); }
+  bool takeHedge() { return allowsHedge() && take(PerToken); }
 
 private:
   /// One retry in thousandths, the unit of the level.
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -185,7 +185,11 @@
       break;
     case TimerKind::Hedge:
       Row.HedgeAt.reset();
-      hedge(Row, Now, Out);
+      if (Row.Idempotent) {
+        hedge(Row, Now, Out);
+      } else {
+        recall(Row, Now, Out);
+      }
       break;
     case TimerKind::LinkCheck:
       Row.LinkCheckAt.reset();
@@ -279,6 +283,21 @@
   }
 }
 
+void IngressSystem::recall(RequestRow &Row, TimePoint Now, Actions &Out) {
+  ServicePool *Pool = Table.find(Row.Service);
+  if (Pool == nullptr || Row.Open.size() != 1 || Row.Attempts >= Row.TryLimit ||
+      !Pool->Budget.allowsHedge() || !choose(Row, *Pool, Now)) {
+    return;
+  }
+  // A status query takes the attempt out of the owner's queue, and the retry
+  // that follows is safe. An attempt that runs already is left alone.
+  const std::uint64_t Sequence = Row.Open.front();
+  const NodeRun Owner = Attempts.at(Sequence).Owner;
+  ++Counters.Recalls;
+  Out.emplace_back(SendToPeer{
+      Owner.Node, StatusQuery{AttemptId{Self, Sequence}, Owner.Run}});
+}
+
 std::optional<NodeRun> IngressSystem::choose(const RequestRow &Row,
                                              ServicePool &Pool, TimePoint Now) {
   const bool FirstTry = Row.Attempts == 0 && !Row.Request.IsExtra;
@@ -321,7 +340,7 @@
   Out.emplace_back(SendToPeer{Owner.Node, std::move(Message)});
   const Duration HedgeDelay =
       std::max(Pool.HedgeDelay.value(), Settings.HedgeFloor);
-  if (Row.Attempts == 1 && Row.Idempotent && !IsExtra && Row.TryLimit > 1 &&
+  if (Row.Attempts == 1 && !IsExtra && Row.TryLimit > 1 &&
       Settings.HedgeQuantile < 1.0 && Pool.HedgeDelay.value() > Duration{0} &&
       Now + HedgeDelay < Row.Deadline) {
     Row.HedgeAt = Now + HedgeDelay;
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -9,7 +9,15 @@
 
 /// Weight of a new answer in the smoothed service time.
 constexpr double ServiceTimeWeight = 0.125;
-/// Time between two looks at the limit of a cold upstream with a queue.
+/// The running attempts have stalled when they have run, all together, longer
+/// than this many service times each, and one more. The mean of a running
+/// attempt is below one service time unless the times spread very widely.
+constexpr double StallFactor = 2.0;
+/// While the upstream has stalled, one attempt per this many service times
+/// starts, so that a single long request never blocks the others for long.
+constexpr double StallTrial = 4.0;
+/// Time between two looks at the limit of a cold or stalled upstream with a
+/// queue.
 constexpr Duration RampStep = 20ms;
 constexpr std::uint64_t QueueSpanSeed = 1;
 constexpr std::uint64_t UpstreamSpanSeed = 2;
@@ -18,6 +26,10 @@
   return hashPair(std::hash<AttemptId>{}(Attempt), Seed);
 }
 
+Duration times(double Micros, double Factor) {
+  return Duration(static_cast<std::int64_t>(Micros * Factor));
+}
+
 DispatchReply endOf(const AttemptId &Attempt, Outcome Result,
                     OutcomeReason Reason) {
   DispatchReply Reply;
@@ -127,13 +139,15 @@
     return;
   }
   const auto InFlight = static_cast<std::uint32_t>(Running.size());
-  const AdmittedAttempt Row = std::move(Found->second);
-  Running.erase(Found);
+  const AdmittedAttempt Row = takeRunning(Found);
   if (Answer.Shedding) {
     Limit.shed(Now);
   } else {
     const Duration Elapsed = Now - Row.Started;
     const auto Micros = static_cast<double>(Elapsed.count());
+    if (Micros <= ServiceTime * StallFactor) {
+      LatestUsual = Now;
+    }
     ServiceTime = ServiceTime == 0.0 ? Micros
                                      : ServiceTime + ServiceTimeWeight *
                                                          (Micros - ServiceTime);
@@ -153,8 +167,7 @@
   if (Found == Running.end()) {
     return;
   }
-  const AdmittedAttempt Row = std::move(Found->second);
-  Running.erase(Found);
+  const AdmittedAttempt Row = takeRunning(Found);
   end(Row,
       endOf(Failure.Attempt,
             Failure.BytesSent ? Outcome::Unknown : Outcome::NotRun,
@@ -212,7 +225,7 @@
 
 std::optional<TimePoint> OwnerSystem::nextWakeup() const {
   std::optional<TimePoint> Next = Queue.nextDeadline();
-  if (Next && Limit.ramping(Latest)) {
+  if (Next && (Limit.ramping(Latest) || stalled())) {
     Next = std::min(*Next, Latest + RampStep);
   }
   return Next;
@@ -223,7 +236,7 @@
                     static_cast<std::uint32_t>(Running.size()),
                     static_cast<std::uint32_t>(Queue.size()),
                     Limit.value(Latest),
-                    Duration(static_cast<std::int64_t>(ServiceTime)),
+                    Duration(static_cast<std::int64_t>(expectedService())),
                     Duration{0}};
 }
 
@@ -253,7 +266,7 @@
     return std::nullopt;
   }
   const Duration Wait = expectedWait(Attempt.Class);
-  const Duration Service(static_cast<std::int64_t>(ServiceTime));
+  const Duration Service(static_cast<std::int64_t>(expectedService()));
   if (Wait + Service > Attempt.Remaining) {
     return OutcomeReason::DeadlineTooClose;
   }
@@ -265,17 +278,57 @@
 }
 
 Duration OwnerSystem::expectedWait(Priority Class) const {
-  const std::uint32_t Slots = Limit.value(Latest);
+  const std::uint32_t Slots = limit();
   if (Queue.size() == 0 && Running.size() < Slots) {
     return Duration{0};
   }
   const auto Ahead = static_cast<double>(Queue.ahead(Class) + 1);
-  return Duration(static_cast<std::int64_t>(Ahead * ServiceTime / Slots));
+  return Duration(static_cast<std::int64_t>(Ahead * expectedService() / Slots));
+}
+
+std::uint32_t OwnerSystem::limit() const {
+  const std::uint32_t Adapted = Limit.value(Latest);
+  if (!Settings.AdaptiveLimit || !stalled()) {
+    return Adapted;
+  }
+  const auto Count = static_cast<std::uint32_t>(Running.size());
+  const bool TrialDue = Latest >= LatestStart + times(ServiceTime, StallTrial);
+  return std::min(Adapted, Count + (TrialDue ? 1 : 0));
+}
+
+bool OwnerSystem::stalled() const {
+  const double Usual = ServiceTime * StallFactor;
+  const auto Count = static_cast<double>(Running.size());
+  // Usual answers show that only some long requests are at work.
+  return Count > 0 && ServiceTime > 0.0 &&
+         runningTime() > Usual * (Count + 1.0) &&
+         Latest > LatestUsual + times(ServiceTime, StallFactor);
+}
+
+double OwnerSystem::runningTime() const {
+  const std::int64_t Now = Latest.time_since_epoch().count();
+  return static_cast<double>(Now * static_cast<std::int64_t>(Running.size()) -
+                             StartSum);
+}
+
+double OwnerSystem::expectedService() const {
+  return Running.empty()
+             ? ServiceTime
+             : std::max(ServiceTime,
+                        runningTime() / static_cast<double>(Running.size()));
+}
+
+AdmittedAttempt OwnerSystem::takeRunning(
+    std::unordered_map<AttemptId, AdmittedAttempt>::iterator At) {
+  AdmittedAttempt Row = std::move(At->second);
+  Running.erase(At);
+  StartSum -= Row.Started.time_since_epoch().count();
+  return Row;
 }
 
 void OwnerSystem::startQueued(TimePoint Now, Actions &Out) {
   Latest = Now;
-  while (Running.size() < Limit.value(Now)) {
+  while (Running.size() < limit()) {
     std::optional<AdmittedAttempt> Row = Queue.pop();
     if (!Row) {
       return;
@@ -285,6 +338,8 @@
       continue;
     }
     Row->Started = Now;
+    LatestStart = Now;
+    StartSum += Now.time_since_epoch().count();
     const Dispatch &Attempt = Row->Attempt;
     const AttemptId Id = Attempt.Attempt;
     reportSpan(*Row, SpanKind::Queue, Row->Arrived, Now,
--- a/tests/core/owner_system_test.cpp
+++ b/tests/core/owner_system_test.cpp
@@ -95,6 +95,17 @@
     REQUIRE(Test.reply().Reason == OutcomeReason::DeadlineExceeded);
     REQUIRE(Test.reply().Result == Outcome::NotRun);
   }
+  SECTION("a stall slows further starts and shows in the report") {
+    Test.Owner.announce({"seats", 4, UpstreamState::Serving}, at(10ms),
+                        Test.Out);
+    REQUIRE(Test.Owner.load().InFlight == 3);
+    Test.admit(dispatchOf(5), 45ms);
+    REQUIRE(Test.Owner.load().InFlight == 3);
+    REQUIRE(Test.Owner.load().Queued == 1);
+    REQUIRE(Test.Owner.load().ServiceTime == 35ms);
+    Test.Owner.tick(at(90ms), Test.Out);
+    REQUIRE(Test.Owner.load().InFlight == 4);
+  }
   SECTION("neither class starves") {
     for (std::uint64_t Sequence = 10; Sequence < 18; ++Sequence) {
       Test.admit(dispatchOf(Sequence, Priority::High), 10ms);
