--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -15,9 +15,6 @@
   std::uint32_t Samples = 3;
   /// Age at which a load report has half its weight; 0 disables ageing.
   Duration ReportHalfLife = 10ms;
-  /// Age at which a reported service time has a quarter of its weight; 0
-  /// disables ageing. A machine stays slow for longer than a queue stays long.
-  Duration ServiceHalfLife = 100ms;
   /// Weight of the round trip in the score; 0 disables it.
   double LocalityWeight = 1.0;
   /// Round trip assumed for a failure domain before it was measured.
--- a/src/core/estimated_delay_policy.cpp
+++ b/src/core/estimated_delay_policy.cpp
@@ -93,13 +93,9 @@
   const double MeanService =
       Input.Mean.ServiceTime > 0.0 ? Input.Mean.ServiceTime : FirstServiceTime;
   const double OwnService = micros(View.Report.ServiceTime);
-  const double Trust =
-      HasReport ? ageWeight(Age, Settings.ServiceHalfLife) : 0.0;
-  const double ServiceWeight = Trust * Trust;
   const double Service =
-      OwnService > 0.0
-          ? ServiceWeight * OwnService + (1.0 - ServiceWeight) * MeanService
-          : MeanService;
+      OwnService > 0.0 ? Weight * OwnService + (1.0 - Weight) * MeanService
+                       : MeanService;
   // The requests that came and went since the report make the load uncertain.
   const double Turnover = std::min(1.0, micros(Age) / Service);
   const double Variance = 1.0 + 2.0 * Load * Turnover;
