Ignore the noise of reported service times and compare one more sample

The mean of eight answers varies by some 15 %, and all ingress nodes followed the upstream that was merely lucky. Only a service time above 1.25 times the mean counts now. Stalls are found after 1.5 instead of 2 service times, and the profiles compare 4 and 3 instead of 3 and 2 candidates.

--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -12,7 +12,7 @@
 /// @brief Constants of the choice of upstreams, of retries and of hedges.
 struct RoutingSettings {
   /// Candidates compared for one choice.
-  std::uint32_t Samples = 3;
+  std::uint32_t Samples = 4;
   /// Age at which a load report has half its weight; 0 disables ageing.
   Duration ReportHalfLife = 10ms;
   /// Weight of the round trip in the score; 0 disables it.
@@ -117,7 +117,7 @@
 /// @return the settings of deployment B
 inline DecisionSettings costProfile() {
   DecisionSettings Settings;
-  Settings.Routing.Samples = 2;
+  Settings.Routing.Samples = 3;
   Settings.Routing.HedgeQuantile = 0.98;
   Settings.Routing.ExtraPerThousand = 45;
   Settings.Admission.QueueDelayMax = 60ms;
--- a/src/core/estimated_delay_policy.cpp
+++ b/src/core/estimated_delay_policy.cpp
@@ -13,6 +13,9 @@
 /// Attempts added to own outstanding ones before they are compared, so that
 /// small numbers don't count as large ratios.
 constexpr double OutstandingPrior = 1.0;
+/// A reported service time below this multiple of the mean is taken as noise:
+/// it would draw requests to upstreams that were merely lucky.
+constexpr double ServiceNoise = 1.25;
 /// Multiple of the expected time after which a missing reply counts.
 constexpr double OverdueFactor = 2.0;
 
@@ -93,9 +96,9 @@
   const double MeanService =
       Input.Mean.ServiceTime > 0.0 ? Input.Mean.ServiceTime : FirstServiceTime;
   const double OwnService = micros(View.Report.ServiceTime);
-  const double Service =
-      OwnService > 0.0 ? Weight * OwnService + (1.0 - Weight) * MeanService
-                       : MeanService;
+  const bool IsSlower = OwnService > ServiceNoise * MeanService;
+  const double Slower = IsSlower ? OwnService - MeanService : 0.0;
+  const double Service = MeanService + Weight * Slower;
   // The requests that came and went since the report make the load uncertain.
   const double Turnover = std::min(1.0, micros(Age) / Service);
   const double Variance = 1.0 + 2.0 * Load * Turnover;
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -12,7 +12,7 @@
 /// The running attempts have stalled when they have run, all together, longer
 /// than this many service times each, and one more. The mean of a running
 /// attempt is below one service time unless the times spread very widely.
-constexpr double StallFactor = 2.0;
+constexpr double StallFactor = 1.5;
 /// While the upstream has stalled, one attempt per this many service times
 /// starts, so that a single long request never blocks the others for long.
 constexpr double StallTrial = 4.0;
