--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -19,6 +19,8 @@
 /// Time between two looks at the limit of a cold or stalled upstream with a
 /// queue.
 constexpr Duration RampStep = 20ms;
+/// Lowest HTTP status that counts as a failure of the upstream.
+constexpr std::uint16_t FirstServerError = 500;
 constexpr std::uint64_t QueueSpanSeed = 1;
 constexpr std::uint64_t UpstreamSpanSeed = 2;
 
@@ -142,7 +144,8 @@
   const AdmittedAttempt Row = takeRunning(Found);
   if (Answer.Shedding) {
     Limit.shed(Now);
-  } else {
+  } else if (Answer.Status < FirstServerError) {
+    // A fast failure says nothing of the time that a good answer takes.
     const Duration Elapsed = Now - Row.Started;
     const auto Micros = static_cast<double>(Elapsed.count());
     if (Micros <= ServiceTime * StallFactor) {
--- a/tests/core/owner_system_test.cpp
+++ b/tests/core/owner_system_test.cpp
@@ -90,6 +90,11 @@
     REQUIRE(Refusal == OutcomeReason::QueueFull);
     REQUIRE(Test.Owner.load().Queued == 20);
   }
+  SECTION("fast failures don't shorten the service time") {
+    Test.Owner.answered({AttemptId{nodeRun(9), 2}, 500, Payload(), false},
+                        at(10ms), Test.Out);
+    REQUIRE(Test.Owner.load().ServiceTime == 10ms);
+  }
   SECTION("a queued attempt ends at its deadline") {
     Test.Owner.tick(*Test.Owner.nextWakeup(), Test.Out);
     REQUIRE(Test.reply().Reason == OutcomeReason::DeadlineExceeded);
--- a/tools/experiment/conditions.cpp
+++ b/tools/experiment/conditions.cpp
@@ -131,8 +131,12 @@
              [&Victim, Cores] { Victim.Upstream->setSpeed(1.0, Cores); });
     break;
   case Condition::FailFast:
-    Time.add(Quarter, [&Victim] { Victim.Upstream->setFailing(true); });
-    Time.add(ThreeQuarters, [&Victim] { Victim.Upstream->setFailing(false); });
+    Time.add(Quarter, [&Victim] { Victim.Upstream->setFailing(1); });
+    Time.add(ThreeQuarters, [&Victim] { Victim.Upstream->setFailing(0); });
+    break;
+  case Condition::Flaky:
+    Time.add(Quarter, [&Victim] { Victim.Upstream->setFailing(3); });
+    Time.add(ThreeQuarters, [&Victim] { Victim.Upstream->setFailing(0); });
     break;
   case Condition::ColdStart:
     scheduleColdStart(Target, Quarter);
--- a/tools/experiment/fake_upstream.cpp
+++ b/tools/experiment/fake_upstream.cpp
@@ -19,7 +19,7 @@
     : Time(Queue), Done(std::move(Ended)), Cores(Slots) {}
 
 void FakeUpstream::start(AttemptId Attempt, Duration Work) {
-  if (Failing) {
+  if (failing() && ++Starts % FailEvery == 0) {
     failFast(Attempt);
     return;
   }
@@ -30,7 +30,7 @@
 }
 
 void FakeUpstream::startProbe(Duration Work) {
-  if (Failing) {
+  if (FailEvery == 1) {
     Time.add(Time.now() + FailTime, [this] {
       Done(ProbeFinished{false, FailTime});
     });
--- a/tools/experiment/fake_upstream.hpp
+++ b/tools/experiment/fake_upstream.hpp
@@ -42,15 +42,15 @@
   /// @param CoreCount requests that run at that speed at once
   void setSpeed(double SlowFactor, double CoreCount);
 
-  /// @brief Makes all requests fail fast, or stops it.
-  void setFailing(bool Fails) { Failing = Fails; }
+  /// @brief Makes every n-th request fail fast; 0 stops it.
+  void setFailing(std::uint32_t Every) { FailEvery = Every; }
 
   /// @return how many times longer a request takes now
   double slowdown() const { return Slow; }
   /// @return requests that run at once without slowing each other down
   double cores() const { return Cores; }
-  /// @return whether all requests fail
-  bool failing() const { return Failing; }
+  /// @return whether some or all requests fail
+  bool failing() const { return FailEvery != 0; }
 
 private:
   struct Job {
@@ -71,7 +71,8 @@
   Sink Done;
   double Slow = 1.0;
   double Cores = 1.0;
-  bool Failing = false;
+  std::uint32_t FailEvery = 0;
+  std::uint64_t Starts = 0;
   std::uint64_t Failures = 0;
   std::uint64_t Generation = 0;
   TimePoint Advanced;
--- a/tools/experiment/main.cpp
+++ b/tools/experiment/main.cpp
@@ -1,5 +1,6 @@
 /// @file
 /// @brief hyssopford-experiment: compares selection policies in virtual time.
+#include "chain.hpp"
 #include "report.hpp"
 
 #include <fmt/format.h>
@@ -79,7 +80,13 @@
   TCLAP::SwitchArg Ablate("", "ablations", "switch off one mechanism at a time",
                           Line);
   TCLAP::SwitchArg Brief("", "brief", "objectives only, no table", Line);
+  TCLAP::SwitchArg Chains("", "chains", "attempts in call chains 13 deep only",
+                          Line);
   Line.parse(Count, Arguments);
+  if (Chains.getValue()) {
+    fmt::print("{}", chainTable());
+    return 0;
+  }
   const std::vector<Cell> Cells =
       Ablate.getValue()
           ? ablationCells()
--- a/tools/experiment/scenario.cpp
+++ b/tools/experiment/scenario.cpp
@@ -36,11 +36,11 @@
 }
 
 std::vector<Condition> conditions() {
-  return {Condition::Calm,           Condition::Straggler,
-          Condition::NoisyNeighbour, Condition::FailFast,
-          Condition::ColdStart,      Condition::Drain,
-          Condition::DomainLoss,     Condition::Reports5,
-          Condition::Reports50,      Condition::Reports500};
+  return {
+      Condition::Calm,      Condition::Straggler,  Condition::NoisyNeighbour,
+      Condition::FailFast,  Condition::Flaky,      Condition::ColdStart,
+      Condition::Drain,     Condition::DomainLoss, Condition::Reports5,
+      Condition::Reports50, Condition::Reports500};
 }
 
 std::vector<Variant> policies() {
@@ -79,6 +79,8 @@
     return "noisy-neighbour";
   case Condition::FailFast:
     return "fail-fast";
+  case Condition::Flaky:
+    return "flaky";
   case Condition::ColdStart:
     return "cold-start";
   case Condition::Drain:
--- a/tools/experiment/scenario.hpp
+++ b/tools/experiment/scenario.hpp
@@ -46,6 +46,8 @@
   NoisyNeighbour,
   /// One instance fails all requests within 200 µs in the middle half.
   FailFast,
+  /// One instance fails every third request within 200 µs in the middle half.
+  Flaky,
   /// An additional instance joins, 5 times slower at first.
   ColdStart,
   /// One instance drains.
