--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -2,6 +2,7 @@
 /// @brief Inputs of the decision core.
 #pragma once
 
+#include "hyssopford/core/config_event.hpp"
 #include "hyssopford/core/ids.hpp"
 #include "hyssopford/core/member.hpp"
 #include "hyssopford/core/message.hpp"
@@ -36,6 +37,10 @@
   std::uint64_t BodySize = 0;
   /// True if the request is, at an earlier hop, a retry or a hedge.
   bool IsExtra = false;
+  /// True if the request is served although the node is shutting down: it
+  /// began to arrive before, or belongs to one that the upstream on this VM is
+  /// still running.
+  bool ServeInShutdown = false;
   TraceContext Trace;
   /// The request in the form in which upstreams get it.
   Payload Request;
@@ -141,9 +146,10 @@
 };
 
 /// @brief Any input of the core.
-using Event = std::variant<CallerRequest, CallerGone, PeerLinkUp, PeerLinkDown,
-                           PeerMessageReceived, UpstreamAnswered,
-                           UpstreamFailed, UpstreamAnnounced, UpstreamGone,
-                           ProbeFinished, StoreReplied, ShutdownRequested>;
+using Event =
+    std::variant<CallerRequest, CallerGone, PeerLinkUp, PeerLinkDown,
+                 PeerMessageReceived, UpstreamAnswered, UpstreamFailed,
+                 UpstreamAnnounced, UpstreamGone, ProbeFinished, StoreReplied,
+                 ShutdownRequested, PatchSubmitted, HistoryRequested>;
 
 } // namespace hyssopford
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -3,12 +3,16 @@
 #pragma once
 
 #include "hyssopford/core/action.hpp"
+#include "hyssopford/core/config_system.hpp"
 #include "hyssopford/core/decision_settings.hpp"
+#include "hyssopford/core/directory_system.hpp"
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/ingress_system.hpp"
+#include "hyssopford/core/key_system.hpp"
 #include "hyssopford/core/membership_system.hpp"
 #include "hyssopford/core/owner_system.hpp"
 #include "hyssopford/core/probe_system.hpp"
+#include "hyssopford/core/quarantine_system.hpp"
 #include "hyssopford/core/random_source.hpp"
 #include "hyssopford/core/routing_config.hpp"
 
@@ -33,6 +37,8 @@
   std::uint64_t Seed = 1;
   /// Constants of routing, admission and probing.
   DecisionSettings Decisions;
+  /// Limits of idempotency keys.
+  KeySettings Keys;
 
   friend bool operator==(const NodeCoreSettings &,
                          const NodeCoreSettings &) = default;
@@ -46,7 +52,10 @@
   /// @{
 
   /// @param Settings what the core must know of its node
-  explicit NodeCore(const NodeCoreSettings &Settings);
+  /// @param Codec the JSON form of the configuration; without one the
+  /// configuration comes only through adopt
+  explicit NodeCore(const NodeCoreSettings &Settings,
+                    const ConfigCodec *Codec = nullptr);
   NodeCore(const NodeCore &) = delete;
   NodeCore &operator=(const NodeCore &) = delete;
   /// @}
@@ -85,9 +94,22 @@
   const RoutingConfig &config() const { return Config; }
 
   const IngressSystem &ingress() const { return Ingress; }
+  const KeySystem &keys() const { return Keys; }
+  const QuarantineSystem &quarantine() const { return Quarantine; }
   const OwnerSystem &owner() const { return Owner; }
   const ProbeSystem &probes() const { return Probes; }
   const MembershipSystem &membership() const { return Membership; }
+
+  /// @return the configuration system, or nullptr without a codec
+  const ConfigSystem *configSystem() const {
+    return Configs ? &*Configs : nullptr;
+  }
+
+  /// @return the incarnation with which the node has to start again after
+  /// ShutdownComplete, if a dead run of it had a higher one
+  std::optional<Incarnation> requiredRun() const {
+    return Membership.requiredRun();
+  }
   /// @}
 
 private:
@@ -103,6 +125,8 @@
   void on(const ProbeFinished &Input, TimePoint Now, Actions &Out);
   void on(const StoreReplied &Input, TimePoint Now, Actions &Out);
   void on(const ShutdownRequested &Input, TimePoint Now, Actions &Out);
+  void on(const PatchSubmitted &Input, TimePoint Now, Actions &Out);
+  void on(const HistoryRequested &Input, TimePoint Now, Actions &Out);
 
   void receive(NodeRun From, const Dispatch &Message, TimePoint Now,
                Actions &Out);
@@ -114,21 +138,36 @@
                Actions &Out);
   void receive(NodeRun From, const StatusReply &Message, TimePoint Now,
                Actions &Out);
-  void receive(NodeRun From, const Gossip &Message, TimePoint Now,
+  void receive(NodeRun From, const QuarantineNotice &Message, TimePoint Now,
+               Actions &Out);
+  /// Takes a message of membership, configuration or idempotency keys.
+  template <typename Message>
+  void receive(NodeRun From, const Message &Received, TimePoint Now,
                Actions &Out);
 
   /// Delivers messages that a system addressed to this node itself.
   void deliverLocal(TimePoint Now, Actions &Produced, Actions &Out);
+  /// Starts requests whose keys were granted, and passes attempts on to the
+  /// owner that the quarantine lets through.
+  void startReleased(TimePoint Now, Actions &Out);
+  /// Passes news between the systems after each input.
+  void connectSystems(TimePoint Now, Actions &Out);
   void refreshCandidates();
+  void refreshDuties(TimePoint Now);
 
   NodeRun Self;
   SeededRandomSource Random;
   RoutingConfig Config;
   MembershipSystem Membership;
+  DirectorySystem Directory;
+  std::optional<ConfigSystem> Configs;
   IngressSystem Ingress;
   OwnerSystem Owner;
   ProbeSystem Probes;
+  KeySystem Keys;
+  QuarantineSystem Quarantine;
   std::uint64_t CandidateRevision = 0;
+  std::uint64_t DutyRevision = 0;
   bool ShuttingDown = false;
   bool ShutdownReported = false;
 };
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -39,7 +39,9 @@
   /// @brief Starts, queues or refuses an attempt. A duplicate of a finished
   /// attempt gets the same reply; one of a queued or running attempt, or of
   /// one that may have been forgotten, is never run.
-  void admit(NodeId From, const Dispatch &Attempt, TimePoint Now, Actions &Out);
+  /// @param Refusal reason for which a new attempt is refused; None to admit
+  void admit(NodeId From, const Dispatch &Attempt, TimePoint Now, Actions &Out,
+             OutcomeReason Refusal = OutcomeReason::None);
 
   /// @brief Drops an attempt that nobody waits for.
   void cancel(AttemptId Attempt, TimePoint Now, Actions &Out);
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -1,6 +1,7 @@
 #include "hyssopford/core/ingress_system.hpp"
 
 #include "hyssopford/core/estimated_delay_policy.hpp"
+#include "hyssopford/core/fingerprint.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -18,13 +19,6 @@
 /// Lowest HTTP status that counts as a failure of the upstream.
 constexpr std::uint16_t FirstServerError = 500;
 
-std::uint64_t fingerprintOf(const CallerRequest &Request,
-                            const Route &Matched) {
-  const std::uint64_t RouteHash = hashBytes(Matched.Name);
-  return hashPair(hashPair(RouteHash, hashBytes(Request.Method)),
-                  Request.BodyHash);
-}
-
 /// The owner takes no attempt of this service in this run any more.
 bool closesCandidate(OutcomeReason Reason) {
   return Reason == OutcomeReason::Draining ||
@@ -241,8 +235,10 @@
       settle(Row, Outcome::NotRun, Reason, Now, Out);
     }
   };
+  // A request that is suspected of crashing upstreams is not sent to another.
   const bool MayRunAgain =
-      Row.Idempotent || (!Row.MayHaveRun && Row.Open.empty());
+      Row.LastReason != OutcomeReason::Quarantined &&
+      (Row.Idempotent || (!Row.MayHaveRun && Row.Open.empty()));
   if (!MayRunAgain) {
     GiveUp(Row.LastReason);
     return;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -1,7 +1,12 @@
 #include "hyssopford/core/node_core.hpp"
+#include "hyssopford/core/error_codes.hpp"
+
+#include "hyssopford/core/fingerprint.hpp"
+#include "hyssopford/core/site_duties.hpp"
 
 #include <algorithm>
 #include <initializer_list>
+#include <set>
 #include <utility>
 
 namespace hyssopford {
@@ -27,33 +32,48 @@
 
 } // namespace
 
-NodeCore::NodeCore(const NodeCoreSettings &Settings)
+NodeCore::NodeCore(const NodeCoreSettings &Settings, const ConfigCodec *Codec)
     : Self{nodeIdOf(Settings.Address), Settings.Run}, Random(Settings.Seed),
       Membership(ownRecord(Settings, Self), Settings.Seeds, Random),
+      Directory(Settings.Address, Random),
       Ingress(Self, Random, Settings.Decisions.Routing, Settings.Region),
       Owner(Self, Settings.Decisions.Admission),
-      Probes(Settings.Decisions.Probing) {
+      Probes(Settings.Decisions.Probing), Keys(Self, Settings.Keys, Random),
+      Quarantine(Self, Random) {
+  if (Codec != nullptr) {
+    Configs.emplace(*Codec, Random);
+  }
   Actions None;
   Ingress.linkUp(Self, TimePoint{}, None);
 }
 
 void NodeCore::handle(const Event &Input, TimePoint Now, Actions &Out) {
   Actions Produced;
+  Membership.noteTime(Now, Produced);
   std::visit([&](const auto &Each) { on(Each, Now, Produced); }, Input);
+  connectSystems(Now, Produced);
   deliverLocal(Now, Produced, Out);
-  refreshCandidates();
 }
 
 void NodeCore::tick(TimePoint Now, Actions &Out) {
   Actions Produced;
+  Membership.noteTime(Now, Produced);
   Ingress.tick(Now, Produced);
   Owner.tick(Now, Produced);
   Probes.tick(Now, Produced);
   Membership.tick(Now, Produced);
+  Quarantine.tick(Now, Produced);
+  Keys.tick(Membership.members(), Config, Now, Produced);
+  Directory.tick(Now, Produced);
+  if (Configs) {
+    Configs->tick(Now, Produced);
+  }
+  connectSystems(Now, Produced);
   deliverLocal(Now, Produced, Out);
-  refreshCandidates();
-  if (ShuttingDown && !ShutdownReported && Owner.inFlight() == 0 &&
-      Ingress.inFlight() == 0) {
+  // A run that another one supersedes ends only if it may start again.
+  const bool MayEnd = !Membership.superseded() || Membership.requiredRun();
+  if (ShuttingDown && MayEnd && !ShutdownReported && Owner.inFlight() == 0 &&
+      Ingress.inFlight() == 0 && Keys.idle()) {
     ShutdownReported = true;
     Out.emplace_back(ShutdownComplete{});
   }
@@ -64,6 +84,8 @@
     return false;
   }
   Config = std::move(NewConfig);
+  Quarantine.adopt(Config);
+  Membership.setConfigVersion(Config.Version);
   CandidateRevision = 0;
   refreshCandidates();
   return true;
@@ -73,7 +95,9 @@
   std::optional<TimePoint> Next;
   for (const std::optional<TimePoint> &Each :
        {Ingress.nextWakeup(), Owner.nextWakeup(), Probes.nextWakeup(),
-        Membership.nextWakeup()}) {
+        Membership.nextWakeup(), Directory.nextWakeup(), Keys.nextWakeup(),
+        Quarantine.nextWakeup(),
+        Configs ? Configs->nextWakeup() : std::nullopt}) {
     if (Each && (!Next || *Each < *Next)) {
       Next = Each;
     }
@@ -82,7 +106,7 @@
 }
 
 void NodeCore::on(const CallerRequest &Input, TimePoint Now, Actions &Out) {
-  if (ShuttingDown) {
+  if (ShuttingDown && !Input.ServeInShutdown) {
     Out.emplace_back(refusal(Input.Id, OutcomeReason::ShuttingDown));
     return;
   }
@@ -92,21 +116,44 @@
     Out.emplace_back(refusal(Input.Id, OutcomeReason::NoRoute));
     return;
   }
-  Ingress.start(Input, *Matched, Now, Out);
+  const std::uint64_t Fingerprint = fingerprintOf(Input, *Matched);
+  if (Quarantine.isQuarantined(Fingerprint, Now)) {
+    Out.emplace_back(refusal(Input.Id, OutcomeReason::Quarantined));
+    return;
+  }
+  Route Limited = *Matched;
+  if (Quarantine.isSuspect(Fingerprint, Now)) {
+    Limited.TryLimit = 1;
+  }
+  if (!Keys.begin(Input, Limited, Now, Out)) {
+    Ingress.start(Input, Limited, Now, Out);
+  }
 }
 
 void NodeCore::on(const CallerGone &Input, TimePoint Now, Actions &Out) {
-  Ingress.cancel(Input.Id, Now, Out);
+  if (!Keys.callerGone(Input.Id, Now, Out)) {
+    Ingress.cancel(Input.Id, Now, Out);
+  }
 }
 
 void NodeCore::on(const PeerLinkUp &Input, TimePoint Now, Actions &Out) {
   Membership.linkUp(Input.Peer, Now, Out);
+  if (Configs) {
+    Configs->linkUp(Input.Peer, Now, Out);
+  }
   Ingress.linkUp(Input.Peer, Now, Out);
+  Keys.linkUp(Input.Peer, Now, Out);
+  Quarantine.linkUp(Input.Peer, Now, Out);
 }
 
 void NodeCore::on(const PeerLinkDown &Input, TimePoint Now, Actions &Out) {
   Membership.linkDown(Input.Peer, Now, Out);
+  if (Configs) {
+    Configs->linkDown(Input.Peer);
+  }
   Ingress.linkDown(Input.Peer, Now, Out);
+  Keys.linkDown(Input.Peer);
+  Quarantine.linkDown(Input.Peer);
 }
 
 void NodeCore::on(const PeerMessageReceived &Input, TimePoint Now,
@@ -122,6 +169,7 @@
 }
 
 void NodeCore::on(const UpstreamFailed &Input, TimePoint Now, Actions &Out) {
+  Quarantine.failed(Input, Now, Out);
   Owner.failed(Input, Now, Out);
   if (isUpstreamFault(Input.Reason)) {
     Probes.observe(false, Now);
@@ -136,6 +184,7 @@
 }
 
 void NodeCore::on(const UpstreamGone &Input, TimePoint Now, Actions &Out) {
+  Quarantine.gone(Input, Now, Out);
   Owner.withdraw(Input, Now, Out);
   Probes.withdraw();
   Membership.setUpstream(UpstreamAnnounced{"", 0, UpstreamState::None}, Now,
@@ -147,19 +196,53 @@
   Owner.suspect(Probes.suspected(), Now, Out);
 }
 
-void NodeCore::on(const StoreReplied & /*Input*/, TimePoint /*Now*/,
-                  Actions & /*Out*/) {}
+void NodeCore::on(const StoreReplied &Input, TimePoint Now, Actions &Out) {
+  Keys.receive(Input, Now, Out);
+  Directory.receive(Input, Now);
+  if (Configs) {
+    Configs->receive(Input, Now, Out);
+  }
+}
+
+void NodeCore::on(const PatchSubmitted &Input, TimePoint Now, Actions &Out) {
+  if (Configs) {
+    Configs->submit(Input, Now, Out);
+    return;
+  }
+  Out.emplace_back(
+      PatchResult{Input.Request,
+                  Input.PatchId,
+                  PatchStatus::Rejected,
+                  Config.Version,
+                  Input.DryRun,
+                  {Error{numberOf(ErrorCode::StoreUnavailable), "config.store",
+                         "", "this node has no access to the configuration"}}});
+}
+
+void NodeCore::on(const HistoryRequested &Input, TimePoint Now, Actions &Out) {
+  if (Configs) {
+    Configs->requestHistory(Input, Now, Out);
+    return;
+  }
+  HistoryResult Answer;
+  Answer.Request = Input.Request;
+  Answer.Errors.push_back(
+      Error{numberOf(ErrorCode::StoreUnavailable), "config.store", "",
+            "this node has no access to the configuration"});
+  Out.emplace_back(std::move(Answer));
+}
 
 void NodeCore::on(const ShutdownRequested & /*Input*/, TimePoint Now,
                   Actions &Out) {
   ShuttingDown = true;
   Owner.drain();
   Membership.leave(Now, Out);
+  Keys.leave(Now);
 }
 
 void NodeCore::receive(NodeRun From, const Dispatch &Message, TimePoint Now,
-                       Actions &Out) {
-  Owner.admit(From.Node, Message, Now, Out);
+                       Actions & /*Out*/) {
+  Quarantine.dispatch(From, Message, Now);
 }
 
 void NodeCore::receive(NodeRun From, const DispatchReply &Message,
@@ -182,21 +265,95 @@
   Ingress.resolveStatus(Message, Now, Out);
 }
 
-void NodeCore::receive(NodeRun From, const Gossip &Message, TimePoint Now,
+template <typename Message>
+void NodeCore::receive(NodeRun From, const Message &Received, TimePoint Now,
                        Actions &Out) {
-  Membership.receive(From, Message, Now, Out);
+  if constexpr (requires { Membership.receive(From, Received, Now, Out); }) {
+    Membership.receive(From, Received, Now, Out);
+  } else if constexpr (requires { Keys.receive(From, Received, Now, Out); }) {
+    Keys.receive(From, Received, Now, Out);
+  } else if (Configs) {
+    Configs->receive(From, Received, Now, Out);
+  }
+  if constexpr (requires { Received.ConfigVersion; }) {
+    // Anti-entropy: pings reach random members.
+    if (Configs) {
+      Configs->receive(From, ConfigDigest{Received.ConfigVersion}, Now, Out);
+    }
+  }
+}
+
+void NodeCore::receive(NodeRun From, const QuarantineNotice &Message,
+                       TimePoint Now, Actions &Out) {
+  Quarantine.receive(From, Message, Now, Out);
 }
 
 void NodeCore::deliverLocal(TimePoint Now, Actions &Produced, Actions &Out) {
+  startReleased(Now, Produced);
   for (std::size_t Index = 0; Index < Produced.size(); ++Index) {
-    const auto *Message = std::get_if<SendToPeer>(&Produced[Index]);
+    // Handlers append to Produced, so nothing may refer into it.
+    Action Each = std::move(Produced[Index]);
+    if (const auto *Reply = std::get_if<ReplyToCaller>(&Each)) {
+      if (Keys.finish(*Reply, Now, Produced)) {
+        Out.push_back(std::move(Each));
+      }
+      continue;
+    }
+    if (const auto *Forward = std::get_if<ForwardToUpstream>(&Each)) {
+      Quarantine.started(Forward->Attempt);
+    }
+    auto *Message = std::get_if<SendToPeer>(&Each);
+    if (Message != nullptr) {
+      if (auto *Reply = std::get_if<DispatchReply>(&Message->Message)) {
+        Quarantine.ended(*Reply, Now, Produced);
+      }
+    }
     if (Message == nullptr || Message->To != Self.Node) {
-      Out.push_back(std::move(Produced[Index]));
+      Out.push_back(std::move(Each));
       continue;
     }
-    const PeerMessage Local = Message->Message;
-    std::visit([&](const auto &Each) { receive(Self, Each, Now, Produced); },
-               Local);
+    std::visit([&](const auto &Local) { receive(Self, Local, Now, Produced); },
+               Message->Message);
+    startReleased(Now, Produced);
+  }
+}
+
+void NodeCore::startReleased(TimePoint Now, Actions &Out) {
+  for (const ClaimedRequest &Each : Keys.takeClaimed()) {
+    Ingress.start(Each.Request, Each.Matched, Now, Out);
+  }
+  for (const GatedAttempt &Each : Quarantine.takeGated(Now)) {
+    Owner.admit(Each.From.Node, Each.Attempt, Now, Out, Each.Refusal);
+  }
+}
+
+void NodeCore::connectSystems(TimePoint Now, Actions &Out) {
+  if (Configs) {
+    if (auto Adopted = Configs->takeAdopted()) {
+      adopt(std::move(*Adopted));
+    }
+  }
+  Membership.addContacts(Directory.takeContacts());
+  Directory.setAlone(Membership.linkedPeers().empty(), Now);
+  refreshDuties(Now);
+  refreshCandidates();
+  if (Membership.superseded() && !ShuttingDown) {
+    ShuttingDown = true;
+    Owner.drain();
+    Out.emplace_back(Notice{"serving_stopped", {{"reason", "superseded"}}});
+  }
+}
+
+void NodeCore::refreshDuties(TimePoint Now) {
+  if (DutyRevision == Membership.revision()) {
+    return;
+  }
+  DutyRevision = Membership.revision();
+  SiteDuties Duties =
+      dutiesOf(Membership.members(), Self.Node, DirectorySystem::Slots);
+  Directory.setDuty(Duties.DirectorySlot, std::move(Duties.Contacts), Now);
+  if (Configs) {
+    Configs->setWatching(Duties.WatchesConfig, Now);
   }
 }
 
@@ -209,15 +366,23 @@
   for (const auto &[Id, Record] : Membership.members()) {
     const bool Drained = std::find(Config.Drains.begin(), Config.Drains.end(),
                                    Record.Address) != Config.Drains.end();
+    // A suspected member may get work: the ingress also needs a live link.
     const bool Offers = !Record.Service.empty() &&
                         Record.Upstream != UpstreamState::None &&
-                        Record.State == MemberState::Alive;
+                        (Record.State == MemberState::Alive ||
+                         Record.State == MemberState::Suspect);
     if (Offers && !Drained) {
       Candidates.push_back(Candidate{Record.Id, Record.Service,
                                      Record.FailureDomain, Record.Region,
                                      Record.Slots, Record.Upstream});
     }
   }
+  // The ingress sends to any candidate, so it needs a link to each of them.
+  std::set<NodeId> Needed;
+  for (const Candidate &Each : Candidates) {
+    Needed.insert(Each.Owner.Node);
+  }
+  Membership.setNeeded(std::move(Needed));
   Ingress.setCandidates(std::move(Candidates));
 }
 
