--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -178,6 +178,7 @@
   std::uint64_t DutyRevision = 0;
   std::optional<TimePoint> LastActive;
   std::optional<TimePoint> RefuseUntil;
+  std::uint64_t NeededRevision = 0;
   bool ShuttingDown = false;
   bool ShutdownReported = false;
 };
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <initializer_list>
-#include <set>
 #include <utility>
 
 namespace hyssopford {
@@ -244,6 +243,7 @@
 
 void NodeCore::receive(NodeRun From, const Dispatch &Message, TimePoint Now,
                        Actions & /*Out*/) {
+  Membership.noteTraffic(From.Node, Now);
   // The deadline of a frame that waited out a pause may be long over, and so
   // may the retention of its key.
   const bool MayBeOld = RefuseUntil && Now < *RefuseUntil && From != Self;
@@ -254,6 +254,7 @@
 
 void NodeCore::receive(NodeRun From, const DispatchReply &Message,
                        TimePoint Now, Actions &Out) {
+  Membership.noteTraffic(From.Node, Now);
   Ingress.finishAttempt(From.Node, Message, Now, Out);
 }
 
@@ -351,6 +352,10 @@
   Directory.setAlone(Membership.linkedPeers().empty(), Now);
   refreshDuties(Now);
   refreshCandidates();
+  if (NeededRevision != Ingress.neededRevision()) {
+    NeededRevision = Ingress.neededRevision();
+    Membership.setNeeded(Ingress.neededPeers());
+  }
   if (Membership.superseded() && !ShuttingDown) {
     ShuttingDown = true;
     Owner.drain();
@@ -391,12 +396,6 @@
                                      Record.Slots, Record.Upstream});
     }
   }
-  // The ingress sends to any candidate, so it needs a link to each of them.
-  std::set<NodeId> Needed;
-  for (const Candidate &Each : Candidates) {
-    Needed.insert(Each.Owner.Node);
-  }
-  Membership.setNeeded(std::move(Needed));
   Ingress.setCandidates(std::move(Candidates));
 }
 
