Test the HTTP reader and server with bad, slow and vanishing callers

Cause: refusals must not depend on how the network splits a request, and a refused request must reach no upstream.

--- /dev/null
+++ b/tests/net/http_reader_test.cpp
@@ -0,0 +1,112 @@
+/// @file
+/// @brief Tests of the HTTP reader with good messages.
+#include "hyssopford/net/http_reader.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssopford;
+
+namespace {
+
+using Progress = HttpReader::Progress;
+
+/// Reads on to the end of a message or of the bytes.
+Progress readOn(HttpReader &Reader) {
+  Progress Result = Progress::HeadReady;
+  while (Result == Progress::HeadReady) {
+    Result = Reader.advance();
+  }
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("HTTP requests are read", "[http]") {
+  HttpReader Reader(HttpReader::Kind::Request, HttpLimits());
+
+  SECTION("pipelined requests in any split") {
+    const std::string Bytes =
+        "POST /a?b=c HTTP/1.1\r\nHost: A.example:80\r\nContent-Length: "
+        "3\r\n\r\nxyz"
+        "\r\nGET /b HTTP/1.1\r\nHost: b\r\n\r\n"
+        "POST /c HTTP/1.1\r\nHost: c\r\ntransfer-encoding: Chunked\r\n\r\n"
+        "2;ext=1\r\nab\r\n03\r\ncde\r\n0\r\nTrailer: x\r\n\r\n";
+    for (std::size_t Step = 1; Step < Bytes.size(); Step += 3) {
+      HttpReader Each(HttpReader::Kind::Request, HttpLimits());
+      std::vector<std::string> Seen;
+      for (std::size_t At = 0; At < Bytes.size(); At += Step) {
+        Each.feed(std::string_view(Bytes).substr(At, Step));
+        while (readOn(Each) == Progress::Complete) {
+          Seen.push_back(Each.request().getMethod() + " " +
+                         Each.request().getURI() + " " + Each.facts().Host +
+                         " " + Each.body());
+          Each.next();
+        }
+      }
+      REQUIRE(Seen == std::vector<std::string>{"POST /a?b=c a.example xyz",
+                                               "GET /b b ", "POST /c c abcde"});
+    }
+  }
+  SECTION("absolute form: its authority replaces Host") {
+    Reader.feed("GET http://B.example:81/x HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(readOn(Reader) == Progress::Complete);
+    REQUIRE(Reader.facts().Host == "b.example");
+    REQUIRE(Reader.request().getURI().substr(Reader.facts().TargetOffset) ==
+            "/x");
+  }
+  SECTION("keep-alive follows version and Connection") {
+    const auto KeepsAlive = [](const std::string &Line,
+                               const std::string &Field) {
+      HttpReader Each(HttpReader::Kind::Request, HttpLimits());
+      Each.feed("GET / " + Line + "\r\nHost: a\r\n" + Field + "\r\n");
+      readOn(Each);
+      return Each.facts().KeepAlive;
+    };
+    REQUIRE(KeepsAlive("HTTP/1.1", ""));
+    REQUIRE_FALSE(KeepsAlive("HTTP/1.1", "Connection: x, Close\r\n"));
+    REQUIRE_FALSE(KeepsAlive("HTTP/1.0", ""));
+    REQUIRE(KeepsAlive("HTTP/1.0", "Connection: Keep-Alive\r\n"));
+  }
+  SECTION("a path that only looks like a dot segment passes") {
+    Reader.feed("GET /.../a..b/..c?../.. HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(readOn(Reader) == Progress::Complete);
+  }
+}
+
+TEST_CASE("HTTP responses are read", "[http]") {
+  HttpReader Reader(HttpReader::Kind::Response, HttpLimits());
+
+  SECTION("interim responses are skipped") {
+    Reader.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                "Content-Length: 2\r\n\r\nab");
+    REQUIRE(readOn(Reader) == Progress::Complete);
+    REQUIRE(Reader.facts().Status == 200);
+    REQUIRE(Reader.body() == "ab");
+  }
+  SECTION("a response to HEAD has no body") {
+    Reader.expectHeadResponse(true);
+    Reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    REQUIRE(readOn(Reader) == Progress::Complete);
+    REQUIRE(Reader.body().empty());
+  }
+  SECTION("204 and 304 have no body") {
+    Reader.feed("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n");
+    REQUIRE(readOn(Reader) == Progress::Complete);
+  }
+  SECTION("without a length the body ends with the connection") {
+    Reader.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+    REQUIRE(readOn(Reader) == Progress::NeedMore);
+    REQUIRE(Reader.finish() == Progress::Complete);
+    REQUIRE(Reader.body() == "abc");
+    REQUIRE_FALSE(Reader.facts().KeepAlive);
+  }
+  SECTION("a body cut short is never complete") {
+    Reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+    REQUIRE(readOn(Reader) == Progress::NeedMore);
+    REQUIRE(Reader.finish() == Progress::Failed);
+  }
+  SECTION("an upgrade nobody asked for is refused") {
+    Reader.feed("HTTP/1.1 101 Switching Protocols\r\n\r\n");
+    REQUIRE(readOn(Reader) == Progress::Failed);
+  }
+}
--- /dev/null
+++ b/tests/net/http_server_test.cpp
@@ -0,0 +1,239 @@
+/// @file
+/// @brief Tests of the HTTP server over real connections.
+#include "hyssopford/net/http_server.hpp"
+#include "loop_thread.hpp"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
+
+using namespace hyssopford;
+using namespace hyssopford::test;
+
+namespace {
+
+/// Answers with target and body, at once or when the test says so.
+class EchoHandler final : public HttpServerHandler {
+public:
+  HeadDecision onHead(const Poco::Net::HTTPRequest &Head,
+                      const HttpHeadFacts & /*Facts*/) override {
+    HeadDecision Decision;
+    Decision.BodyLimit = 100'000;
+    if (Head.getURI() == "/none") {
+      Decision.Refusal = makeHttpAnswer(404, "", "none");
+    }
+    return Decision;
+  }
+  void onRequest(RequestId Id, HttpRequest Request) override {
+    ++Requests;
+    const std::string Text = Request.Head.getURI() + "=" + Request.Body;
+    if (Hold) {
+      Held.emplace_back(Id, Text);
+    } else {
+      Server->reply(Id, makeHttpAnswer(200, "", Text), "X-Extra: 1\r\n");
+    }
+  }
+  void onGone(RequestId /*Id*/) override { ++Gone; }
+  Payload refusal(const HttpFault &Fault) override {
+    return makeHttpAnswer(Fault.Status, "", Fault.Reason);
+  }
+
+  HttpServer *Server = nullptr;
+  bool Hold = false;
+  int Requests = 0;
+  int Gone = 0;
+  std::vector<std::pair<RequestId, std::string>> Held;
+};
+
+struct Fixture {
+  Fixture() {
+    HttpServerSettings Settings;
+    Settings.HeadTimeout = 150ms;
+    Settings.StallTimeout = 200ms;
+    Settings.BodyTimeout = 400ms;
+    Settings.IdleTimeout = 600ms;
+    Thread.call([&] {
+      Server = std::make_unique<HttpServer>(Thread.Loop, Handler, Settings);
+      Handler.Server = Server.get();
+      return 0;
+    });
+  }
+  ~Fixture() {
+    Thread.call([&] {
+      Server.reset();
+      return 0;
+    });
+  }
+  std::string address() { return Server->address(); }
+  int requests() {
+    return Thread.call([&] { return Handler.Requests; });
+  }
+
+  LoopThread Thread;
+  EchoHandler Handler;
+  std::unique_ptr<HttpServer> Server;
+};
+
+std::string get(const std::string &Target, const std::string &Fields = "") {
+  return "GET " + Target + " HTTP/1.1\r\nHost: a\r\n" + Fields + "\r\n";
+}
+
+} // namespace
+
+TEST_CASE("HTTP server: answers", "[http]") {
+  Fixture Site;
+  RawClient Client(Site.address());
+
+  SECTION("pipelined requests are answered in order on one connection") {
+    std::string All;
+    for (int Index = 0; Index < 50; ++Index) {
+      All += get("/" + std::to_string(Index));
+    }
+    Client.send(All);
+    const std::string Text = Client.receiveUntil("/49=");
+    std::size_t At = 0;
+    for (int Index = 0; Index < 50; ++Index) {
+      At = Text.find("\r\n\r\n/" + std::to_string(Index) + "=", At);
+      REQUIRE(At != std::string::npos);
+    }
+    REQUIRE(Text.find("X-Extra: 1\r\n") != std::string::npos);
+  }
+  SECTION("HEAD is answered without a body") {
+    Client.send("HEAD /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    REQUIRE(Client.receiveAll() ==
+            "HTTP/1.1 200 OK\r\nX-Extra: 1\r\nConnection: close\r\n"
+            "Content-Length: 3\r\n\r\n");
+  }
+  SECTION("100-continue is sent before the body only if it is awaited") {
+    Client.send("POST /p HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                "Content-Length: 2\r\n\r\n");
+    REQUIRE(Client.receiveUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+    Client.send("hi");
+    REQUIRE(Client.receiveUntil("/p=hi").starts_with("HTTP/1.1 200"));
+    Client.send("POST /q HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                "Content-Length: 2\r\n\r\nhi");
+    REQUIRE(Client.receiveUntil("/q=hi").starts_with("HTTP/1.1 200"));
+  }
+  SECTION("HTTP/1.0 without keep-alive is closed after the answer") {
+    Client.send("GET /old HTTP/1.0\r\n\r\n");
+    REQUIRE(Client.receiveAll().ends_with("/old="));
+  }
+  SECTION("a large answer arrives whole before the close") {
+    const std::string Body(90'000, 'x');
+    Client.send("POST /b HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                "Content-Length: 90000\r\n\r\n" +
+                Body);
+    REQUIRE(Client.receiveAll().ends_with("/b=" + Body));
+  }
+}
+
+TEST_CASE("HTTP server: refusals reach no handler", "[http]") {
+  Fixture Site;
+  RawClient Client(Site.address());
+
+  SECTION("a refused head keeps the connection if there is no body") {
+    Client.send(get("/none") + get("/x"));
+    const std::string Text = Client.receiveUntil("/x=");
+    REQUIRE(Text.starts_with("HTTP/1.1 404"));
+    REQUIRE(Site.requests() == 1);
+  }
+  SECTION("a refused head with a body closes") {
+    Client.send("POST /none HTTP/1.1\r\nHost: a\r\nContent-Length: 30\r\n\r\n" +
+                get("/smuggled"));
+    REQUIRE(Client.receiveAll().find("404") != std::string::npos);
+    REQUIRE(Site.requests() == 0);
+  }
+  SECTION("a body above the route's limit is refused at its head") {
+    Client.send("POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 100001\r\n"
+                "Expect: 100-continue\r\n\r\n");
+    REQUIRE(Client.receiveAll().starts_with("HTTP/1.1 413"));
+    REQUIRE(Site.requests() == 0);
+  }
+  SECTION("nothing after a malformed request is read") {
+    Client.send("GET / HTTP/1.1\r\nHost : a\r\n\r\n" + get("/x"));
+    const std::string Text = Client.receiveAll();
+    REQUIRE(Text.starts_with("HTTP/1.1 400"));
+    REQUIRE(Text.find("HTTP/1.1", 8) == std::string::npos);
+    REQUIRE(Site.requests() == 0);
+  }
+}
+
+TEST_CASE("HTTP server: slow and vanishing callers", "[http]") {
+  Fixture Site;
+  RawClient Client(Site.address());
+
+  SECTION("a slow head ends with 408") {
+    Client.send("GET / HTTP/1.1\r\n");
+    REQUIRE(Client.receiveAll().starts_with("HTTP/1.1 408"));
+  }
+  SECTION("a body that trickles ends with 408") {
+    Client.send("POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\n");
+    for (int Index = 0; Index < 8; ++Index) {
+      Client.send("x");
+      std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    }
+    REQUIRE(Client.receiveAll().starts_with("HTTP/1.1 408"));
+    REQUIRE(Site.requests() == 0);
+  }
+  SECTION("an idle connection is closed without an answer") {
+    Client.send(get("/x"));
+    Client.receiveUntil("/x=");
+    REQUIRE(Client.receiveAll().empty());
+  }
+  SECTION("a caller that goes away is reported; its answer is dropped") {
+    Site.Thread.call([&] { return Site.Handler.Hold = true; });
+    Client.send(get("/x"));
+    REQUIRE(eventually([&] { return Site.requests() == 1; }));
+    Client.close();
+    REQUIRE(eventually([&] {
+      return Site.Thread.call([&] { return Site.Handler.Gone; }) == 1;
+    }));
+    Site.Thread.call([&] {
+      Site.Server->reply(Site.Handler.Held[0].first,
+                         makeHttpAnswer(200, "", "late"));
+      return 0;
+    });
+    RawClient Next(Site.address());
+    Site.Thread.call([&] { return Site.Handler.Hold = false; });
+    Next.send(get("/y"));
+    REQUIRE(Next.receiveUntil("/y=").find("late") == std::string::npos);
+  }
+}
+
+TEST_CASE("HTTP server: drain", "[http][shutdown]") {
+  Fixture Site;
+  Site.Thread.call([&] { return Site.Handler.Hold = true; });
+  RawClient Busy(Site.address());
+  RawClient Idle(Site.address());
+  RawClient Slow(Site.address());
+  Busy.send(get("/busy") + get("/next"));
+  Slow.send("POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+  REQUIRE(eventually([&] {
+    return Site.requests() == 1 &&
+           Site.Thread.call([&] { return Site.Server->connections(); }) == 3;
+  }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  Site.Thread.call([&] {
+    Site.Server->drain();
+    return 0;
+  });
+
+  // Idle connections end, what is in flight or arriving is finished.
+  REQUIRE(Idle.receiveAll().empty());
+  REQUIRE_FALSE(Site.Thread.call([&] { return Site.Server->isQuiet(); }));
+  Slow.send("cd");
+  REQUIRE(eventually([&] { return Site.requests() == 2; }));
+  Site.Thread.call([&] {
+    for (const auto &[Id, Text] : Site.Handler.Held) {
+      Site.Server->reply(Id, makeHttpAnswer(200, "", Text));
+    }
+    return 0;
+  });
+  const std::string Answer = Busy.receiveAll();
+  REQUIRE(Answer.find("Connection: close") != std::string::npos);
+  REQUIRE(Answer.ends_with("/busy="));
+  REQUIRE(Slow.receiveAll().ends_with("/slow=abcd"));
+  REQUIRE(eventually([&] {
+    return Site.Thread.call([&] { return Site.Server->isQuiet(); });
+  }));
+}
