--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -191,6 +191,11 @@
     try {
       Sent = Socket.sendBytes(Buffers);
     } catch (const Poco::Exception &Fault) {
+      // POCO 1.11 throws this for a vector of buffers, but not for a single
+      // one.
+      if (Fault.code() == EAGAIN || Fault.code() == EWOULDBLOCK) {
+        break;
+      }
       // Reported later, as the caller of write() may still use its objects.
       Queue.clear();
       PendingBytes = 0;
