Test whole nodes: 250 callers, deadlines, cancellation, announcements

Change: two nodes and an upstream in one test; 250 connections send 12 requests each with random bodies, delays, answer sizes and disconnects, and compare each answer with its own request. Conclusion: abandoned requests are cancelled at the upstream.

--- /dev/null
+++ b/tests/node/many_connections_test.cpp
@@ -0,0 +1,71 @@
+/// @file
+/// @brief Many callers at once must each get the answer to their own request.
+#include "test_site.hpp"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace hyssopford;
+using namespace hyssopford::test;
+
+namespace {
+
+constexpr int Connections = 250;
+constexpr int RequestsEach = 12;
+
+struct Tally {
+  std::atomic<int> Right = 0;
+  std::atomic<int> Wrong = 0;
+  std::atomic<int> Abandoned = 0;
+};
+
+/// One caller: random bodies, delays and answer sizes; now and then it closes
+/// its connection before the answer.
+void callOften(const std::string &Address, int Number, Tally &Sum) {
+  std::mt19937_64 Random(static_cast<std::uint64_t>(Number));
+  auto Client = std::make_unique<RawClient>(Address);
+  for (int Index = 0; Index < RequestsEach; ++Index) {
+    const std::string Target = fmt::format("/{}/{}", Number, Index);
+    const std::size_t Size =
+        Random() % 4 == 0 ? Random() % 60'000 : Random() % 300;
+    const std::string Body(Size, static_cast<char>('a' + Random() % 26));
+    const std::size_t Pad = Random() % 4 == 0 ? Random() % 60'000 : 0;
+    const std::string Expected =
+        TestUpstream::answerTo(Target, Body) + std::string(Pad, 'p');
+    Client->send(fmt::format("POST {} HTTP/1.1\r\nHost: a\r\nX-Delay-Ms: {}\r\n"
+                             "X-Pad: {}\r\nContent-Length: {}\r\n\r\n{}",
+                             Target, Random() % 20, Pad, Size, Body));
+    if (Random() % 6 == 0) {
+      Client = std::make_unique<RawClient>(Address);
+      ++Sum.Abandoned;
+      continue;
+    }
+    const std::string Answer = Client->receiveUntil(Expected);
+    const bool Fits = Answer.starts_with("HTTP/1.1 200") &&
+                      Answer.ends_with("\r\n\r\n" + Expected) &&
+                      Answer.find("HTTP/1.1", 1) == std::string::npos;
+    ++(Fits ? Sum.Right : Sum.Wrong);
+  }
+}
+
+} // namespace
+
+TEST_CASE("250 connections get only their own answers", "[node]") {
+  TwoNodes Site;
+  Tally Sum;
+  {
+    std::vector<std::jthread> Callers;
+    for (int Number = 0; Number < Connections; ++Number) {
+      Callers.emplace_back([&, Number] {
+        callOften(Site.Ingress.Node.callerAddress(), Number, Sum);
+      });
+    }
+  }
+  REQUIRE(Sum.Wrong == 0);
+  REQUIRE(Sum.Right + Sum.Abandoned == Connections * RequestsEach);
+  REQUIRE(Sum.Abandoned > 100);
+  // Abandoned requests are cancelled at the upstream, not left running.
+  REQUIRE(Site.Upstream.Cancelled > 0);
+  REQUIRE(Site.Ingress.stop());
+  REQUIRE(Site.Owner.stop());
+}
--- /dev/null
+++ b/tests/node/node_runtime_test.cpp
@@ -0,0 +1,141 @@
+/// @file
+/// @brief Tests of whole nodes over real connections.
+#include "test_site.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssopford;
+using namespace hyssopford::test;
+
+TEST_CASE("a request passes through two nodes", "[node]") {
+  TwoNodes Site;
+  const std::string Address = Site.Ingress.Node.callerAddress();
+
+  SECTION("the answer tells what it went through") {
+    const std::string Answer = exchange(Address, "POST", "/x?y=z", "", "body");
+    REQUIRE(Answer.starts_with("HTTP/1.1 200"));
+    REQUIRE(Answer.ends_with(TestUpstream::answerTo("/x?y=z", "body")));
+    REQUIRE(Answer.find("Hyssopford-Outcome: answered\r\n") !=
+            std::string::npos);
+    REQUIRE(Answer.find("Hyssopford-Attempts: 1\r\n") != std::string::npos);
+    REQUIRE(Answer.find("Hyssopford-Owner: " +
+                        toString(Site.Owner.Node.core().self().Node)) !=
+            std::string::npos);
+  }
+  SECTION("deadline and trace reach the upstream, internal fields do not") {
+    exchange(Address, "GET", "/x",
+             "Hyssopford-Timeout-Ms: 900\r\nHyssopford-Priority: high\r\n"
+             "traceparent: "
+             "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01\r\n");
+    const Poco::Net::HTTPRequest Head = Site.Upstream.lastHead();
+    const int Left = std::stoi(Head.get("Hyssopford-Timeout-Ms"));
+    REQUIRE(Left > 500);
+    REQUIRE(Left <= 900);
+    REQUIRE(Head.get("Hyssopford-Priority") == "normal");
+    REQUIRE(Head.get("traceparent").find("0af7651916cd43dd8448eb211c80319c") !=
+            std::string::npos);
+  }
+  SECTION("the upstream's own port accepts priority and extra mark") {
+    exchange(Site.Owner.Node.localAddress(), "GET", "/x",
+             "Hyssopford-Priority: high\r\nHyssopford-Extra: 1\r\n");
+    const Poco::Net::HTTPRequest Head = Site.Upstream.lastHead();
+    REQUIRE(Head.get("Hyssopford-Priority") == "high");
+    REQUIRE(Head.get("Hyssopford-Extra") == "1");
+  }
+  SECTION("a deadline ends the request and cancels it at the upstream") {
+    const std::string Answer =
+        exchange(Address, "GET", "/x",
+                 "Hyssopford-Timeout-Ms: 60\r\nX-Delay-Ms: 2000\r\n");
+    // Bytes went to the upstream, so this is not a 504.
+    REQUIRE(Answer.starts_with("HTTP/1.1 502"));
+    REQUIRE(Answer.find("Hyssopford-Outcome: unknown\r\n") !=
+            std::string::npos);
+    REQUIRE(eventually([&] { return Site.Upstream.Cancelled == 1; }));
+  }
+  SECTION("a caller that goes away cancels its request at the upstream") {
+    RawClient Client(Address);
+    Client.send("GET /x HTTP/1.1\r\nHost: a\r\nX-Delay-Ms: 2000\r\n\r\n");
+    REQUIRE(eventually([&] { return Site.Upstream.Runs == 1; }));
+    Client.close();
+    REQUIRE(eventually([&] { return Site.Upstream.Cancelled == 1; }));
+  }
+  SECTION("an upstream that left gets no more work") {
+    exchange(Site.Owner.Node.localAddress(), "DELETE", "/.hyssopford/upstream");
+    REQUIRE(eventually([&] {
+      return exchange(Address, "GET", "/x").starts_with("HTTP/1.1 503");
+    }));
+    const std::string Answer = exchange(Address, "GET", "/x");
+    REQUIRE(Answer.find("Retry-After: 1\r\n") != std::string::npos);
+    REQUIRE(Answer.find("Hyssopford-Outcome: not-run\r\n") !=
+            std::string::npos);
+  }
+  SECTION("an answer to HEAD passes without a body") {
+    const std::string Answer = exchange(Address, "HEAD", "/x");
+    REQUIRE(Answer.starts_with("HTTP/1.1 200"));
+    REQUIRE(Answer.ends_with("\r\n\r\n"));
+    REQUIRE(Answer.find("Content-Length: 19") != std::string::npos);
+  }
+}
+
+TEST_CASE("the operators' port asks for a token", "[node]") {
+  TestNode Node(testSettings(), testRouting());
+
+  SECTION("no or a wrong token") {
+    REQUIRE(operatorGet(Node, "/v1/status", "").starts_with("HTTP/1.1 401"));
+    REQUIRE(
+        operatorGet(Node, "/v1/status", "wron").starts_with("HTTP/1.1 401"));
+    REQUIRE(exchange(Node.Node.operatorAddress(), "GET", "/v1/status")
+                .starts_with("HTTP/1.1 401"));
+  }
+  SECTION("both tokens read, only one writes") {
+    REQUIRE(operatorGet(Node, "/v1/status").starts_with("HTTP/1.1 200"));
+    REQUIRE(operatorGet(Node, "/v1/load", "write").starts_with("HTTP/1.1 200"));
+    REQUIRE(exchange(Node.Node.operatorAddress(), "POST", "/v1/patches",
+                     "Authorization: Bearer read\r\n", "{}")
+                .starts_with("HTTP/1.1 403"));
+  }
+  SECTION("unknown resources and methods") {
+    REQUIRE(operatorGet(Node, "/v1/x").starts_with("HTTP/1.1 404"));
+    REQUIRE(exchange(Node.Node.operatorAddress(), "POST", "/v1/status",
+                     "Authorization: Bearer write\r\n", "{}")
+                .starts_with("HTTP/1.1 405"));
+  }
+}
+
+TEST_CASE("announcements are checked", "[node]") {
+  Error Fault;
+  const auto Parses = [&](const std::string &Text) {
+    return parseAnnouncement(Text, Fault).has_value();
+  };
+  REQUIRE(Parses(R"({"service":"a","address":"127.0.0.1:80"})"));
+  for (const char *Text :
+       {"", "[]", R"({"service":"a"})", R"({"address":"127.0.0.1:80"})",
+        R"({"service":"","address":"127.0.0.1:80"})",
+        R"({"service":"a","address":"192.0.2.1:80"})",
+        R"({"service":"a","address":"127.0.0.1"})",
+        R"({"service":"a","address":"127.0.0.1:80","slots":0})",
+        R"({"service":"a","address":"127.0.0.1:80","state":"x"})",
+        R"({"service":"a","address":"127.0.0.1:80","ttl_ms":5})",
+        R"({"service":"a","address":"127.0.0.1:80","health_path":"x"})"}) {
+    INFO(Text);
+    REQUIRE_FALSE(Parses(Text));
+    REQUIRE(Fault.Step == "upstream.announce");
+  }
+}
+
+TEST_CASE("an upstream that stops renewing is gone", "[node]") {
+  TestUpstream Upstream;
+  TestNode Node(testSettings(), testRouting());
+  REQUIRE(exchange(Node.Node.localAddress(), "POST", "/.hyssopford/upstream",
+                   "",
+                   fmt::format("{{\"service\":\"service\",\"address\":\"{}\","
+                               "\"ttl_ms\":100}}",
+                               Upstream.address()))
+              .starts_with("HTTP/1.1 200"));
+  REQUIRE(exchange(Node.Node.callerAddress(), "GET", "/x")
+              .starts_with("HTTP/1.1 200"));
+  REQUIRE(eventually([&] {
+    return exchange(Node.Node.callerAddress(), "GET", "/x")
+        .starts_with("HTTP/1.1 503");
+  }));
+}
