--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -62,20 +62,20 @@
     Client.discard(*this);
     return;
   }
-  if (Orderly && Connected &&
-      Reader.finish() == HttpReader::Progress::Complete) {
-    succeed();
-    return;
-  }
   if (!Connected) {
     // A loopback connection fails at once only if nothing listens.
     Client.Handler.onRefusedConnection();
     fail(OutcomeReason::ConnectFailed);
     return;
   }
-  if (!retryOnNewConnection()) {
-    fail(OutcomeReason::UpstreamClosed);
+  if (retryOnNewConnection()) {
+    return;
+  }
+  if (Orderly && Reader.finish() == HttpReader::Progress::Complete) {
+    succeed();
+    return;
   }
+  fail(OutcomeReason::UpstreamClosed);
 }
 
 void UpstreamClient::Exchange::begin(Duration Timeout) {
