--- a/include/hyssopford/core/message.hpp
+++ b/include/hyssopford/core/message.hpp
@@ -2,11 +2,14 @@
 /// @brief Messages between nodes.
 #pragma once
 
+#include "hyssopford/core/config_message.hpp"
 #include "hyssopford/core/ids.hpp"
+#include "hyssopford/core/key_message.hpp"
 #include "hyssopford/core/load_report.hpp"
-#include "hyssopford/core/member.hpp"
+#include "hyssopford/core/membership_message.hpp"
 #include "hyssopford/core/outcome.hpp"
 #include "hyssopford/core/payload.hpp"
+#include "hyssopford/core/quarantine_message.hpp"
 #include "hyssopford/core/routing_config.hpp"
 #include "hyssopford/core/time.hpp"
 #include "hyssopford/core/trace_context.hpp"
@@ -46,6 +49,9 @@
   OutcomeReason Reason = OutcomeReason::None;
   /// HTTP status of the upstream's answer; 0 if there is none.
   std::uint16_t Status = 0;
+  /// Time from the arrival of the Dispatch at the owner to this reply; the
+  /// ingress subtracts it to get the round trip. 0 means not stated.
+  Duration Held{0};
   LoadReport Load;
   Payload Answer;
 
@@ -90,15 +96,12 @@
   friend bool operator==(const StatusReply &, const StatusReply &) = default;
 };
 
-/// @brief Spreads member records.
-struct Gossip {
-  std::vector<MemberRecord> Records;
-
-  friend bool operator==(const Gossip &, const Gossip &) = default;
-};
-
 /// @brief Any message between nodes.
-using PeerMessage = std::variant<Dispatch, DispatchReply, Cancel, StatusQuery,
-                                 StatusReply, Gossip>;
+using PeerMessage =
+    std::variant<Dispatch, DispatchReply, Cancel, StatusQuery, StatusReply,
+                 Gossip, Ping, PingRequest, Ack, SyncRequest, SyncReply,
+                 ConfigDigest, ConfigRequest, ConfigPush, KeyClaim,
+                 KeyClaimReply, KeyRelease, KeyOutcome, KeyAck, SealRequest,
+                 SealReply, RosterRequest, RosterUpdate, QuarantineNotice>;
 
 } // namespace hyssopford
--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -101,6 +101,8 @@
   void perform(SpanFinished &What);
   void perform(Notice &What);
   void perform(ShutdownComplete &What);
+  void perform(PatchResult &What);
+  void perform(HistoryResult &What);
 
   void beginShutdown();
   void checkShutdown();
--- a/src/net/codec/codec.hpp
+++ b/src/net/codec/codec.hpp
@@ -10,6 +10,7 @@
 #include <flatbuffers/flatbuffers.h>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace hyssopford::codec {
 
@@ -22,6 +23,13 @@
 wire::AttemptId encodeAttempt(const AttemptId &Value);
 AttemptId decodeAttempt(const wire::AttemptId &Value);
 
+/// @brief Writes bytes as a vector.
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>>
+encodeBytes(Builder &Out, std::string_view Bytes);
+
+/// @brief Copies a vector of bytes.
+Payload decodeBytes(const flatbuffers::Vector<std::uint8_t> &Bytes);
+
 inline std::string text(const flatbuffers::String &Value) {
   return Value.str();
 }
@@ -58,7 +66,69 @@
 /// @name Membership
 /// @{
 flatbuffers::Offset<wire::Gossip> encode(Builder &Out, const Gossip &Value);
+flatbuffers::Offset<wire::Ping> encode(Builder &Out, const Ping &Value);
+flatbuffers::Offset<wire::PingRequest> encode(Builder &Out,
+                                              const PingRequest &Value);
+flatbuffers::Offset<wire::Ack> encode(Builder &Out, const Ack &Value);
+flatbuffers::Offset<wire::SyncRequest> encode(Builder &Out,
+                                              const SyncRequest &Value);
+flatbuffers::Offset<wire::SyncReply> encode(Builder &Out,
+                                            const SyncReply &Value);
 std::optional<Gossip> decode(const wire::Gossip &Value);
+std::optional<Ping> decode(const wire::Ping &Value);
+std::optional<PingRequest> decode(const wire::PingRequest &Value);
+std::optional<Ack> decode(const wire::Ack &Value);
+std::optional<SyncRequest> decode(const wire::SyncRequest &Value);
+std::optional<SyncReply> decode(const wire::SyncReply &Value);
+/// @}
+
+/// @name Configuration
+/// @{
+flatbuffers::Offset<wire::ConfigDigest> encode(Builder &Out,
+                                               const ConfigDigest &Value);
+flatbuffers::Offset<wire::ConfigRequest> encode(Builder &Out,
+                                                const ConfigRequest &Value);
+flatbuffers::Offset<wire::ConfigPush> encode(Builder &Out,
+                                             const ConfigPush &Value);
+std::optional<ConfigDigest> decode(const wire::ConfigDigest &Value);
+std::optional<ConfigRequest> decode(const wire::ConfigRequest &Value);
+std::optional<ConfigPush> decode(const wire::ConfigPush &Value);
+/// @}
+
+/// @name Idempotency keys
+/// @{
+flatbuffers::Offset<wire::KeyClaim> encode(Builder &Out, const KeyClaim &Value);
+flatbuffers::Offset<wire::KeyClaimReply> encode(Builder &Out,
+                                                const KeyClaimReply &Value);
+flatbuffers::Offset<wire::KeyRelease> encode(Builder &Out,
+                                             const KeyRelease &Value);
+flatbuffers::Offset<wire::KeyOutcome> encode(Builder &Out,
+                                             const KeyOutcome &Value);
+flatbuffers::Offset<wire::KeyAck> encode(Builder &Out, const KeyAck &Value);
+flatbuffers::Offset<wire::SealRequest> encode(Builder &Out,
+                                              const SealRequest &Value);
+flatbuffers::Offset<wire::SealReply> encode(Builder &Out,
+                                            const SealReply &Value);
+flatbuffers::Offset<wire::RosterRequest> encode(Builder &Out,
+                                                const RosterRequest &Value);
+flatbuffers::Offset<wire::RosterUpdate> encode(Builder &Out,
+                                               const RosterUpdate &Value);
+std::optional<KeyClaim> decode(const wire::KeyClaim &Value);
+std::optional<KeyClaimReply> decode(const wire::KeyClaimReply &Value);
+std::optional<KeyRelease> decode(const wire::KeyRelease &Value);
+std::optional<KeyOutcome> decode(const wire::KeyOutcome &Value);
+std::optional<KeyAck> decode(const wire::KeyAck &Value);
+std::optional<SealRequest> decode(const wire::SealRequest &Value);
+std::optional<SealReply> decode(const wire::SealReply &Value);
+std::optional<RosterRequest> decode(const wire::RosterRequest &Value);
+std::optional<RosterUpdate> decode(const wire::RosterUpdate &Value);
+/// @}
+
+/// @name Quarantine
+/// @{
+flatbuffers::Offset<wire::QuarantineNotice>
+encode(Builder &Out, const QuarantineNotice &Value);
+std::optional<QuarantineNotice> decode(const wire::QuarantineNotice &Value);
 /// @}
 
 } // namespace hyssopford::codec
