--- a/src/config/text_rules.cpp
+++ b/src/config/text_rules.cpp
@@ -51,6 +51,18 @@
   return Rule;
 }
 
+const TextRule &listenAddressRule() {
+  static const std::regex Pattern(
+      "((" HYSSOPFORD_OCTET "\\.){3}" HYSSOPFORD_OCTET
+      "|\\[[0-9a-f:.]+\\]):(0|" HYSSOPFORD_PORT ")");
+  static const TextRule Rule{
+      &Pattern,
+      "an IP number and port such as \"192.0.2.7:7101\", or port 0 for a free "
+      "one",
+      64};
+  return Rule;
+}
+
 const TextRule &fingerprintRule() {
   static const std::regex Pattern("[0-9a-f]{16}");
   static const TextRule Rule{&Pattern, "16 lower-case hexadecimal digits", 16};
--- a/tests/config/node_settings_test.cpp
+++ b/tests/config/node_settings_test.cpp
@@ -11,6 +11,7 @@
 
 using namespace hyssopford;
 using nlohmann::json;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -120,6 +121,12 @@
                                {113, "/addresses/announcements"},
                                {113, "/addresses/operators"}});
   }
+  SECTION("free ports do not contradict each other") {
+    for (auto &Address : Document["addresses"]) {
+      Address = "127.0.0.1:0";
+    }
+    REQUIRE(faultsOf(Document).empty());
+  }
   SECTION("limits and token files") {
     Document["limits"]["line_bytes"] = 40'000;
     Document["limits"]["memory_bytes"] = 1'048'576;
@@ -134,14 +141,14 @@
 TEST_CASE("profiles", "[settings]") {
   NodeSettings Settings = fullSettings();
   Settings.ProbeBudgetPpm.reset();
-  REQUIRE(effectiveProfile(Settings).Hedging);
+  REQUIRE(decisionSettings(Settings) == tailProfile());
   // Deployment A allows less than 1 % of the slots for probes, B 0.3 %.
-  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm < 10'000);
+  REQUIRE(decisionSettings(Settings).Probing.BudgetPpm < 10'000);
   Settings.Objective = Profile::Cost;
-  REQUIRE_FALSE(effectiveProfile(Settings).Hedging);
-  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm <= 3'000);
+  REQUIRE(decisionSettings(Settings) == costProfile());
+  REQUIRE(decisionSettings(Settings).Probing.BudgetPpm <= 3'000);
   Settings.ProbeBudgetPpm = 0;
-  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm == 0);
+  REQUIRE(decisionSettings(Settings).Probing.BudgetPpm == 0);
 }
 
 TEST_CASE("the core gets the fields that it needs", "[settings]") {
