--- a/src/core/quarantine_system.cpp
+++ b/src/core/quarantine_system.cpp
@@ -60,7 +60,7 @@
   if (Trusted.size() < MaxTrusted) {
     Trusted[Row.Fingerprint] = Now;
   }
-  if (Row.RunsAlone && clear(Clearance{Row.Fingerprint, Duration{0}}, Now)) {
+  if (Row.RunsAlone && clear(Row.Fingerprint)) {
     announce({Row.Fingerprint}, Links.size(), Now, Out);
   }
 }
@@ -142,11 +142,6 @@
       Changed.insert(Each.Fingerprint);
     }
   }
-  for (const Clearance &Each : Notice.Cleared) {
-    if (clear(Each, Now)) {
-      Changed.insert(Each.Fingerprint);
-    }
-  }
   if (!Changed.empty()) {
     announce(Changed, GossipPeers, Now, Out);
   }
@@ -222,8 +217,10 @@
 bool QuarantineSystem::isSuspect(std::uint64_t Fingerprint,
                                  TimePoint Now) const {
   const auto Found = Fingerprints.find(Fingerprint);
-  return Found != Fingerprints.end() && !Found->second.Crashes.empty() &&
-         Found->second.LastCrash + SuspectTime > Now;
+  return Found != Fingerprints.end() &&
+         Found->second.LastCrash + SuspectTime > Now &&
+         std::any_of(Found->second.Crashes.begin(), Found->second.Crashes.end(),
+                     [](const auto &Entry) { return !Entry.second.Cleared; });
 }
 
 std::vector<QuarantineEntry> QuarantineSystem::list(TimePoint Now) const {
@@ -253,12 +250,16 @@
 
 bool QuarantineSystem::quarantines(const FingerprintRow &Row) {
   std::set<NodeId> Owners;
+  std::size_t Crashes = 0;
   bool Alone = false;
   for (const auto &[Crash, Sighting] : Row.Crashes) {
-    Owners.insert(Crash.first.Node);
-    Alone = Alone || Sighting.Alone;
+    if (!Sighting.Cleared) {
+      Owners.insert(Crash.first.Node);
+      ++Crashes;
+      Alone = Alone || Sighting.Alone;
+    }
   }
-  return Owners.size() >= 2 || (Row.Crashes.size() >= 2 && Alone);
+  return Owners.size() >= 2 || (Crashes >= 2 && Alone);
 }
 
 bool QuarantineSystem::mayAdmit(const Dispatch &Attempt, TimePoint Now) const {
@@ -297,9 +298,8 @@
   for (const std::uint64_t Fingerprint : Suspects) {
     const auto Lift = Lifts.find(Fingerprint);
     const CrashSighting Sighting{
-        Fingerprint, Self,
-        NextCrash,   Lift == Lifts.end() ? 0 : Lift->second,
-        Alone,       Duration{0}};
+        Fingerprint, Self,  NextCrash,  Lift == Lifts.end() ? 0 : Lift->second,
+        Alone,       false, Duration{0}};
     if (learn(Sighting, Now, Out)) {
       Changed.insert(Fingerprint);
     }
@@ -316,16 +316,19 @@
     return false;
   }
   FingerprintRow *Row = rowFor(Sighting.Fingerprint);
+  const CrashId Crash(Sighting.Owner, Sighting.Crash);
   if (Row == nullptr ||
-      (Row->Cleared && *Row->Cleared >= At && !Sighting.Alone)) {
+      (Row->Crashes.size() >= MaxCrashes && !Row->Crashes.contains(Crash))) {
     return false;
   }
-  const bool IsNew =
-      Row->Crashes
-          .try_emplace(CrashId(Sighting.Owner, Sighting.Crash),
-                       SightingRow{At, Sighting.LiftSerial, Sighting.Alone})
-          .second;
-  Row->LastCrash = std::max(Row->LastCrash, At);
+  const auto [Known, IsNew] = Row->Crashes.try_emplace(
+      Crash,
+      SightingRow{At, Sighting.LiftSerial, Sighting.Alone, Sighting.Cleared});
+  const bool Clears = Sighting.Cleared && !Known->second.Cleared;
+  Known->second.Cleared = Known->second.Cleared || Sighting.Cleared;
+  if (IsNew) {
+    Row->LastCrash = std::max(Row->LastCrash, At);
+  }
   if (quarantines(*Row) && !Row->Reported) {
     Row->Reported = true;
     Out.emplace_back(
@@ -333,24 +336,22 @@
                {{"fingerprint", fmt::format("{:016x}", Sighting.Fingerprint)},
                 {"crashes", fmt::format("{}", Row->Crashes.size())}}});
   }
-  return IsNew;
+  return IsNew || Clears;
 }
 
-bool QuarantineSystem::clear(const Clearance &Cleared, TimePoint Now) {
-  const auto Found = Fingerprints.find(Cleared.Fingerprint);
+bool QuarantineSystem::clear(std::uint64_t Fingerprint) {
+  const auto Found = Fingerprints.find(Fingerprint);
   if (Found == Fingerprints.end() || quarantines(Found->second)) {
     return false;
   }
-  FingerprintRow &Row = Found->second;
-  const TimePoint At = Now - Cleared.Age;
-  const std::size_t Removed =
-      std::erase_if(Row.Crashes, [&](const auto &Entry) {
-        return !Entry.second.Alone && Entry.second.At <= At;
-      });
-  if (Removed > 0) {
-    Row.Cleared = std::max(Row.Cleared.value_or(At), At);
+  bool Clears = false;
+  for (auto &[Crash, Sighting] : Found->second.Crashes) {
+    if (!Sighting.Alone && !Sighting.Cleared) {
+      Sighting.Cleared = true;
+      Clears = true;
+    }
   }
-  return Removed > 0;
+  return Clears;
 }
 
 QuarantineSystem::FingerprintRow *
@@ -412,13 +413,9 @@
       continue;
     }
     for (const auto &[Crash, Row] : Found->second.Crashes) {
-      Result.Sightings.push_back(CrashSighting{Fingerprint, Crash.first,
-                                               Crash.second, Row.LiftSerial,
-                                               Row.Alone, Now - Row.At});
-    }
-    if (Found->second.Cleared) {
-      Result.Cleared.push_back(
-          Clearance{Fingerprint, Now - *Found->second.Cleared});
+      Result.Sightings.push_back(
+          CrashSighting{Fingerprint, Crash.first, Crash.second, Row.LiftSerial,
+                        Row.Alone, Row.Cleared, Now - Row.At});
     }
   }
   return Result;
--- /dev/null
+++ b/src/net/codec/codec.hpp
@@ -0,0 +1,134 @@
+/// @file
+/// @brief Conversion functions of the single messages, by subsystem. A new
+/// message needs a table in src/net/schema, a pair of functions here and an
+/// entry in message_codec.cpp.
+#pragma once
+
+#include "frame_generated.h"
+#include "hyssopford/core/message.hpp"
+
+#include <flatbuffers/flatbuffers.h>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hyssopford::codec {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+/// @name Shared types
+/// @{
+wire::NodeRun encodeRun(const NodeRun &Value);
+NodeRun decodeRun(const wire::NodeRun &Value);
+wire::AttemptId encodeAttempt(const AttemptId &Value);
+AttemptId decodeAttempt(const wire::AttemptId &Value);
+
+/// @brief Writes bytes as a vector.
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>>
+encodeBytes(Builder &Out, std::string_view Bytes);
+
+/// @brief Copies a vector of bytes.
+Payload decodeBytes(const flatbuffers::Vector<std::uint8_t> &Bytes);
+
+inline std::string text(const flatbuffers::String &Value) {
+  return Value.str();
+}
+
+/// @brief Converts a number to an enumerator.
+/// @param Value the number on the wire
+/// @param Last the highest enumerator
+/// @param Result receives the enumerator
+/// @return whether the number is in range
+template <typename Enum>
+bool decodeEnum(std::uint8_t Value, Enum Last, Enum &Result) {
+  Result = static_cast<Enum>(Value);
+  return Value <= static_cast<std::uint8_t>(Last);
+}
+/// @}
+
+/// @name Requests
+/// @{
+flatbuffers::Offset<wire::Dispatch> encode(Builder &Out, const Dispatch &Value);
+flatbuffers::Offset<wire::DispatchReply> encode(Builder &Out,
+                                                const DispatchReply &Value);
+flatbuffers::Offset<wire::Cancel> encode(Builder &Out, const Cancel &Value);
+flatbuffers::Offset<wire::StatusQuery> encode(Builder &Out,
+                                              const StatusQuery &Value);
+flatbuffers::Offset<wire::StatusReply> encode(Builder &Out,
+                                              const StatusReply &Value);
+std::optional<Dispatch> decode(const wire::Dispatch &Value);
+std::optional<DispatchReply> decode(const wire::DispatchReply &Value);
+std::optional<Cancel> decode(const wire::Cancel &Value);
+std::optional<StatusQuery> decode(const wire::StatusQuery &Value);
+std::optional<StatusReply> decode(const wire::StatusReply &Value);
+/// @}
+
+/// @name Membership
+/// @{
+flatbuffers::Offset<wire::Gossip> encode(Builder &Out, const Gossip &Value);
+flatbuffers::Offset<wire::Ping> encode(Builder &Out, const Ping &Value);
+flatbuffers::Offset<wire::PingRequest> encode(Builder &Out,
+                                              const PingRequest &Value);
+flatbuffers::Offset<wire::Ack> encode(Builder &Out, const Ack &Value);
+flatbuffers::Offset<wire::SyncRequest> encode(Builder &Out,
+                                              const SyncRequest &Value);
+flatbuffers::Offset<wire::SyncReply> encode(Builder &Out,
+                                            const SyncReply &Value);
+std::optional<Gossip> decode(const wire::Gossip &Value);
+std::optional<Ping> decode(const wire::Ping &Value);
+std::optional<PingRequest> decode(const wire::PingRequest &Value);
+std::optional<Ack> decode(const wire::Ack &Value);
+std::optional<SyncRequest> decode(const wire::SyncRequest &Value);
+std::optional<SyncReply> decode(const wire::SyncReply &Value);
+/// @}
+
+/// @name Configuration
+/// @{
+flatbuffers::Offset<wire::ConfigDigest> encode(Builder &Out,
+                                               const ConfigDigest &Value);
+flatbuffers::Offset<wire::ConfigRequest> encode(Builder &Out,
+                                                const ConfigRequest &Value);
+flatbuffers::Offset<wire::ConfigPush> encode(Builder &Out,
+                                             const ConfigPush &Value);
+std::optional<ConfigDigest> decode(const wire::ConfigDigest &Value);
+std::optional<ConfigRequest> decode(const wire::ConfigRequest &Value);
+std::optional<ConfigPush> decode(const wire::ConfigPush &Value);
+/// @}
+
+/// @name Idempotency keys
+/// @{
+flatbuffers::Offset<wire::KeyClaim> encode(Builder &Out, const KeyClaim &Value);
+flatbuffers::Offset<wire::KeyClaimReply> encode(Builder &Out,
+                                                const KeyClaimReply &Value);
+flatbuffers::Offset<wire::KeyRelease> encode(Builder &Out,
+                                             const KeyRelease &Value);
+flatbuffers::Offset<wire::KeyOutcome> encode(Builder &Out,
+                                             const KeyOutcome &Value);
+flatbuffers::Offset<wire::KeyAck> encode(Builder &Out, const KeyAck &Value);
+flatbuffers::Offset<wire::SealRequest> encode(Builder &Out,
+                                              const SealRequest &Value);
+flatbuffers::Offset<wire::SealReply> encode(Builder &Out,
+                                            const SealReply &Value);
+flatbuffers::Offset<wire::RosterRequest> encode(Builder &Out,
+                                                const RosterRequest &Value);
+flatbuffers::Offset<wire::RosterUpdate> encode(Builder &Out,
+                                               const RosterUpdate &Value);
+std::optional<KeyClaim> decode(const wire::KeyClaim &Value);
+std::optional<KeyClaimReply> decode(const wire::KeyClaimReply &Value);
+std::optional<KeyRelease> decode(const wire::KeyRelease &Value);
+std::optional<KeyOutcome> decode(const wire::KeyOutcome &Value);
+std::optional<KeyAck> decode(const wire::KeyAck &Value);
+std::optional<SealRequest> decode(const wire::SealRequest &Value);
+std::optional<SealReply> decode(const wire::SealReply &Value);
+std::optional<RosterRequest> decode(const wire::RosterRequest &Value);
+std::optional<RosterUpdate> decode(const wire::RosterUpdate &Value);
+/// @}
+
+/// @name Quarantine
+/// @{
+flatbuffers::Offset<wire::QuarantineNotice>
+encode(Builder &Out, const QuarantineNotice &Value);
+std::optional<QuarantineNotice> decode(const wire::QuarantineNotice &Value);
+/// @}
+
+} // namespace hyssopford::codec
