Keep keys longer by the greatest age of a frame

Change: holders keep a key for the retention plus the greatest age at which an owner may still run an attempt (MaxFrameAge, 5 s). Conclusion: retention counts from the last possible run, not from the deadline.

--- a/include/hyssopford/core/key_rules.hpp
+++ b/include/hyssopford/core/key_rules.hpp
@@ -43,6 +43,10 @@
 struct KeySettings {
   /// How long a key is kept after its request ended.
   Duration Retention = 24h;
+  /// Greatest age at which an owner may still run an attempt: it does not
+  /// notice pauses below NodeCore::PauseLimit, and a link with older frames is
+  /// closed by its heartbeats. Keys are kept this much longer.
+  Duration MaxFrameAge = 5s;
   /// Most records of one node; a full table refuses new keys.
   std::size_t MaxRecords = 400'000;
   /// Largest answer that is kept for duplicates, in bytes.
--- a/src/core/key_holder.cpp
+++ b/src/core/key_holder.cpp
@@ -123,7 +123,8 @@
     }
     // The claim may be dispatched until its deadline, so retention starts
     // there.
-    const TimePoint Expires = Now + Claim.Remaining + Settings.Retention;
+    const TimePoint Expires =
+        Now + Claim.Remaining + Settings.Retention + Settings.MaxFrameAge;
     Row.Records.emplace(
         Claim.Key,
         RecordRow{Claim.RequestHash, Expires, {Claim.Claim}, std::nullopt});
@@ -164,7 +165,7 @@
   Record.Claims = {End.Claim};
   Record.Finished = true;
   Record.Result = End.Result;
-  Record.Remaining = Settings.Retention;
+  Record.Remaining = Settings.Retention + Settings.MaxFrameAge;
   merge(Found->second, Record, Now);
   return acknowledge(End.Claim, &Found->second);
 }
--- a/tests/fault_search/schedule.cpp
+++ b/tests/fault_search/schedule.cpp
@@ -253,7 +253,8 @@
   Settings.Keys.RemoveAfter = 1s;
   Settings.Keys.HandoverLimit = 2s;
   if (Shape.below(3) == 0) {
-    Settings.Keys.Retention = 1500ms;
+    Settings.Keys.Retention = 500ms;
+    Settings.Keys.MaxFrameAge = NodeCore::PauseLimit + 100ms;
   }
   Settings.Keys.Rules = Rules;
   Schedule Each(Settings, Settings.Keys.Retention);
