--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -324,8 +324,9 @@
   Reply.Load = load();
   // Refusals of other runs' attempts and of forgotten ones are not outcomes of
   // this run and are not kept.
-  if (Reply.Reason != OutcomeReason::WrongIncarnation &&
-      Reply.Reason != OutcomeReason::StaleFrame) {
+  const bool Forgotten = Reply.Reason == OutcomeReason::StaleFrame &&
+                         Reply.Result == Outcome::Unknown;
+  if (Reply.Reason != OutcomeReason::WrongIncarnation && !Forgotten) {
     Finished.add(Reply, Now);
   }
   Out.emplace_back(SendToPeer{From, std::move(Reply)});
--- /dev/null
+++ b/tests/core/quarantine_test.cpp
@@ -0,0 +1,127 @@
+/// @file
+/// @brief Scenarios of requests that crash upstreams.
+#include "support/fleet.hpp"
+
+#include "hyssopford/core/fingerprint.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace hyssopford;
+using namespace hyssopford::test;
+
+namespace {
+
+CallerRequest get(std::uint64_t Body) {
+  CallerRequest Request;
+  Request.Method = "GET";
+  Request.Path = "/catalogue";
+  Request.BodyHash = Body;
+  return Request;
+}
+
+constexpr std::uint64_t DeadlyBody = 666;
+
+/// Six upstreams; requests with DeadlyBody crash theirs.
+struct Scenario {
+  Scenario() : Cores(FleetSettings{}) {
+    Cores.IsDeadly = [this](const Execution &Each) {
+      return Deadly.contains(Each.Submission);
+    };
+    Cores.run(TimePoint{2s});
+  }
+
+  std::uint64_t submit(std::size_t Node, std::uint64_t Body) {
+    const std::uint64_t Id = Cores.submit(Node, get(Body));
+    if (Body == DeadlyBody) {
+      Deadly.insert(Id);
+    }
+    return Id;
+  }
+
+  void wait(Duration Time) { Cores.run(Cores.now() + Time); }
+
+  std::uint64_t fingerprint() const {
+    return fingerprintOf(get(DeadlyBody), Cores.Config.Routes[1]);
+  }
+
+  std::set<std::uint64_t> Deadly;
+  Fleet Cores;
+};
+
+} // namespace
+
+TEST_CASE("a request that crashes upstreams is quarantined", "[quarantine]") {
+  Scenario Case;
+
+  SECTION("50 repeats through all nodes crash at most two of six upstreams") {
+    for (std::size_t Repeat = 0; Repeat < 50; ++Repeat) {
+      Case.submit(Repeat % Case.Cores.size(), DeadlyBody);
+      Case.wait(60ms);
+    }
+    Case.wait(2s);
+    CHECK(Case.Cores.UpstreamCrashes <= 2);
+    const std::uint64_t Last = *Case.Deadly.rbegin();
+    CHECK(Case.Cores.Replies.at(Last).Result == Outcome::NotRun);
+    CHECK(Case.Cores.Replies.at(Last).Reason == OutcomeReason::Quarantined);
+    for (std::size_t Node = 0; Node < Case.Cores.size(); ++Node) {
+      const auto List =
+          Case.Cores.core(Node).quarantine().list(Case.Cores.now());
+      REQUIRE(List.size() == 1);
+      CHECK(List[0].Fingerprint == Case.fingerprint());
+    }
+  }
+
+  SECTION("requests that ran beside it are answered when repeated") {
+    for (std::uint64_t Round = 0; Round < 3; ++Round) {
+      for (std::uint64_t Body = 1; Body <= 30; ++Body) {
+        Case.submit(Body % Case.Cores.size(), Body);
+      }
+      Case.submit(0, DeadlyBody);
+      Case.wait(700ms);
+    }
+    Case.wait(3s);
+    std::vector<std::uint64_t> Innocent;
+    for (std::uint64_t Body = 1; Body <= 30; ++Body) {
+      Innocent.push_back(Case.submit(Body % Case.Cores.size(), Body));
+    }
+    Case.wait(2s);
+    for (const std::uint64_t Id : Innocent) {
+      CHECK(Case.Cores.Replies.at(Id).Result == Outcome::Answered);
+    }
+    CHECK(Case.Cores.UpstreamCrashes <= 2);
+    CHECK(Case.Cores.core(0).quarantine().list(Case.Cores.now()).size() == 1);
+  }
+
+  SECTION("it lapses, and operators can lift it earlier") {
+    for (std::size_t Repeat = 0; Repeat < 4; ++Repeat) {
+      Case.submit(Repeat, DeadlyBody);
+      Case.wait(700ms);
+    }
+    NodeCore &First = Case.Cores.core(0);
+    const TimePoint Now = Case.Cores.now();
+    REQUIRE(First.quarantine().isQuarantined(Case.fingerprint(), Now));
+    CHECK_FALSE(First.quarantine().isQuarantined(
+        Case.fingerprint(), Now + QuarantineSystem::QuarantineTime));
+    RoutingConfig Lifted = Case.Cores.Config;
+    ++Lifted.Version;
+    Lifted.Lifts = {QuarantineLift{Case.fingerprint(), 1}};
+    REQUIRE(First.adopt(Lifted));
+    CHECK_FALSE(First.quarantine().isQuarantined(Case.fingerprint(), Now));
+  }
+}
+
+TEST_CASE("the table of fingerprints is bounded", "[quarantine]") {
+  SeededRandomSource Random(1);
+  QuarantineSystem System(NodeRun{NodeId{1}, Incarnation{1}}, Random);
+  Actions Out;
+  for (std::uint64_t Each = 1; Each <= 3000; ++Each) {
+    QuarantineNotice Notice;
+    Notice.Sightings = {CrashSighting{Each, NodeRun{NodeId{2}, Incarnation{1}},
+                                      Each, 0, false, false, Duration{0}}};
+    System.receive(NodeRun{NodeId{2}, Incarnation{1}}, Notice,
+                   TimePoint{Duration(Each)}, Out);
+  }
+  CHECK(System.size() == QuarantineSystem::MaxFingerprints);
+  CHECK(System.isSuspect(3000, TimePoint{3ms}));
+}
