Check files without a site and hold the pages' examples to the code

Cause: settings and configuration are to be checked before they reach a node.

Conclusion: the pages cannot drift from the code unnoticed.

--- a/tests/config/node_settings_test.cpp
+++ b/tests/config/node_settings_test.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 
 using namespace hyssopford;
 using nlohmann::json;
@@ -138,6 +139,38 @@
   }
 }
 
+TEST_CASE("the page lists each setting with its default", "[docs]") {
+  const std::string Page = test::readRepositoryFile("docs/settings.md");
+  const json Schema =
+      json::parse(test::readRepositoryFile("schema/node.schema.json"));
+  std::size_t Rows = 0;
+  const std::function<void(const json &, const std::string &)> Visit =
+      [&](const json &Node, const std::string &Prefix) {
+        for (const auto &[Name, Property] : Node["properties"].items()) {
+          if (Property.contains("properties")) {
+            Visit(Property, Prefix + Name + "/");
+            continue;
+          }
+          ++Rows;
+          CAPTURE(Prefix + Name);
+          const std::size_t Row = Page.find("| `" + Prefix + Name + "` |");
+          REQUIRE(Row != std::string::npos);
+          const std::string Line = Page.substr(Row, Page.find('\n', Row) - Row);
+          if (Property.contains("default")) {
+            REQUIRE(Line.find("`" + Property["default"].dump() + "`") !=
+                    std::string::npos);
+          }
+        }
+      };
+  Visit(Schema, "/");
+  std::size_t Documented = 0;
+  for (std::size_t At = Page.find("\n| `/"); At != std::string::npos;
+       At = Page.find("\n| `/", At + 1)) {
+    ++Documented;
+  }
+  REQUIRE(Documented == Rows);
+}
+
 TEST_CASE("profiles", "[settings]") {
   NodeSettings Settings = fullSettings();
   Settings.ProbeBudgetPpm.reset();
--- a/tests/hyssopctl/hyssopctl_test.cpp
+++ b/tests/hyssopctl/hyssopctl_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 
 using namespace hyssopford;
@@ -365,3 +366,56 @@
     REQUIRE(Run.Out.find("--dry-run") != std::string::npos);
   }
 }
+
+TEST_CASE("settings and routing", "[hyssopctl]") {
+  Tool Run;
+  REQUIRE(Run({"settings", "--print-defaults"}) == 0);
+  REQUIRE(json::parse(Run.Out).contains("timeouts"));
+  REQUIRE(Run({"settings"}) == 2);
+  REQUIRE(Run({"routing", "--check", "/nonexistent"}) == 2);
+  REQUIRE(Run.Out.find("[hyssopford.112]") != std::string::npos);
+  REQUIRE(Run({"routing", "--check", Run.TokenFile}) == 2);
+}
+
+TEST_CASE("examples in the pages", "[docs]") {
+  std::size_t Snippets = 0;
+  std::size_t Commands = 0;
+  std::vector<std::filesystem::path> Pages{HYSSOPFORD_SOURCE_DIR "/README.md",
+                                           HYSSOPFORD_SOURCE_DIR
+                                           "/CONTRIBUTING.md"};
+  for (const auto &Entry :
+       std::filesystem::directory_iterator(HYSSOPFORD_SOURCE_DIR "/docs")) {
+    Pages.push_back(Entry.path());
+  }
+  for (const auto &Page : Pages) {
+    std::ifstream File(Page);
+    std::string Line;
+    std::string Snippet;
+    bool InJson = false;
+    while (std::getline(File, Line)) {
+      CAPTURE(Page.string(), Line);
+      if (InJson && Line == "```") {
+        InJson = false;
+        ++Snippets;
+        REQUIRE(json::accept(Snippet));
+      } else if (InJson) {
+        Snippet += Line + "\n";
+      } else if (Line == "```json") {
+        InJson = true;
+        Snippet.clear();
+      } else if (Line.starts_with("$ hyssopctl ") &&
+                 Line.find("--check") != std::string::npos) {
+        ++Commands;
+        Tool Run;
+        std::istringstream Words(Line.substr(12));
+        std::vector<std::string> Arguments{
+            std::istream_iterator<std::string>(Words), {}};
+        Arguments.back().insert(0, HYSSOPFORD_SOURCE_DIR "/");
+        CAPTURE(Run.Out);
+        REQUIRE(Run(Arguments) == 0);
+      }
+    }
+  }
+  REQUIRE(Snippets >= 9);
+  REQUIRE(Commands >= 4);
+}
--- a/tools/hyssopctl/commands.hpp
+++ b/tools/hyssopctl/commands.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <iosfwd>
 #include <optional>
 #include <string>
 #include <vector>
@@ -77,6 +78,16 @@
 ExitCode watch(const Session &Run, std::optional<std::uint64_t> Version,
                std::chrono::milliseconds Limit);
 
+/// @name Checks of files, without a site
+/// @{
+
+/// @brief Checks a file of node settings.
+ExitCode checkSettingsFile(const std::string &File, std::ostream &Out);
+
+/// @brief Checks a file of routing configuration.
+ExitCode checkRoutingFile(const std::string &File, std::ostream &Out);
+/// @}
+
 /// @brief Runs hyssopctl.
 /// @param Arguments the command line without the program's name
 /// @param Surroundings streams and effects
--- a/tools/hyssopctl/run.cpp
+++ b/tools/hyssopctl/run.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 
+#include "hyssopford/config/node_settings.hpp"
 #include "hyssopford/config/secret.hpp"
 
 #include <fmt/format.h>
@@ -35,6 +36,11 @@
     "  quarantine lift FINGERPRINT\n"
     "  explain --method M --host H --path P\n"
     "                             why a request would go where\n"
+    "  settings --check FILE      check a file of node settings, without a "
+    "site\n"
+    "  settings --print-defaults  node settings at their defaults\n"
+    "  routing --check FILE       check a configuration document, without a "
+    "site\n"
     "\n"
     "hyssopctl COMMAND --help lists the options. Every command takes --node,\n"
     "--token-file, --timeout-ms and --json.\n";
@@ -259,6 +265,33 @@
                          liftQuarantine, Words, Where);
 }
 
+/// The commands that need no site: settings and routing.
+ExitCode runCheck(const std::string &Name, Arguments Words,
+                  Environment &Where) {
+  HelpOutput Output(Where.Out);
+  TCLAP::CmdLine Line("Checks a file", ' ', Version);
+  Line.setExceptionHandling(false);
+  Line.setOutput(&Output);
+  TCLAP::ValueArg<std::string> File("c", "check", "file to check", false, "",
+                                    "FILE", Line);
+  TCLAP::SwitchArg Defaults("", "print-defaults",
+                            "print node settings at their defaults", Line);
+  Words.insert(Words.begin(), "hyssopctl " + Name);
+  Line.parse(Words);
+  const bool IsSettings = Name == "settings";
+  if (Defaults.getValue() && IsSettings) {
+    Where.Out << defaultNodeSettings() << '\n';
+    return ExitCode::Done;
+  }
+  if (!File.isSet()) {
+    Where.Err << "hyssopctl: expected --check FILE"
+              << (IsSettings ? " or --print-defaults\n" : "\n");
+    return ExitCode::Usage;
+  }
+  return IsSettings ? checkSettingsFile(File.getValue(), Where.Out)
+                    : checkRoutingFile(File.getValue(), Where.Out);
+}
+
 ExitCode dispatch(const std::string &Name, const Arguments &Words,
                   Environment &Where) {
   using Handler = std::function<ExitCode()>;
@@ -288,6 +321,8 @@
                           Where);
        }},
       {"quarantine", [&] { return runQuarantine(Words, Where); }},
+      {"settings", [&] { return runCheck(Name, Words, Where); }},
+      {"routing", [&] { return runCheck(Name, Words, Where); }},
       {"explain", [&] { return runExplain(Words, Where); }}};
   const auto Found = Handlers.find(Name);
   if (Found == Handlers.end()) {
