--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -12,7 +12,7 @@
 /// @brief Constants of the choice of upstreams, of retries and of hedges.
 struct RoutingSettings {
   /// Candidates compared for one choice.
-  std::uint32_t Samples = 3;
+  std::uint32_t Samples = 4;
   /// Age at which a load report has half its weight; 0 disables ageing.
   Duration ReportHalfLife = 10ms;
   /// Weight of the round trip in the score; 0 disables it.
@@ -29,10 +29,12 @@
   /// Hedges are never sent earlier than this.
   Duration HedgeFloor = 1ms;
   /// Retries and hedges per 1,000 original requests. 95 keeps the share below
-  /// 10 % although each service starts with ExtraBurst tokens.
+  /// 10 % although each service starts with ExtraStart tokens.
   std::uint32_t ExtraPerThousand = 95;
   /// Most retries and hedges in a burst.
-  std::uint32_t ExtraBurst = 10;
+  std::uint32_t ExtraBurst = 30;
+  /// Retries that a service may use before its first requests pay for them.
+  std::uint32_t ExtraStart = 5;
   /// Upstreams of one service in the node's own region that get a link; 0
   /// disables subsets.
   std::size_t SubsetSize = 8;
@@ -115,7 +117,7 @@
 /// @return the settings of deployment B
 inline DecisionSettings costProfile() {
   DecisionSettings Settings;
-  Settings.Routing.Samples = 2;
+  Settings.Routing.Samples = 3;
   Settings.Routing.HedgeQuantile = 0.98;
   Settings.Routing.ExtraPerThousand = 45;
   Settings.Admission.QueueDelayMax = 60ms;
