--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -110,12 +110,11 @@
 }
 
 void EventLoop::runDeferred() {
-  while (!Deferred.empty()) {
-    std::vector<Callback> Current;
-    Current.swap(Deferred);
-    for (const Callback &Each : Current) {
-      Each();
-    }
+  // What these callbacks defer runs in the next round, which does not wait.
+  std::vector<Callback> Current;
+  Current.swap(Deferred);
+  for (const Callback &Each : Current) {
+    Each();
   }
 }
 
