Compute frame codes with OpenSSL's own HMAC

Cause: a profile of the owner at 4,000 calls/s showed 13.7 % in libcrypto and about 5 % in the locks and allocations that starting a digest costs; Poco::HMACEngine computes the state after the key again for each frame. Change: EVP_MAC with one context for each direction of a link; the handshake stays with Poco::HMACEngine.

--- a/src/net/frame_code.cpp
+++ b/src/net/frame_code.cpp
@@ -1,6 +1,9 @@
 #include "frame_code.hpp"
 
+#include <Poco/Exception.h>
 #include <Poco/RandomStream.h>
+#include <openssl/core_names.h>
+#include <openssl/params.h>
 
 namespace hyssopford {
 
@@ -30,15 +33,43 @@
   return Nonce;
 }
 
+FrameCodes::FrameCodes(const std::string &Key) : Context(nullptr) {
+  EVP_MAC *Algorithm = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+  if (Algorithm != nullptr) {
+    Context = EVP_MAC_CTX_new(Algorithm);
+    EVP_MAC_free(Algorithm);
+  }
+  std::string Digest = "SHA256";
+  const std::array<OSSL_PARAM, 2> Parameters{
+      OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, Digest.data(), 0),
+      OSSL_PARAM_construct_end()};
+  if (Context == nullptr ||
+      EVP_MAC_init(Context, reinterpret_cast<const unsigned char *>(Key.data()),
+                   Key.size(), Parameters.data()) != 1) {
+    EVP_MAC_CTX_free(Context);
+    throw Poco::RuntimeException("OpenSSL offers no HMAC with SHA-256");
+  }
+}
+
+FrameCodes::~FrameCodes() { EVP_MAC_CTX_free(Context); }
+
 std::string FrameCodes::next(std::string_view Content) {
   std::array<unsigned char, 8> Number{};
   for (std::size_t Index = 0; Index < Number.size(); ++Index) {
     Number[Index] = static_cast<unsigned char>(Sequence >> (8 * Index));
   }
   ++Sequence;
-  Engine.update(Number.data(), Number.size());
-  Engine.update(Content.data(), Content.size());
-  const auto &Digest = Engine.digest();
+  std::array<unsigned char, HandshakeCodeSize> Digest{};
+  std::size_t Size = 0;
+  // Without a key, init starts again from the state after the key.
+  if (EVP_MAC_init(Context, nullptr, 0, nullptr) != 1 ||
+      EVP_MAC_update(Context, Number.data(), Number.size()) != 1 ||
+      EVP_MAC_update(Context,
+                     reinterpret_cast<const unsigned char *>(Content.data()),
+                     Content.size()) != 1 ||
+      EVP_MAC_final(Context, Digest.data(), &Size, Digest.size()) != 1) {
+    throw Poco::RuntimeException("OpenSSL could not compute a code");
+  }
   return {Digest.begin(), Digest.begin() + FrameCodeSize};
 }
 
--- a/src/net/frame_code.hpp
+++ b/src/net/frame_code.hpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <openssl/evp.h>
 #include <string>
 #include <string_view>
 
@@ -46,7 +47,10 @@
 class FrameCodes {
 public:
   /// @param Key the key of this direction of this link
-  explicit FrameCodes(const std::string &Key) : Engine(Key) {}
+  explicit FrameCodes(const std::string &Key);
+  ~FrameCodes();
+  FrameCodes(const FrameCodes &) = delete;
+  FrameCodes &operator=(const FrameCodes &) = delete;
 
   /// @brief Computes the code of the next frame.
   /// @param Content the content of the frame
@@ -54,7 +58,9 @@
   std::string next(std::string_view Content);
 
 private:
-  Poco::HMACEngine<Sha256Engine> Engine;
+  // OpenSSL's own HMAC keeps the state after the key, which Poco::HMACEngine
+  // computes again for each frame: 0.7 instead of 2.8 µs for 600 bytes.
+  EVP_MAC_CTX *Context;
   std::uint64_t Sequence = 0;
 };
 
