--- a/src/config/text_rules.hpp
+++ b/src/config/text_rules.hpp
@@ -14,6 +14,7 @@
 const TextRule &methodRule();
 const TextRule &pathPrefixRule();
 const TextRule &addressRule();
+const TextRule &listenAddressRule();
 const TextRule &fingerprintRule();
 const TextRule &filePathRule();
 /// @}
