--- a/include/hyssopford/core/quarantine_message.hpp
+++ b/include/hyssopford/core/quarantine_message.hpp
@@ -21,6 +21,9 @@
   std::uint64_t LiftSerial = 0;
   /// True if it ran alone, so that it certainly is the cause.
   bool Alone = false;
+  /// True once the fingerprint ran alone and was answered: the crash had
+  /// another cause. Never reset, so that nodes agree in any order of messages.
+  bool Cleared = false;
   /// Time since the crash; clocks of nodes differ.
   Duration Age{0};
 
@@ -28,20 +31,9 @@
                          const CrashSighting &) = default;
 };
 
-/// @brief A suspect that ran alone and was answered: the crash that it was
-/// seen in had another cause.
-struct Clearance {
-  std::uint64_t Fingerprint = 0;
-  /// Time since the answer.
-  Duration Age{0};
-
-  friend bool operator==(const Clearance &, const Clearance &) = default;
-};
-
-/// @brief Spreads crash sightings and clearances.
+/// @brief Spreads crash sightings.
 struct QuarantineNotice {
   std::vector<CrashSighting> Sightings;
-  std::vector<Clearance> Cleared;
 
   friend bool operator==(const QuarantineNotice &,
                          const QuarantineNotice &) = default;
--- a/include/hyssopford/core/quarantine_system.hpp
+++ b/include/hyssopford/core/quarantine_system.hpp
@@ -59,9 +59,10 @@
   static constexpr Duration GossipTime = 5s;
   /// Peers of one gossip round.
   static constexpr std::size_t GossipPeers = 3;
-  /// Most fingerprints in the table, attempts in the gate, remembered answers
-  /// and sightings in one message.
+  /// Most fingerprints in the table, crashes of one, attempts in the gate,
+  /// remembered answers and sightings in one message.
   static constexpr std::size_t MaxFingerprints = 1'024;
+  static constexpr std::size_t MaxCrashes = 16;
   static constexpr std::size_t MaxGated = 256;
   static constexpr std::size_t MaxTrusted = 4'096;
   static constexpr std::size_t MaxSightings = 64;
@@ -143,13 +144,13 @@
     TimePoint At;
     std::uint64_t LiftSerial = 0;
     bool Alone = false;
+    bool Cleared = false;
   };
   /// Run of the owner and number of the crash there.
   using CrashId = std::pair<NodeRun, std::uint64_t>;
   struct FingerprintRow {
     std::map<CrashId, SightingRow> Crashes;
     TimePoint LastCrash;
-    std::optional<TimePoint> Cleared;
     bool Reported = false;
     /// Until when changes are repeated to random peers.
     TimePoint GossipUntil;
@@ -174,7 +175,7 @@
   bool mayAdmit(const Dispatch &Attempt, TimePoint Now) const;
   void crash(std::vector<std::uint64_t> Running, TimePoint Now, Actions &Out);
   bool learn(const CrashSighting &Sighting, TimePoint Now, Actions &Out);
-  bool clear(const Clearance &Cleared, TimePoint Now);
+  bool clear(std::uint64_t Fingerprint);
   FingerprintRow *rowFor(std::uint64_t Fingerprint);
   void announce(const std::set<std::uint64_t> &Changed, std::size_t Peers,
                 TimePoint Now, Actions &Out);
