--- a/src/net/codec/quarantine_codec.cpp
+++ b/src/net/codec/quarantine_codec.cpp
@@ -12,31 +12,20 @@
     const wire::NodeRun Owner = encodeRun(Each.Owner);
     Sightings.push_back(wire::CreateCrashSighting(
         Out, Each.Fingerprint, &Owner, Each.Crash, Each.LiftSerial, Each.Alone,
-        Each.Age.count()));
-  }
-  std::vector<flatbuffers::Offset<wire::Clearance>> Cleared;
-  Cleared.reserve(Value.Cleared.size());
-  for (const Clearance &Each : Value.Cleared) {
-    Cleared.push_back(
-        wire::CreateClearance(Out, Each.Fingerprint, Each.Age.count()));
+        Each.Cleared, Each.Age.count()));
   }
   const auto AllSightings = Out.CreateVector(Sightings);
-  const auto AllCleared = Out.CreateVector(Cleared);
-  return wire::CreateQuarantineNotice(Out, AllSightings, AllCleared);
+  return wire::CreateQuarantineNotice(Out, AllSightings);
 }
 
 std::optional<QuarantineNotice> decode(const wire::QuarantineNotice &Value) {
   QuarantineNotice Notice;
   Notice.Sightings.reserve(Value.sightings()->size());
   for (const wire::CrashSighting *Each : *Value.sightings()) {
-    Notice.Sightings.push_back(CrashSighting{
-        Each->fingerprint(), decodeRun(*Each->owner()), Each->crash(),
-        Each->lift_serial(), Each->alone(), Duration(Each->age_us())});
-  }
-  Notice.Cleared.reserve(Value.cleared()->size());
-  for (const wire::Clearance *Each : *Value.cleared()) {
-    Notice.Cleared.push_back(
-        Clearance{Each->fingerprint(), Duration(Each->age_us())});
+    Notice.Sightings.push_back(
+        CrashSighting{Each->fingerprint(), decodeRun(*Each->owner()),
+                      Each->crash(), Each->lift_serial(), Each->alone(),
+                      Each->cleared(), Duration(Each->age_us())});
   }
   return Notice;
 }
