Serve the operators' interface, the store and graceful shutdown

Change: the runtime calls the store, forwards patches and history questions and answers docs/operators-api.md except /metrics; explain gives no scores, as the core does not expose them. The demo starts the store, patches with hyssopctl and waits for every node. Conclusion: the demo covers store, patches and drain.

--- a/include/hyssopford/node/core_driver.hpp
+++ b/include/hyssopford/node/core_driver.hpp
@@ -25,8 +25,14 @@
 public:
   /// @name Construction
   /// @{
+
+  /// @param Loop the loop on which the core runs
+  /// @param Settings what the core must know of its node
+  /// @param Handler carries out the actions
+  /// @param Codec the JSON form of the configuration; nullptr if the
+  /// configuration comes only through adopt
   CoreDriver(EventLoop &Loop, const NodeCoreSettings &Settings,
-             ActionHandler &Handler);
+             ActionHandler &Handler, const ConfigCodec *Codec = nullptr);
   ~CoreDriver();
   CoreDriver(const CoreDriver &) = delete;
   CoreDriver &operator=(const CoreDriver &) = delete;
--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -2,9 +2,11 @@
 /// @brief A complete node: core, ports and links on one event loop.
 #pragma once
 
+#include "hyssopford/config/config_codec.hpp"
 #include "hyssopford/net/event_loop.hpp"
 #include "hyssopford/net/http_server.hpp"
 #include "hyssopford/net/peer_links.hpp"
+#include "hyssopford/net/store_client.hpp"
 #include "hyssopford/net/upstream_client.hpp"
 #include "hyssopford/node/caller_service.hpp"
 #include "hyssopford/node/core_driver.hpp"
@@ -32,6 +34,8 @@
   std::string PeerAddress = "127.0.0.1:0";
   std::string OperatorAddress = "127.0.0.1:0";
   std::vector<std::string> Seeds;
+  /// Address of the platform's key-value service; empty for none.
+  std::string StoreAddress;
   OperatorTokens Tokens;
   /// Time for requests in flight after a request to end.
   Duration DrainDeadline = 30s;
@@ -109,8 +113,11 @@
 
   NodeRuntimeSettings Settings;
   EventLoop Loop;
+  JsonConfigCodec Codec;
   std::unique_ptr<PeerLinks> Links;
   std::unique_ptr<CoreDriver> Driver;
+  /// Joins its threads, which post to the loop, before the loop ends.
+  std::unique_ptr<StoreClient> Store;
   std::unique_ptr<UpstreamClient> Upstream;
   std::unique_ptr<UpstreamRegistry> Registry;
   std::unique_ptr<CallerService> CallerRequests;
--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -100,16 +100,42 @@
     checker.check(node.name not in owners, "the drained upstream got work")
 
 
+def patch(site, checker, operations, base, name):
+    """Submits a patch with hyssopctl and waits until every node has it."""
+    path = site.folder / f"{name}.json"
+    path.write_text(json.dumps(operations))
+    begin = time.monotonic()
+    output = site.hyssopctl(site.nodes[0], "patch", "--base", base, "--author",
+                            "demo", path)
+    print("  hyssopctl: " + output.strip().replace("\n", "; "))
+    version = base + 1
+    site.wait_for(f"version {version} on every node",
+                  lambda: set(site.versions()) == {version})
+    took = time.monotonic() - begin
+    checker.check(took < 3, f"version {version} took {took:.1f} s")
+    print(f"  version {version} is in force on {len(site.nodes)} nodes after "
+          f"{took * 1000:.0f} ms")
+
+
 def run(site, checker, keep):
-    print("starting 13 nodes with their upstreams ...")
+    print("starting the store and 13 nodes with their upstreams ...")
     begin = time.monotonic()
-    site.start(testsite.DEPLOYMENT_A, ROUTES)
+    site.start_store()
+    site.start(testsite.DEPLOYMENT_A)
     print(f"all nodes know each other after {time.monotonic() - begin:.1f} s")
+    print("first configuration:")
+    patch(site, checker, [{"op": "add", "path": "/routes", "value": ROUTES}],
+          0, "first")
     print("requests through every node:")
     owners = send_all(site, checker)
     checker.check(len(owners) == len(site.nodes),
                   f"only {sorted(owners)} got work")
     check_refusal(site, checker)
+    print("a patch on the deadline of the catalogue:")
+    patch(site, checker, [{"op": "test", "path": "/routes/0/name",
+                           "value": "catalogue"},
+                          {"op": "replace", "path": "/routes/0/deadline_ms",
+                           "value": 600}], 1, "deadline")
     print(f"draining {site.nodes[0].name}:")
     drain_one(site, checker)
     if keep:
--- a/scripts/lib/testsite.py
+++ b/scripts/lib/testsite.py
@@ -15,8 +15,8 @@
 # Deployment A of the design page: service -> instances.
 DEPLOYMENT_A = {"catalogue": 6, "enrolment": 4, "deposits": 3}
 DOMAINS = ["zone-a", "zone-b", "zone-c"]
-READ_TOKEN = "demo-read"
-WRITE_TOKEN = "demo-write"
+READ_TOKEN = "read-token-of-the-demo-site-0123456789"
+WRITE_TOKEN = "write-token-of-the-demo-site-0123456789"
 
 
 class SiteError(Exception):
@@ -109,11 +109,47 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="hyssopford-"))
         self.nodes = []
         self.settings = settings or {}
-
-    def start(self, services, routes, slots=10, service_time_us=2000):
+        self.store = None
+        self.store_address = None
+
+    def start_store(self):
+        """Starts the stand-in of the platform's key-value service."""
+        self.store = Process(
+            "store", [self.build / "standins/store/hyssopford-store-standin",
+                      "--listen", "127.0.0.1:0"], self.folder, None)
+        end = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < end:
+            words = self.store.log_path.read_text().split()
+            ports = [word[5:] for word in words if word.startswith("port=")]
+            if ports:
+                self.store_address = f"127.0.0.1:{ports[0]}"
+                self.settings["store"] = self.store_address
+                return
+            time.sleep(0.01)
+        raise SiteError("the store did not become ready")
+
+    def hyssopctl(self, node, *arguments):
+        """Runs hyssopctl against a node; returns its output."""
+        token = self.folder / "write.token"
+        token.write_text(WRITE_TOKEN + "\n")
+        token.chmod(0o600)
+        done = subprocess.run(
+            [str(self.build / "tools/hyssopctl/hyssopctl"),
+             *map(str, arguments), "--node",
+             node.addresses["operator_address"], "--token-file", str(token)],
+            capture_output=True, text=True, timeout=60, check=False,
+            stdin=subprocess.DEVNULL)
+        if done.returncode != 0:
+            raise SiteError(f"hyssopctl {arguments}: {done.returncode}: "
+                            f"{done.stdout}{done.stderr}")
+        return done.stdout
+
+    def versions(self):
+        return [node.operator("/v1/version")[1]["version"]
+                for node in self.nodes]
+
+    def start(self, services, slots=10, service_time_us=2000, routing=None):
         """Starts nodes and upstreams and waits until all know each other."""
-        routing = self.folder / "routing.json"
-        routing.write_text(json.dumps({"version": 1, "routes": routes}))
         for service, count in services.items():
             for index in range(count):
                 domain = DOMAINS[len(self.nodes) % len(DOMAINS)]
@@ -133,8 +169,9 @@
         settings = {"site": "demo", "site_key": "key of the demo site",
                     "failure_domain": node.domain, "region": "west",
                     "seeds": list(seeds), "read_token": READ_TOKEN,
-                    "write_token": WRITE_TOKEN,
-                    "routing_file": str(routing)}
+                    "write_token": WRITE_TOKEN}
+        if routing is not None:
+            settings["routing_file"] = str(routing)
         settings.update(self.settings)
         path = self.folder / f"{node.name}.json"
         path.write_text(json.dumps(settings))
@@ -174,7 +211,7 @@
                 _, answer = node.operator("/v1/members")
                 seen = sorted(member["service"] for member in answer["members"]
                               if member["upstream"] == "serving")
-                _, status = node.operator("/v1/status")
+                _, status = node.operator("/v1/node")
                 if (seen != expected or
                         status["links"]["usable"] < len(self.nodes) - 1):
                     return False
@@ -194,4 +231,8 @@
                 status = process.wait()
                 if status != 0:
                     problems.append(f"{process.name} ended with {status}")
+        if self.store is not None:
+            self.store.terminate()
+            if self.store.wait() != 0:
+                problems.append("the store did not end well")
         return problems
--- a/src/node/core_driver.cpp
+++ b/src/node/core_driver.cpp
@@ -6,8 +6,8 @@
 namespace hyssopford {
 
 CoreDriver::CoreDriver(EventLoop &EventSource, const NodeCoreSettings &Settings,
-                       ActionHandler &Receiver)
-    : Loop(EventSource), Handler(Receiver), Core(Settings) {
+                       ActionHandler &Receiver, const ConfigCodec *Codec)
+    : Loop(EventSource), Handler(Receiver), Core(Settings, Codec) {
   scheduleTick();
 }
 
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -55,13 +55,25 @@
   CoreSettings.Region = Settings.Region;
   CoreSettings.Seeds = Settings.Seeds;
   CoreSettings.Seed = LinkSettings.Run.Value;
-  Driver = std::make_unique<CoreDriver>(Loop, CoreSettings, CoreActions);
+  Driver = std::make_unique<CoreDriver>(Loop, CoreSettings, CoreActions,
+                                        Settings.StoreAddress.empty() ? nullptr
+                                                                      : &Codec);
+  if (!Settings.StoreAddress.empty()) {
+    HttpStoreSettings StoreSettings;
+    StoreSettings.Address = Settings.StoreAddress;
+    Store = std::make_unique<HttpStoreClient>(
+        StoreSettings, [this](std::uint64_t Call, StoreResult Result) {
+          Loop.post([this, Call, Moved = std::move(Result)] {
+            Driver->submit(StoreReplied{Call, Moved});
+          });
+        });
+  }
   Upstream = std::make_unique<UpstreamClient>(Loop, UpstreamEvents);
   Registry = std::make_unique<UpstreamRegistry>(Loop, *Driver, *Upstream);
   CallerRequests = std::make_unique<CallerService>(*Driver, false);
   LocalRequests = std::make_unique<LocalService>(*Driver, *Registry);
   OperatorRequests = std::make_unique<OperatorService>(
-      OperatorView{*Driver, *Links, *Upstream, *Registry}, Settings.Tokens);
+      OperatorView{*Driver, *Links, *Upstream, *Registry, {}}, Settings.Tokens);
   Callers = std::make_unique<HttpServer>(
       Loop, *CallerRequests,
       serverSettings(Settings, Settings.CallerAddress, CallerNumber));
@@ -149,6 +161,10 @@
 void NodeRuntime::perform(ProbeUpstream &What) { Upstream->probe(What); }
 
 void NodeRuntime::perform(StoreCall &What) {
+  if (Store) {
+    Store->start(std::move(What));
+    return;
+  }
   StoreResult Result;
   Result.Reason = "no store is configured";
   Driver->submit(StoreReplied{What.Call, Result});
@@ -166,9 +182,11 @@
 
 void NodeRuntime::perform(ShutdownComplete & /*What*/) {}
 
-void NodeRuntime::perform(PatchResult & /*What*/) {}
+void NodeRuntime::perform(PatchResult &What) { OperatorRequests->finish(What); }
 
-void NodeRuntime::perform(HistoryResult & /*What*/) {}
+void NodeRuntime::perform(HistoryResult &What) {
+  OperatorRequests->finish(What);
+}
 
 void NodeRuntime::beginShutdown() {
   if (ShuttingDown) {
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -1,4 +1,5 @@
 #include "hyssopford/node/upstream_registry.hpp"
+
 #include "hyssopford/core/error_codes.hpp"
 
 #include <Poco/Exception.h>
--- a/tests/net/loop_thread.hpp
+++ b/tests/net/loop_thread.hpp
@@ -62,6 +62,15 @@
     });
   }
 
+  /// @brief Receives until one of two texts has arrived.
+  std::string receiveUntilEither(const std::string &First,
+                                 const std::string &Second) {
+    return receive([&](const std::string &Text) {
+      return Text.find(First) != std::string::npos ||
+             Text.find(Second) != std::string::npos;
+    });
+  }
+
   /// @brief Receives up to the end of the connection.
   std::string receiveAll() {
     return receive([](const std::string &) { return false; });
--- a/tools/load/constant_server.cpp
+++ b/tools/load/constant_server.cpp
@@ -67,8 +67,7 @@
 void serveOnThreads(const std::string &Address, int Threads) {
   const Poco::Net::ServerSocket Socket{Poco::Net::SocketAddress(Address)};
   Poco::ThreadPool Pool(2, Threads);
-  Poco::Net::HTTPServerParams::Ptr Parameters =
-      new Poco::Net::HTTPServerParams;
+  Poco::Net::HTTPServerParams::Ptr Parameters = new Poco::Net::HTTPServerParams;
   Parameters->setMaxThreads(Threads);
   Parameters->setKeepAlive(true);
   Poco::Net::HTTPServer Server(new ThreadFactory, Pool, Socket, Parameters);
--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -90,8 +90,8 @@
 
 void LoadRun::poll(TimePoint Now) {
   while (Due < Total) {
-    const auto Offset = static_cast<std::int64_t>(
-        static_cast<double>(Due) * 1e6 / Plan.RatePerSecond);
+    const auto Offset = static_cast<std::int64_t>(static_cast<double>(Due) *
+                                                  1e6 / Plan.RatePerSecond);
     const TimePoint Intended = Begin + Duration(Offset);
     if (Intended > Now) {
       break;
@@ -145,9 +145,9 @@
   Free.erase(std::remove(Free.begin(), Free.end(), &On), Free.end());
   // Its own handler is running.
   Loop.defer([this, &On] {
-    const auto Found = std::find_if(
-        Callers.begin(), Callers.end(),
-        [&](const auto &Each) { return Each.get() == &On; });
+    const auto Found =
+        std::find_if(Callers.begin(), Callers.end(),
+                     [&](const auto &Each) { return Each.get() == &On; });
     if (Found != Callers.end()) {
       *Found = std::make_unique<Caller>(*this);
     }
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -83,9 +83,9 @@
                                  false, 200, "number", Line);
     TCLAP::ValueArg<int> Seconds("d", "seconds", "length of the run", false, 5,
                                  "number", Line);
-    TCLAP::ValueArg<std::size_t> Connections(
-        "c", "connections", "connections for each target", false, 32, "number",
-        Line);
+    TCLAP::ValueArg<std::size_t> Connections("c", "connections",
+                                             "connections for each target",
+                                             false, 32, "number", Line);
     TCLAP::ValueArg<std::string> Path("p", "path", "request target", false, "/",
                                       "path", Line);
     TCLAP::ValueArg<std::size_t> BodySize(
--- a/tools/node/settings_file.cpp
+++ b/tools/node/settings_file.cpp
@@ -36,8 +36,9 @@
   Node.PeerAddress = Root.value("peer_address", Node.PeerAddress);
   Node.OperatorAddress = Root.value("operator_address", Node.OperatorAddress);
   Node.Seeds = Root.value("seeds", Node.Seeds);
-  Node.Tokens.Read = Root.value("read_token", "");
-  Node.Tokens.Write = Root.value("write_token", "");
+  Node.Tokens.Read = Secret(Root.value("read_token", ""));
+  Node.Tokens.Write = Secret(Root.value("write_token", ""));
+  Node.StoreAddress = Root.value("store", "");
   Node.DrainDeadline = std::chrono::milliseconds(
       Root.value("drain_deadline_ms", std::int64_t{Node.DrainDeadline / 1ms}));
   Result.RoutingFile = Root.value("routing_file", "");
