--- a/include/hyssopford/net/http_reader.hpp
+++ b/include/hyssopford/net/http_reader.hpp
@@ -85,7 +85,7 @@
   enum class Stage : std::uint8_t {
     Head,
     LengthBody,
-    ChunkSize,
+    ChunkLine,
     ChunkData,
     ChunkEnd,
     Trailer,
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -133,7 +133,7 @@
     State = Stage::LengthBody;
     break;
   case BodyFraming::Chunked:
-    State = Stage::ChunkSize;
+    State = Stage::ChunkLine;
     break;
   case BodyFraming::UntilClose:
     State = Stage::UntilClose;
@@ -151,7 +151,7 @@
     case Stage::UntilClose:
       Advanced = readChunkData();
       break;
-    case Stage::ChunkSize:
+    case Stage::ChunkLine:
       Advanced = readChunkSize();
       break;
     case Stage::ChunkEnd: {
@@ -160,7 +160,7 @@
       if (Advanced && !Line.empty()) {
         refuse(400, "chunk longer than its size");
       } else if (Advanced) {
-        State = Stage::ChunkSize;
+        State = Stage::ChunkLine;
       }
       break;
     }
