Charge a failure one mean latency instead of three

A flaky upstream that answers two of three requests lost nearly all its traffic, which overloaded the others at 85 % and more.

--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -20,7 +20,7 @@
   /// Round trip assumed for a failure domain before it was measured.
   Duration FirstRoundTrip = 1ms;
   /// Time charged for a failure, in mean latencies; 0 disables the charge.
-  double FailureWeight = 3.0;
+  double FailureWeight = 1.0;
   /// Age at which an observed failure share has half its weight.
   Duration FailureHalfLife = 1s;
   /// Percentile of the latency after which an idempotent request is hedged;
