--- /dev/null
+++ b/include/hyssopford/node/node_telemetry.hpp
@@ -0,0 +1,97 @@
+/// @file
+/// @brief Logs, metrics and spans of one node.
+#pragma once
+
+#include "hyssopford/core/node_core.hpp"
+#include "hyssopford/telemetry/logger.hpp"
+#include "hyssopford/telemetry/metrics.hpp"
+#include "hyssopford/telemetry/span_exporter.hpp"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hyssopford {
+
+/// @brief Settings of the telemetry of a node.
+struct NodeTelemetrySettings {
+  LogLevel Level = LogLevel::Info;
+  SpanExporterSettings Export;
+  SpanOrigin Origin;
+};
+
+/// @brief Turns what a node does into log lines, metrics and spans. Used from
+/// the thread of the event loop.
+class NodeTelemetry {
+public:
+  /// @name Construction
+  /// @{
+
+  /// @param Settings levels and addresses
+  /// @param Lines takes the log lines; must outlive this object
+  NodeTelemetry(const NodeTelemetrySettings &Settings, LogSink &Lines);
+  NodeTelemetry(const NodeTelemetry &) = delete;
+  NodeTelemetry &operator=(const NodeTelemetry &) = delete;
+  /// @}
+
+  /// @name Inputs
+  /// @{
+
+  /// @brief Writes a log line.
+  void log(LogLevel Level, std::string_view EventName,
+           const std::vector<LogField> &Fields = {});
+
+  /// @brief Logs and counts a notice of the core.
+  void notice(const Notice &What);
+
+  /// @brief Offers a span for export.
+  void span(const SpanFinished &What);
+
+  /// @brief Notes that a caller's request is complete.
+  void requestStarted(RequestId Id, TimePoint Now);
+
+  /// @brief Counts the end of a caller's request.
+  void requestEnded(const ReplyToCaller &Reply, TimePoint Now);
+
+  /// @brief Forgets a request whose caller has gone.
+  void requestDropped(RequestId Id) { RequestStarts.erase(Id); }
+
+  /// @brief Notes that an attempt was forwarded to the upstream.
+  void attemptStarted(AttemptId Id, TimePoint Now);
+
+  /// @brief Counts the end of an attempt.
+  /// @param Result "answered" or the reason of the failure
+  void attemptEnded(AttemptId Id, std::string_view Result, TimePoint Now);
+
+  /// @brief Counts a probe.
+  void probed(const ProbeFinished &Result);
+
+  /// @brief Writes the counts of suppressed log lines. Called about once a
+  /// second.
+  void flush() { Log.flushSuppressed(); }
+  /// @}
+
+  /// @name Output
+  /// @{
+
+  /// @brief Renders all metrics in the Prometheus text format.
+  /// @param Core the core to sample
+  /// @param Links usable links to peers
+  /// @param Now the current time
+  /// @return the page
+  std::string render(const NodeCore &Core, std::size_t Links, TimePoint Now);
+
+  const MetricsRegistry &metrics() const { return Metrics; }
+  /// @}
+
+private:
+  Logger Log;
+  MetricsRegistry Metrics;
+  SpanExporter Exporter;
+  std::map<RequestId, TimePoint> RequestStarts;
+  std::map<AttemptId, TimePoint> AttemptStarts;
+};
+
+} // namespace hyssopford
--- a/include/hyssopford/telemetry/logger.hpp
+++ b/include/hyssopford/telemetry/logger.hpp
@@ -79,10 +79,10 @@
 
   /// @brief Writes one event.
   /// @param Level severity
-  /// @param Event event name in snake case
+  /// @param EventName event name in snake case
   /// @param Fields further fields; keys are names of the code, values may come
   /// from outside and are escaped
-  void log(LogLevel Level, std::string_view Event,
+  void log(LogLevel Level, std::string_view EventName,
            const std::vector<LogField> &Fields = {});
 
   /// @brief Writes a line for each event that has suppressed lines and no
--- /dev/null
+++ b/src/node/node_telemetry.cpp
@@ -0,0 +1,102 @@
+#include "hyssopford/node/node_telemetry.hpp"
+
+#include <chrono>
+
+namespace hyssopford {
+
+namespace {
+
+double seconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+} // namespace
+
+NodeTelemetry::NodeTelemetry(const NodeTelemetrySettings &Settings,
+                             LogSink &Lines)
+    : Log(Settings.Level, Lines),
+      Exporter(Settings.Export, Settings.Origin, [this](const Error &Fault) {
+        // The logger is safe to use from the exporter's thread.
+        Log.log(LogLevel::Warning, "span_export_failed",
+                {{"step", Fault.Step},
+                 {"peer", Fault.Peer},
+                 {"reason", Fault.Reason}});
+      }) {
+  Metrics.set(MetricId::BuildInfo, {"0.1.0"}, 1);
+}
+
+void NodeTelemetry::log(LogLevel Level, std::string_view EventName,
+                        const std::vector<LogField> &Fields) {
+  Log.log(Level, EventName, Fields);
+}
+
+void NodeTelemetry::notice(const Notice &What) {
+  std::vector<LogField> Fields;
+  Fields.reserve(What.Fields.size());
+  for (const auto &[Name, Value] : What.Fields) {
+    Fields.emplace_back(Name, Value);
+  }
+  Log.log(LogLevel::Info, What.Event, Fields);
+  Metrics.add(MetricId::Notices, {What.Event});
+}
+
+void NodeTelemetry::span(const SpanFinished &What) { Exporter.offer(What); }
+
+void NodeTelemetry::requestStarted(RequestId Id, TimePoint Now) {
+  RequestStarts[Id] = Now;
+}
+
+void NodeTelemetry::requestEnded(const ReplyToCaller &Reply, TimePoint Now) {
+  Metrics.add(MetricId::Requests,
+              {toString(Reply.Result), toString(Reply.Reason)});
+  Metrics.add(MetricId::RequestAttempts, {}, Reply.Attempts);
+  const auto Started = RequestStarts.find(Reply.Id);
+  if (Started != RequestStarts.end()) {
+    Metrics.observe(MetricId::RequestSeconds, {toString(Reply.Result)},
+                    seconds(Now - Started->second), Now);
+    RequestStarts.erase(Started);
+  }
+}
+
+void NodeTelemetry::attemptStarted(AttemptId Id, TimePoint Now) {
+  AttemptStarts[Id] = Now;
+}
+
+void NodeTelemetry::attemptEnded(AttemptId Id, std::string_view Result,
+                                 TimePoint Now) {
+  const auto Started = AttemptStarts.find(Id);
+  if (Started == AttemptStarts.end()) {
+    return;
+  }
+  Metrics.add(MetricId::UpstreamCalls, {std::string(Result)});
+  if (Result == toString(Outcome::Answered)) {
+    Metrics.observe(MetricId::UpstreamSeconds, {},
+                    seconds(Now - Started->second), Now);
+  }
+  AttemptStarts.erase(Started);
+}
+
+void NodeTelemetry::probed(const ProbeFinished &Result) {
+  Metrics.add(MetricId::Probes, {Result.Succeeded ? "succeeded" : "failed"});
+  Metrics.add(MetricId::ProbeSeconds, {}, seconds(Result.Elapsed));
+}
+
+std::string NodeTelemetry::render(const NodeCore &Core, std::size_t Links,
+                                  TimePoint Now) {
+  sampleCore(Core, Metrics);
+  sampleProcess(Metrics);
+  Metrics.set(MetricId::PeerLinks, {}, static_cast<double>(Links));
+  Metrics.set(MetricId::SpansExported, {},
+              static_cast<double>(Exporter.exported()));
+  Metrics.set(MetricId::SpansDropped, {"queue-full"},
+              static_cast<double>(Exporter.droppedQueueFull()));
+  Metrics.set(MetricId::SpansDropped, {"export-failed"},
+              static_cast<double>(Exporter.droppedExportFailed()));
+  Metrics.set(MetricId::SpansQueued, {},
+              static_cast<double>(Exporter.queued()));
+  Metrics.set(MetricId::LogLinesSuppressed, {},
+              static_cast<double>(Log.suppressed()));
+  return Metrics.render(Now);
+}
+
+} // namespace hyssopford
--- a/src/telemetry/logger.cpp
+++ b/src/telemetry/logger.cpp
@@ -79,16 +79,17 @@
 Logger::Logger(LogLevel Lowest, LogSink &Target, WallClock Source)
     : Least(Lowest), Sink(Target), Clock(std::move(Source)) {}
 
-void Logger::log(LogLevel Level, std::string_view Event,
+void Logger::log(LogLevel Level, std::string_view EventName,
                  const std::vector<LogField> &Fields) {
   if (Level < Least) {
     return;
   }
   const WallTime Now = Clock();
   const std::scoped_lock Lock(Mutex);
-  auto Found = Windows.find(Event);
+  auto Found = Windows.find(EventName);
   if (Found == Windows.end()) {
-    Found = Windows.emplace(std::string(Event), EventWindow{Now, 0, 0}).first;
+    Found =
+        Windows.emplace(std::string(EventName), EventWindow{Now, 0, 0}).first;
   }
   EventWindow &Current = Found->second;
   if (Now - Current.Start >= Window || Now < Current.Start) {
@@ -103,7 +104,7 @@
   ++Current.Lines;
   std::string Line =
       fmt::format("time={} level={} event={}", timeText(Now),
-                  LevelNames.at(static_cast<std::size_t>(Level)), Event);
+                  LevelNames.at(static_cast<std::size_t>(Level)), EventName);
   for (const LogField &Each : Fields) {
     const std::string_view Value = Each.Value;
     fmt::format_to(std::back_inserter(Line), " {}={}", Each.Name,
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -76,6 +76,12 @@
   void pause(std::size_t Node);
   void resume(std::size_t Node);
   void crashUpstream(std::size_t Node);
+  /// @brief Multiplies the service time of an upstream.
+  void setSlowdown(std::size_t Node, std::uint64_t Factor);
+  /// @brief Makes an upstream answer each request with status 500 at once.
+  void setFailFast(std::size_t Node, bool Enabled);
+  /// @brief Announces a state of an upstream to its node.
+  void announce(std::size_t Node, UpstreamState State);
   void partition(const std::set<std::size_t> &Side);
   void heal();
   void log(std::string Line);
@@ -87,6 +93,8 @@
   bool isUp(std::size_t Node) const { return Nodes[Node].Core != nullptr; }
   bool isPaused(std::size_t Node) const { return Nodes[Node].Paused; }
   NodeCore &core(std::size_t Node) { return *Nodes[Node].Core; }
+  /// @brief Time spent on probes as a share of the time of all slots.
+  double probeShare() const;
   std::vector<Execution> Executions;
   std::map<std::uint64_t, ReplyToCaller> Replies;
   std::map<std::uint64_t, TimePoint> RepliedAt;
@@ -112,6 +120,8 @@
     TimePoint TickAt = TimePoint::max();
     std::map<AttemptId, std::uint64_t> Running;
     bool UpstreamUp = false;
+    std::uint64_t Slowdown = 1;
+    bool FailsFast = false;
   };
   struct Step {
     TimePoint At;
@@ -131,6 +141,7 @@
   void openLink(std::size_t From, NodeId Peer);
   void breakLink(std::size_t Left, std::size_t Right);
   void execute(std::size_t Node, const ForwardToUpstream &Forward);
+  void probe(std::size_t Node);
   void callStore(std::size_t Node, const StoreCall &Call);
   StoreResult apply(const StoreOperation &Operation);
   bool chance(std::uint64_t Rate) { return Random.below(1000) < Rate; }
@@ -143,6 +154,7 @@
   TimePoint Now{};
   std::uint64_t NextOrder = 0;
   std::uint64_t NextSubmission = 1;
+  Duration ProbeTime{0};
   std::priority_queue<Step> Steps;
   std::vector<NodeRow> Nodes;
   std::map<NodeId, std::size_t> Index;
