--- a/src/core/key_system.cpp
+++ b/src/core/key_system.cpp
@@ -478,16 +478,16 @@
 }
 
 void KeySystem::addHolders(DeliveryRow &Row) const {
-  const auto [Service, Key] = std::visit(
+  const std::pair<std::string, std::string> Name = std::visit(
       [](const auto &Each) { return std::pair(Each.Service, Each.Key); },
       Row.Message);
-  const Roster *Known = Rosters.find(Service);
+  const Roster *Known = Rosters.find(Name.first);
   if (Known == nullptr || Known->Current.Epoch <= Row.Epoch) {
     return;
   }
   Row.Epoch = Known->Current.Epoch;
   const auto Add = [&](const RosterEpoch &Epoch) {
-    for (const RosterMember &Member : holdersOf(Epoch, Key)) {
+    for (const RosterMember &Member : holdersOf(Epoch, Name.second)) {
       if (std::find(Row.Open.begin(), Row.Open.end(), Member) ==
           Row.Open.end()) {
         Row.Open.push_back(Member);
--- a/src/core/quarantine_system.cpp
+++ b/src/core/quarantine_system.cpp
@@ -166,13 +166,13 @@
     std::uint64_t &Serial = Lifts[Lift.Fingerprint];
     Serial = std::max(Serial, Lift.Serial);
   }
-  for (const auto &[Fingerprint, Serial] : Lifts) {
-    const auto Found = Fingerprints.find(Fingerprint);
+  for (const auto &Lift : Lifts) {
+    const auto Found = Fingerprints.find(Lift.first);
     if (Found == Fingerprints.end()) {
       continue;
     }
     std::erase_if(Found->second.Crashes, [&](const auto &Entry) {
-      return Entry.second.LiftSerial < Serial;
+      return Entry.second.LiftSerial < Lift.second;
     });
     if (Found->second.Crashes.empty()) {
       Fingerprints.erase(Found);
--- a/src/core/roster.cpp
+++ b/src/core/roster.cpp
@@ -84,7 +84,8 @@
             });
   std::vector<RosterMember> Holders;
   const auto Take = [&](bool NewDomainOnly) {
-    for (const auto &[Weight, Member] : Ranked) {
+    for (const auto &Entry : Ranked) {
+      const RosterMember *Member = Entry.second;
       const bool Taken = std::any_of(
           Holders.begin(), Holders.end(), [&](const RosterMember &Holder) {
             return Holder.Id == Member->Id ||
--- a/tests/fault_search/schedule.cpp
+++ b/tests/fault_search/schedule.cpp
@@ -97,6 +97,7 @@
     Request.Key = Key;
     Request.BodyHash = Body;
     const std::size_t Node = anyNode();
+    LastNode = Node;
     const std::uint64_t Id = Cores.submit(Node, std::move(Request));
     Submissions[Id] = Submitted{Key, Body, Idempotent};
     if (Random.below(8) == 0) {
@@ -110,6 +111,12 @@
   void caller(const std::string &Key) {
     const std::size_t Repeats = Random.below(5);
     submit(Key, 1, false);
+    if (Retention < 10s && Random.below(3) == 0) {
+      // Grants reach a paused ingress; its key expires before it resumes.
+      const std::size_t Node = LastNode;
+      later(5, [this, Node] { Cores.pause(Node); });
+      Cores.at(Cores.now() + 4500ms, [this, Node] { Cores.resume(Node); });
+    }
     for (std::size_t Count = 0; Count < Repeats; ++Count) {
       const Duration Wait(Random.below(
           Random.below(3) == 0 || Retention < 10s ? 4'000'000 : 10'000));
@@ -202,6 +209,7 @@
   Fleet Cores;
   SeededRandomSource &Random;
   Duration Retention;
+  std::size_t LastNode = 0;
   std::map<std::uint64_t, Submitted> Submissions;
 };
 
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -333,7 +333,9 @@
 
 void Fleet::breakLink(std::size_t Left, std::size_t Right) {
   Links.erase(pairOf(Left, Right));
-  for (const auto &[Node, Peer] : {std::pair(Left, Right), {Right, Left}}) {
+  for (const bool First : {true, false}) {
+    const std::size_t Node = First ? Left : Right;
+    const std::size_t Peer = First ? Right : Left;
     if (!isUp(Node)) {
       continue;
     }
