--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -175,9 +175,10 @@
   KeySystem Keys;
   QuarantineSystem Quarantine;
   std::uint64_t CandidateRevision = 0;
+  std::uint64_t DutyRevision = 0;
   std::optional<TimePoint> LastActive;
   std::optional<TimePoint> RefuseUntil;
-  std::uint64_t DutyRevision = 0;
+  std::uint64_t NeededRevision = 0;
   bool ShuttingDown = false;
   bool ShutdownReported = false;
 };
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -39,10 +39,10 @@
 void readAddresses(const Json &Value, AddressSettings &Target,
                    FaultList &Faults) {
   ObjectReader Reader(Value, "/addresses", Faults);
-  Reader.text("callers", addressRule(), Target.Callers, true);
-  Reader.text("peers", addressRule(), Target.Peers, true);
-  Reader.text("announcements", addressRule(), Target.Announcements, true);
-  Reader.text("operators", addressRule(), Target.Operators, true);
+  Reader.text("callers", listenAddressRule(), Target.Callers, true);
+  Reader.text("peers", listenAddressRule(), Target.Peers, true);
+  Reader.text("announcements", listenAddressRule(), Target.Announcements, true);
+  Reader.text("operators", listenAddressRule(), Target.Operators, true);
   Reader.finish();
 }
 
@@ -154,7 +154,8 @@
       {"/addresses/operators", &Addresses.Operators}};
   for (std::size_t Right = 1; Right < All.size(); ++Right) {
     for (std::size_t Left = 0; Left < Right; ++Left) {
-      if (*All[Left].second == *All[Right].second) {
+      if (*All[Left].second == *All[Right].second &&
+          !All[Left].second->ends_with(":0")) {
         Faults.add(ErrorCode::SettingConflict, All[Right].first,
                    fmt::format("the same as {}; expected distinct addresses",
                                All[Left].first));
@@ -281,20 +282,11 @@
   return Invalid;
 }
 
-ProfileValues profileValues(Profile Chosen) {
-  ProfileValues Result;
-  if (Chosen == Profile::Cost) {
-    Result.Hedging = false;
-    Result.ExtraCallsPpm = 50'000;
-    Result.ProbeBudgetPpm = 2'500;
-  }
-  return Result;
-}
-
-ProfileValues effectiveProfile(const NodeSettings &Settings) {
-  ProfileValues Result = profileValues(Settings.Objective);
-  Result.ProbeBudgetPpm =
-      Settings.ProbeBudgetPpm.value_or(Result.ProbeBudgetPpm);
+DecisionSettings decisionSettings(const NodeSettings &Settings) {
+  DecisionSettings Result =
+      Settings.Objective == Profile::Tail ? tailProfile() : costProfile();
+  Result.Probing.BudgetPpm =
+      Settings.ProbeBudgetPpm.value_or(Result.Probing.BudgetPpm);
   return Result;
 }
 
@@ -307,11 +299,7 @@
   Result.Region = Settings.Region;
   Result.Seeds = Settings.Seeds;
   Result.Seed = Seed;
-  Result.Decisions =
-      Settings.Objective == Profile::Tail ? tailProfile() : costProfile();
-  if (Settings.ProbeBudgetPpm) {
-    Result.Decisions.Probing.BudgetPpm = *Settings.ProbeBudgetPpm;
-  }
+  Result.Decisions = decisionSettings(Settings);
   Result.Keys = Settings.Keys;
   return Result;
 }
--- a/src/core/membership_system.cpp
+++ b/src/core/membership_system.cpp
@@ -22,11 +22,11 @@
 
 } // namespace
 
-MembershipSystem::MembershipSystem(MemberRecord Self,
+MembershipSystem::MembershipSystem(const MemberRecord &Self,
                                    std::vector<std::string> FirstContacts,
                                    RandomSource &Source)
     : SelfRun(Self.Id), Seeds(std::move(FirstContacts)), Random(Source),
-      Table(std::move(Self)), Budget(BytesPerSecond, BurstBytes),
+      Table(Self), Budget(BytesPerSecond, BurstBytes),
       Detector(Table, Links, Source,
                [this](TimePoint Now) { return piggyback(Now); }),
       Sync(Table, Links, Source) {}
@@ -91,7 +91,11 @@
 void MembershipSystem::receive(NodeRun From, const SyncReply &Message,
                                TimePoint Now, Actions &Out) {
   Sync.receive(Message, Now);
+  // What a comparison finds is no news: it spreads by further comparisons, and
+  // a joining node must not repeat the whole table.
+  FromSync = true;
   mergeAll(From, Message.Records, Now, Out);
+  FromSync = false;
   for (const MemberRecord &Record : Message.Records) {
     const MemberRecord *Known = Table.find(Record.Id.Node);
     if (Known != nullptr && isNewer(*Known, Record)) {
@@ -288,7 +292,9 @@
     Out.emplace_back(memberNotice("member_joined", Record));
   }
   Table.put(Record);
-  News.add(Node);
+  if (!FromSync) {
+    News.add(Node);
+  }
   NextPlan = std::min(NextPlan, Now + PlanPeriod / 8);
 }
 
