Tell a second crash of a restarted upstream from the first

Change: an announcement after a crash ends that crash. Conclusion: crashes are told apart by the upstream's return, not by time.

--- a/include/hyssopford/core/quarantine_system.hpp
+++ b/include/hyssopford/core/quarantine_system.hpp
@@ -96,6 +96,10 @@
   /// @brief Notes the loss of the upstream, before the owner does.
   void gone(const UpstreamGone &Gone, TimePoint Now, Actions &Out);
 
+  /// @brief Notes that the upstream is present. After a crash it is a new one,
+  /// whose losses belong to another crash.
+  void announced();
+
   /// @return attempts that may be admitted now or are refused, in order
   std::vector<GatedAttempt> takeGated(TimePoint Now);
   /// @}
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -179,6 +179,7 @@
 }
 
 void NodeCore::on(const UpstreamAnnounced &Input, TimePoint Now, Actions &Out) {
+  Quarantine.announced();
   Owner.announce(Input, Now, Out);
   Probes.announce(Input, Now);
   Membership.setUpstream(Input, Now, Out);
--- a/src/core/quarantine_system.cpp
+++ b/src/core/quarantine_system.cpp
@@ -108,6 +108,13 @@
   crash(std::move(Running), Now, Out);
 }
 
+void QuarantineSystem::announced() {
+  if (LastCrashAt) {
+    Failures.clear();
+    LastCrashAt.reset();
+  }
+}
+
 std::vector<GatedAttempt> QuarantineSystem::takeGated(TimePoint Now) {
   std::vector<GatedAttempt> Result = std::exchange(Refused, {});
   while (!Gate.empty()) {
