--- a/tests/fault_search/schedule.cpp
+++ b/tests/fault_search/schedule.cpp
@@ -97,6 +97,7 @@
     Request.Key = Key;
     Request.BodyHash = Body;
     const std::size_t Node = anyNode();
+    LastNode = Node;
     const std::uint64_t Id = Cores.submit(Node, std::move(Request));
     Submissions[Id] = Submitted{Key, Body, Idempotent};
     if (Random.below(8) == 0) {
@@ -110,9 +111,15 @@
   void caller(const std::string &Key) {
     const std::size_t Repeats = Random.below(5);
     submit(Key, 1, false);
+    if (Retention < 10s && Random.below(3) == 0) {
+      // Grants reach a paused ingress; its key expires before it resumes.
+      const std::size_t Node = LastNode;
+      later(5, [this, Node] { Cores.pause(Node); });
+      Cores.at(Cores.now() + 4500ms, [this, Node] { Cores.resume(Node); });
+    }
     for (std::size_t Count = 0; Count < Repeats; ++Count) {
-      const Duration Wait(
-          Random.below(Random.below(3) == 0 ? 3'000'000 : 10'000));
+      const Duration Wait(Random.below(
+          Random.below(3) == 0 || Retention < 10s ? 4'000'000 : 10'000));
       const std::uint64_t Body = Random.below(12) == 0 ? 2 : 1;
       Cores.at(Cores.now() + Wait,
                [this, Key, Body] { submit(Key, Body, false); });
@@ -126,7 +133,9 @@
 
   void fault() {
     const std::size_t Node = anyNode();
-    switch (Random.below(7)) {
+    // With a short retention, pauses that outlive a key matter most.
+    const bool LongPause = Retention < 10s && Random.below(2) == 0;
+    switch (LongPause ? 1 : Random.below(7)) {
     case 0:
       Cores.crash(Node);
       later(3000, [this, Node] { Cores.restart(Node); });
@@ -134,7 +143,7 @@
     case 1:
     case 2:
       Cores.pause(Node);
-      later(Random.below(2) == 0 ? 100 : 4500,
+      later(Random.below(2) == 0 && !LongPause ? 100 : 4500,
             [this, Node] { Cores.resume(Node); });
       break;
     case 3: {
@@ -200,6 +209,7 @@
   Fleet Cores;
   SeededRandomSource &Random;
   Duration Retention;
+  std::size_t LastNode = 0;
   std::map<std::uint64_t, Submitted> Submissions;
 };
 
