--- a/tests/node/many_connections_test.cpp
+++ b/tests/node/many_connections_test.cpp
@@ -75,6 +75,7 @@
   Tally Sum;
   {
     std::vector<std::jthread> Callers;
+    Callers.reserve(Connections);
     for (int Number = 0; Number < Connections; ++Number) {
       Callers.emplace_back([&, Number] {
         callOften(Site.Ingress.Node.callerAddress(), Number, Sum);
--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <fmt/format.h>
 #include <utility>
 
@@ -66,7 +67,7 @@
     return 0;
   }
   const auto Last = static_cast<double>(Latencies.size() - 1);
-  return Latencies[static_cast<std::size_t>(Share * Last + 0.5)];
+  return Latencies[static_cast<std::size_t>(std::lround(Share * Last))];
 }
 
 LoadRun::LoadRun(EventLoop &EventSource, LoadPlan ThePlan)
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -37,6 +37,7 @@
 void runAll(std::vector<LoadPlan> Plans) {
   EventLoop Loop;
   std::vector<std::unique_ptr<LoadRun>> Runs;
+  Runs.reserve(Plans.size());
   for (LoadPlan &Each : Plans) {
     Runs.push_back(std::make_unique<LoadRun>(Loop, std::move(Each)));
   }
