--- a/tools/experiment/report.cpp
+++ b/tools/experiment/report.cpp
@@ -181,10 +181,10 @@
     const Measurement &Ours = *Each.at("hyssopford");
     compareWithOracle(At, Each, Calm, Fault);
     compareWithBaselines(At, Each, Worse);
+    const std::string &Name = std::get<0>(At);
     const auto Of =
-        std::find_if(Cells.begin(), Cells.end(), [&](const Cell &C) {
-          return C.Site.Name == std::get<0>(At);
-        });
+        std::find_if(Cells.begin(), Cells.end(),
+                     [&Name](const Cell &C) { return C.Site.Name == Name; });
     if (std::get<2>(At) == Overload && std::get<1>(At) == Condition::Calm) {
       const double Share = Ours.goodputOfCapacity(Of->Site);
       Goodput.add(Share >= GoodputObjective,
@@ -192,7 +192,7 @@
     }
     Extra.add(Ours.extraShare() <= ExtraObjective,
               fmt::format("{}: {:.2f} %", nameOf(At), 100 * Ours.extraShare()));
-    const double Budget = std::get<0>(At) == "A" ? 0.01 : 0.003;
+    const double Budget = Name == "A" ? 0.01 : 0.003;
     Cost.add(Ours.probeShare() < Budget,
              fmt::format("{}: {:.3f} %", nameOf(At), 100 * Ours.probeShare()));
   }
