--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <initializer_list>
-#include <set>
 #include <utility>
 
 namespace hyssopford {
@@ -48,6 +47,7 @@
 }
 
 void NodeCore::handle(const Event &Input, TimePoint Now, Actions &Out) {
+  noteTime(Now);
   Actions Produced;
   Membership.noteTime(Now, Produced);
   std::visit([&](const auto &Each) { on(Each, Now, Produced); }, Input);
@@ -56,6 +56,7 @@
 }
 
 void NodeCore::tick(TimePoint Now, Actions &Out) {
+  noteTime(Now);
   Actions Produced;
   Membership.noteTime(Now, Produced);
   Ingress.tick(Now, Produced);
@@ -242,11 +243,18 @@
 
 void NodeCore::receive(NodeRun From, const Dispatch &Message, TimePoint Now,
                        Actions & /*Out*/) {
-  Quarantine.dispatch(From, Message, Now);
+  Membership.noteTraffic(From.Node, Now);
+  // The deadline of a frame that waited out a pause may be long over, and so
+  // may the retention of its key.
+  const bool MayBeOld = RefuseUntil && Now < *RefuseUntil && From != Self;
+  Quarantine.dispatch(From, Message, Now,
+                      MayBeOld ? OutcomeReason::StaleFrame
+                               : OutcomeReason::None);
 }
 
 void NodeCore::receive(NodeRun From, const DispatchReply &Message,
                        TimePoint Now, Actions &Out) {
+  Membership.noteTraffic(From.Node, Now);
   Ingress.finishAttempt(From.Node, Message, Now, Out);
 }
 
@@ -288,6 +296,13 @@
   Quarantine.receive(From, Message, Now, Out);
 }
 
+void NodeCore::noteTime(TimePoint Now) {
+  if (LastActive && Now - *LastActive > PauseLimit) {
+    RefuseUntil = Now + PauseGrace;
+  }
+  LastActive = Now;
+}
+
 void NodeCore::deliverLocal(TimePoint Now, Actions &Produced, Actions &Out) {
   startReleased(Now, Produced);
   for (std::size_t Index = 0; Index < Produced.size(); ++Index) {
@@ -337,6 +352,10 @@
   Directory.setAlone(Membership.linkedPeers().empty(), Now);
   refreshDuties(Now);
   refreshCandidates();
+  if (NeededRevision != Ingress.neededRevision()) {
+    NeededRevision = Ingress.neededRevision();
+    Membership.setNeeded(Ingress.neededPeers());
+  }
   if (Membership.superseded() && !ShuttingDown) {
     ShuttingDown = true;
     Owner.drain();
@@ -377,12 +396,6 @@
                                      Record.Slots, Record.Upstream});
     }
   }
-  // The ingress sends to any candidate, so it needs a link to each of them.
-  std::set<NodeId> Needed;
-  for (const Candidate &Each : Candidates) {
-    Needed.insert(Each.Owner.Node);
-  }
-  Membership.setNeeded(std::move(Needed));
   Ingress.setCandidates(std::move(Candidates));
 }
 
--- a/tests/config/node_settings_test.cpp
+++ b/tests/config/node_settings_test.cpp
@@ -8,9 +8,11 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 
 using namespace hyssopford;
 using nlohmann::json;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -120,6 +122,12 @@
                                {113, "/addresses/announcements"},
                                {113, "/addresses/operators"}});
   }
+  SECTION("free ports do not contradict each other") {
+    for (auto &Address : Document["addresses"]) {
+      Address = "127.0.0.1:0";
+    }
+    REQUIRE(faultsOf(Document).empty());
+  }
   SECTION("limits and token files") {
     Document["limits"]["line_bytes"] = 40'000;
     Document["limits"]["memory_bytes"] = 1'048'576;
@@ -131,17 +139,49 @@
   }
 }
 
+TEST_CASE("the page lists each setting with its default", "[docs]") {
+  const std::string Page = test::readRepositoryFile("docs/settings.md");
+  const json Schema =
+      json::parse(test::readRepositoryFile("schema/node.schema.json"));
+  std::size_t Rows = 0;
+  const std::function<void(const json &, const std::string &)> Visit =
+      [&](const json &Node, const std::string &Prefix) {
+        for (const auto &[Name, Property] : Node["properties"].items()) {
+          if (Property.contains("properties")) {
+            Visit(Property, Prefix + Name + "/");
+            continue;
+          }
+          ++Rows;
+          CAPTURE(Prefix + Name);
+          const std::size_t Row = Page.find("| `" + Prefix + Name + "` |");
+          REQUIRE(Row != std::string::npos);
+          const std::string Line = Page.substr(Row, Page.find('\n', Row) - Row);
+          if (Property.contains("default")) {
+            REQUIRE(Line.find("`" + Property["default"].dump() + "`") !=
+                    std::string::npos);
+          }
+        }
+      };
+  Visit(Schema, "/");
+  std::size_t Documented = 0;
+  for (std::size_t At = Page.find("\n| `/"); At != std::string::npos;
+       At = Page.find("\n| `/", At + 1)) {
+    ++Documented;
+  }
+  REQUIRE(Documented == Rows);
+}
+
 TEST_CASE("profiles", "[settings]") {
   NodeSettings Settings = fullSettings();
   Settings.ProbeBudgetPpm.reset();
-  REQUIRE(effectiveProfile(Settings).Hedging);
+  REQUIRE(decisionSettings(Settings) == tailProfile());
   // Deployment A allows less than 1 % of the slots for probes, B 0.3 %.
-  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm < 10'000);
+  REQUIRE(decisionSettings(Settings).Probing.BudgetPpm < 10'000);
   Settings.Objective = Profile::Cost;
-  REQUIRE_FALSE(effectiveProfile(Settings).Hedging);
-  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm <= 3'000);
+  REQUIRE(decisionSettings(Settings) == costProfile());
+  REQUIRE(decisionSettings(Settings).Probing.BudgetPpm <= 3'000);
   Settings.ProbeBudgetPpm = 0;
-  REQUIRE(effectiveProfile(Settings).ProbeBudgetPpm == 0);
+  REQUIRE(decisionSettings(Settings).Probing.BudgetPpm == 0);
 }
 
 TEST_CASE("the core gets the fields that it needs", "[settings]") {
