--- a/include/hyssopford/core/membership_system.hpp
+++ b/include/hyssopford/core/membership_system.hpp
@@ -52,7 +52,7 @@
   /// @param Self the record of this node, without upstream
   /// @param Seeds peer addresses of nodes to contact first
   /// @param Random source of the choice of peers
-  MembershipSystem(MemberRecord Self, std::vector<std::string> Seeds,
+  MembershipSystem(const MemberRecord &Self, std::vector<std::string> Seeds,
                    RandomSource &Random);
   MembershipSystem(const MembershipSystem &) = delete;
   MembershipSystem &operator=(const MembershipSystem &) = delete;
@@ -170,6 +170,8 @@
   /// End of each suspicion, and time of each death.
   std::map<NodeId, TimePoint> SuspectUntil;
   std::map<NodeId, TimePoint> DeadSince;
+  /// True while records from a table comparison are merged.
+  bool FromSync = false;
   std::optional<TimePoint> LastInput;
   TimePoint NextGossip;
   TimePoint NextPlan;
--- a/tests/hyssopctl/hyssopctl_test.cpp
+++ b/tests/hyssopctl/hyssopctl_test.cpp
@@ -28,7 +28,7 @@
   Tool &operator=(const Tool &) = delete;
   ~Tool() { std::filesystem::remove(TokenFile); }
 
-  int operator()(std::vector<std::string> Words,
+  int operator()(const std::vector<std::string> &Words,
                  const std::string &Input = "") {
     std::istringstream In(Input);
     std::ostringstream OutStream;
