--- a/tests/core/key_test.cpp
+++ b/tests/core/key_test.cpp
@@ -13,7 +13,7 @@
 constexpr NodeRun Self{NodeId{1}, Incarnation{1}};
 constexpr NodeRun Ingress{NodeId{9}, Incarnation{1}};
 
-Roster rosterOf(std::uint64_t Epoch, std::vector<NodeRun> Runs) {
+Roster rosterOf(std::uint64_t Epoch, const std::vector<NodeRun> &Runs) {
   Roster Result;
   Result.Revision = Epoch;
   Result.Current.Epoch = Epoch;
