Wire the checked settings and the telemetry into the node daemon

Cause: the daemon read its own simple settings file, dropped spans, served no metrics and could not record traces; the settings and telemetry libraries were used by tests only.

--- a/include/hyssopford/core/error_codes.hpp
+++ b/include/hyssopford/core/error_codes.hpp
@@ -6,8 +6,8 @@
 
 /// @brief Number of an error. Ranges: 101 to 199 configuration, 201 to 299
 /// telemetry, 301 to 399 network, 401 to 499 node and operators' port, 501 to
-/// 599 hyssopctl, 601 to 699 decision core. A number is never used again for
-/// another error.
+/// 599 hyssopctl and hyssopford-replay, 601 to 699 decision core. A number is
+/// never used again for another error.
 enum class ErrorCode : int {
   /// @name Configuration and node settings
   /// @{
@@ -69,6 +69,9 @@
   NotDrained = 506,
   NotQuarantined = 507,
   InputUnreadable = 508,
+  TraceForm = 509,
+  OutcomeForm = 510,
+  UnknownCondition = 511,
   /// @}
 
   /// @name Decision core
--- a/include/hyssopford/node/caller_service.hpp
+++ b/include/hyssopford/node/caller_service.hpp
@@ -5,6 +5,7 @@
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/net/http_server.hpp"
 #include "hyssopford/node/core_driver.hpp"
+#include "hyssopford/telemetry/trace_parent.hpp"
 
 #include <cstdint>
 #include <random>
@@ -27,6 +28,9 @@
   /// @brief Sets the server that the requests come from.
   void attach(HttpServer &Source) { Server = &Source; }
 
+  /// @brief Sets which of the traces that start here are sampled.
+  void sample(TraceSampler Chosen) { Sampler = Chosen; }
+
   /// @brief Refuses new requests from now on.
   void refuseNew() { Refusing = true; }
 
@@ -51,6 +55,7 @@
   bool Refusing = false;
   HttpServer *Server = nullptr;
   std::uint64_t RefusedRequests = 0;
+  TraceSampler Sampler{0};
   std::mt19937_64 TraceSource;
 };
 
--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -10,7 +10,9 @@
 #include "hyssopford/net/upstream_client.hpp"
 #include "hyssopford/node/caller_service.hpp"
 #include "hyssopford/node/core_driver.hpp"
+#include "hyssopford/node/node_telemetry.hpp"
 #include "hyssopford/node/operator_service.hpp"
+#include "hyssopford/node/trace_recorder.hpp"
 #include "hyssopford/node/upstream_registry.hpp"
 
 #include <memory>
@@ -40,6 +42,23 @@
   /// Time for requests in flight after a request to end.
   Duration DrainDeadline = 30s;
   HttpServerSettings Http;
+  UpstreamClientSettings Upstream;
+  /// Time for connecting to a peer and the handshake.
+  Duration HandshakeTimeout = 2s;
+  /// Time for a call to the store.
+  Duration StoreCallTimeout = 2s;
+  /// Constants of routing, admission and probing.
+  DecisionSettings Decisions;
+  /// Limits of idempotency keys.
+  KeySettings Keys;
+  /// Level and export; the origin is filled in by the runtime.
+  NodeTelemetrySettings Telemetry;
+  /// Traces started by this node that are sampled, per million.
+  std::uint32_t SamplingPpm = 0;
+  /// Takes a line for each request that the upstream answered; may be empty.
+  TraceRecorder::Sink Recording;
+  /// Lowest incarnation that this run may have.
+  Incarnation LeastRun;
 };
 
 /// @brief Connects the actions of the core with the network.
@@ -79,6 +98,12 @@
   std::string operatorAddress() const { return Operators->address(); }
   const std::string &peerAddress() const { return Links->address(); }
   const NodeCore &core() const { return Driver->core(); }
+
+  /// @return the incarnation with which the node must start again, if another
+  /// run of it was known to be newer
+  std::optional<Incarnation> requiredRun() const {
+    return Driver->core().requiredRun();
+  }
   /// @}
 
 private:
@@ -108,11 +133,16 @@
   void perform(PatchResult &What);
   void perform(HistoryResult &What);
 
+  void makeServers();
+  void flushTelemetry();
   void beginShutdown();
   void checkShutdown();
 
   NodeRuntimeSettings Settings;
   EventLoop Loop;
+  StandardErrorSink LogLines;
+  std::unique_ptr<NodeTelemetry> Telemetry;
+  std::optional<TraceRecorder> Recorder;
   JsonConfigCodec Codec;
   std::unique_ptr<PeerLinks> Links;
   std::unique_ptr<CoreDriver> Driver;
--- a/include/hyssopford/node/operator_service.hpp
+++ b/include/hyssopford/node/operator_service.hpp
@@ -7,6 +7,7 @@
 #include "hyssopford/net/http_server.hpp"
 #include "hyssopford/net/peer_links.hpp"
 #include "hyssopford/node/core_driver.hpp"
+#include "hyssopford/node/node_telemetry.hpp"
 #include "hyssopford/node/upstream_registry.hpp"
 
 #include <cstdint>
@@ -28,6 +29,7 @@
   const PeerLinks &Links;
   const UpstreamClient &Upstream;
   const UpstreamRegistry &Registry;
+  NodeTelemetry &Telemetry;
   /// Address of the operators' port itself.
   std::string OperatorAddress;
 };
--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -52,7 +52,7 @@
     """Starts two nodes; the second one has the upstream."""
     site = testsite.Site(build)
     routing = site.folder / "routing.json"
-    routing.write_text(json.dumps({"version": 1, "routes": ROUTES}))
+    routing.write_text(json.dumps({"routes": ROUTES}))
     ingress = testsite.Node("ingress", None, "zone-a")
     owner = testsite.Node("owner", "bench", "zone-b")
     site.nodes = [ingress, owner]
--- a/scripts/lib/testsite.py
+++ b/scripts/lib/testsite.py
@@ -15,6 +15,7 @@
 # Deployment A of the design page: service -> instances.
 DEPLOYMENT_A = {"catalogue": 6, "enrolment": 4, "deposits": 3}
 DOMAINS = ["zone-a", "zone-b", "zone-c"]
+SITE_KEY = "key-of-the-demo-site-0123456789abcdef"
 READ_TOKEN = "read-token-of-the-demo-site-0123456789"
 WRITE_TOKEN = "write-token-of-the-demo-site-0123456789"
 
@@ -109,6 +110,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="hyssopford-"))
         self.nodes = []
         self.settings = settings or {}
+        # Whether the nodes write traces of answered requests to their logs.
+        self.records = False
         self.store = None
         self.store_address = None
 
@@ -128,15 +131,20 @@
             time.sleep(0.01)
         raise SiteError("the store did not become ready")
 
+    def secret_file(self, name, text):
+        """Writes a key or token that only this user can read."""
+        path = self.folder / f"{name}.secret"
+        path.write_text(text + "\n")
+        path.chmod(0o600)
+        return str(path)
+
     def hyssopctl(self, node, *arguments):
         """Runs hyssopctl against a node; returns its output."""
-        token = self.folder / "write.token"
-        token.write_text(WRITE_TOKEN + "\n")
-        token.chmod(0o600)
+        token = self.secret_file("write_token", WRITE_TOKEN)
         done = subprocess.run(
             [str(self.build / "tools/hyssopctl/hyssopctl"),
              *map(str, arguments), "--node",
-             node.addresses["operator_address"], "--token-file", str(token)],
+             node.addresses["operator_address"], "--token-file", token],
             capture_output=True, text=True, timeout=60, check=False,
             stdin=subprocess.DEVNULL)
         if done.returncode != 0:
@@ -166,19 +174,25 @@
         self.wait_converged()
 
     def start_node(self, node, seeds, routing):
-        settings = {"site": "demo", "site_key": "key of the demo site",
-                    "failure_domain": node.domain, "region": "west",
-                    "seeds": list(seeds), "read_token": READ_TOKEN,
-                    "write_token": WRITE_TOKEN}
-        if routing is not None:
-            settings["routing_file"] = str(routing)
+        free = "127.0.0.1:0"
+        settings = {"site": "demo", "failure_domain": node.domain,
+                    "region": "west", "seeds": list(seeds),
+                    "addresses": {"callers": free, "peers": free,
+                                  "announcements": free, "operators": free}}
+        for name, text in (("site_key", SITE_KEY), ("read_token", READ_TOKEN),
+                           ("write_token", WRITE_TOKEN)):
+            settings[f"{name}_file"] = self.secret_file(name, text)
         settings.update(self.settings)
         path = self.folder / f"{node.name}.json"
         path.write_text(json.dumps(settings))
         ready = self.folder / f"{node.name}.ready"
-        node.process = Process(
-            node.name, [self.build / "tools/hyssopford", "--settings", path,
-                        "--ready-file", ready], self.folder, ready)
+        command = [self.build / "tools/hyssopford", "--settings", path,
+                   "--ready-file", ready]
+        if routing is not None:
+            command += ["--routing", routing]
+        if self.records:
+            command.append("--record")
+        node.process = Process(node.name, command, self.folder, ready)
         node.addresses = node.process.wait_ready()
 
     def start_upstream(self, node, slots, service_time_us):
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -135,6 +135,7 @@
   Trace.TraceLow = TraceSource();
   // Zero is not a valid identifier.
   Trace.ParentSpan = TraceSource() | 1U;
+  Trace.Sampled = Sampler.isSampled(Trace.TraceLow);
   return Trace;
 }
 
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -2,8 +2,8 @@
 
 #include "local_service.hpp"
 
+#include <algorithm>
 #include <chrono>
-#include <fmt/format.h>
 #include <utility>
 
 namespace hyssopford {
@@ -18,11 +18,30 @@
 constexpr std::uint8_t OperatorNumber = 2;
 constexpr int NumberShift = 56;
 
-Incarnation currentRun() {
-  return Incarnation{static_cast<std::uint64_t>(
-      std::chrono::duration_cast<Duration>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count())};
+/// How often counts of suppressed log lines are written.
+constexpr Duration FlushPeriod = 1s;
+
+Duration timeOfDay() {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+/// The time of day gives runs of one node rising incarnations.
+Incarnation currentRun(Incarnation Least) {
+  const auto Run = static_cast<std::uint64_t>(timeOfDay().count());
+  return std::max(Incarnation{Run}, Least);
+}
+
+NodeTelemetrySettings telemetrySettings(const NodeRuntimeSettings &Settings,
+                                        NodeId Self) {
+  NodeTelemetrySettings Result = Settings.Telemetry;
+  Result.Origin.Site = Settings.Site;
+  Result.Origin.Node = toString(Self);
+  Result.Origin.FailureDomain = Settings.FailureDomain;
+  Result.Origin.Region = Settings.Region;
+  const Duration TimeZero = timeOfDay() - EventLoop::now().time_since_epoch();
+  Result.Origin.TimeZero = std::chrono::nanoseconds(TimeZero).count();
+  return Result;
 }
 
 HttpServerSettings serverSettings(const NodeRuntimeSettings &Settings,
@@ -42,7 +61,8 @@
   LinkSettings.ListenAddress = Settings.PeerAddress;
   LinkSettings.Site = Settings.Site;
   LinkSettings.Key = Settings.SiteKey;
-  LinkSettings.Run = currentRun();
+  LinkSettings.Run = currentRun(Settings.LeastRun);
+  LinkSettings.HandshakeTimeout = Settings.HandshakeTimeout;
   // The bases are private, so std::make_unique could not convert *this.
   PeerLinkHandler &LinkEvents = *this;
   ActionHandler &CoreActions = *this;
@@ -55,12 +75,20 @@
   CoreSettings.Region = Settings.Region;
   CoreSettings.Seeds = Settings.Seeds;
   CoreSettings.Seed = LinkSettings.Run.Value;
+  CoreSettings.Decisions = Settings.Decisions;
+  CoreSettings.Keys = Settings.Keys;
+  Telemetry = std::make_unique<NodeTelemetry>(
+      telemetrySettings(Settings, nodeIdOf(CoreSettings.Address)), LogLines);
+  if (Settings.Recording) {
+    Recorder.emplace(Settings.Recording);
+  }
   Driver = std::make_unique<CoreDriver>(Loop, CoreSettings, CoreActions,
                                         Settings.StoreAddress.empty() ? nullptr
                                                                       : &Codec);
   if (!Settings.StoreAddress.empty()) {
     HttpStoreSettings StoreSettings;
     StoreSettings.Address = Settings.StoreAddress;
+    StoreSettings.CallTimeout = Settings.StoreCallTimeout;
     Store = std::make_unique<HttpStoreClient>(
         StoreSettings, [this](std::uint64_t Call, StoreResult Result) {
           Loop.post([this, Call, Moved = std::move(Result)] {
@@ -68,12 +96,18 @@
           });
         });
   }
-  Upstream = std::make_unique<UpstreamClient>(Loop, UpstreamEvents);
+  Upstream =
+      std::make_unique<UpstreamClient>(Loop, UpstreamEvents, Settings.Upstream);
   Registry = std::make_unique<UpstreamRegistry>(Loop, *Driver, *Upstream);
+  makeServers();
+}
+
+void NodeRuntime::makeServers() {
   CallerRequests = std::make_unique<CallerService>(*Driver, false);
   LocalRequests = std::make_unique<LocalService>(*Driver, *Registry);
   OperatorRequests = std::make_unique<OperatorService>(
-      OperatorView{*Driver, *Links, *Upstream, *Registry, {}}, Settings.Tokens);
+      OperatorView{*Driver, *Links, *Upstream, *Registry, *Telemetry, {}},
+      Settings.Tokens);
   Callers = std::make_unique<HttpServer>(
       Loop, *CallerRequests,
       serverSettings(Settings, Settings.CallerAddress, CallerNumber));
@@ -86,6 +120,14 @@
   CallerRequests->attach(*Callers);
   LocalRequests->attachTo(*Local);
   OperatorRequests->attach(*Operators);
+  CallerRequests->sample(TraceSampler(Settings.SamplingPpm));
+  LocalRequests->sample(TraceSampler(Settings.SamplingPpm));
+  flushTelemetry();
+}
+
+void NodeRuntime::flushTelemetry() {
+  Telemetry->flush();
+  Loop.after(FlushPeriod, [this] { flushTelemetry(); });
 }
 
 NodeRuntime::~NodeRuntime() = default;
@@ -106,8 +148,8 @@
 void NodeRuntime::onLinkUp(NodeRun Peer) { Driver->submit(PeerLinkUp{Peer}); }
 
 void NodeRuntime::onLinkDown(NodeId Peer, const Error &Fault) {
-  fmt::print(stderr, "event=link_down peer={} reason=\"{}\"\n", toString(Peer),
-             toString(Fault));
+  Telemetry->log(LogLevel::Info, "link_down",
+                 {{"peer", toString(Peer)}, {"reason", toString(Fault)}});
   Driver->submit(PeerLinkDown{Peer});
 }
 
@@ -116,18 +158,30 @@
 }
 
 void NodeRuntime::onLinkRefused(const Error &Fault) {
-  fmt::print(stderr, "event=link_refused reason=\"{}\"\n", toString(Fault));
+  Telemetry->log(LogLevel::Warning, "link_refused",
+                 {{"reason", toString(Fault)}});
 }
 
 void NodeRuntime::onAnswered(UpstreamAnswered Answer) {
+  Telemetry->attemptEnded(Answer.Attempt, toString(Outcome::Answered),
+                          EventLoop::now());
+  if (Recorder) {
+    Recorder->answered(Answer.Attempt, EventLoop::now());
+  }
   Driver->submit(std::move(Answer));
 }
 
 void NodeRuntime::onFailed(const UpstreamFailed &Failure) {
+  Telemetry->attemptEnded(Failure.Attempt, toString(Failure.Reason),
+                          EventLoop::now());
+  if (Recorder) {
+    Recorder->dropped(Failure.Attempt);
+  }
   Driver->submit(Failure);
 }
 
 void NodeRuntime::onProbed(const ProbeFinished &Result) {
+  Telemetry->probed(Result);
   Driver->submit(Result);
 }
 
@@ -143,13 +197,27 @@
 
 void NodeRuntime::perform(CloseLink &What) { Links->close(What.Peer); }
 
-void NodeRuntime::perform(ForwardToUpstream &What) { Upstream->forward(What); }
+void NodeRuntime::perform(ForwardToUpstream &What) {
+  Telemetry->attemptStarted(What.Attempt, EventLoop::now());
+  if (Recorder) {
+    Recorder->started(Driver->core().owner().service(), What,
+                      std::chrono::system_clock::now(), EventLoop::now());
+  }
+  Upstream->forward(What);
+}
 
 void NodeRuntime::perform(CancelUpstream &What) {
+  Telemetry->attemptEnded(What.Attempt,
+                          toString(OutcomeReason::CancelledByCaller),
+                          EventLoop::now());
+  if (Recorder) {
+    Recorder->dropped(What.Attempt);
+  }
   Upstream->cancel(What.Attempt);
 }
 
 void NodeRuntime::perform(ReplyToCaller &What) {
+  Telemetry->requestEnded(What, EventLoop::now());
   const auto Number = static_cast<std::uint8_t>(What.Id.Value >> NumberShift);
   if (Number == LocalNumber) {
     LocalRequests->answer(What);
@@ -170,18 +238,18 @@
   Driver->submit(StoreReplied{What.Call, Result});
 }
 
-void NodeRuntime::perform(SpanFinished & /*What*/) {}
+void NodeRuntime::perform(SpanFinished &What) { Telemetry->span(What); }
+
+void NodeRuntime::perform(Notice &What) { Telemetry->notice(What); }
 
-void NodeRuntime::perform(Notice &What) {
-  std::string Line = fmt::format("event={}", What.Event);
-  for (const auto &[Name, Value] : What.Fields) {
-    Line += fmt::format(" {}=\"{}\"", Name, Value);
+void NodeRuntime::perform(ShutdownComplete & /*What*/) {
+  // Without a request to shut down, another run of this node superseded it.
+  if (!ShuttingDown) {
+    Finished = true;
+    Loop.stop();
   }
-  fmt::print(stderr, "{}\n", Line);
 }
 
-void NodeRuntime::perform(ShutdownComplete & /*What*/) {}
-
 void NodeRuntime::perform(PatchResult &What) { OperatorRequests->finish(What); }
 
 void NodeRuntime::perform(HistoryResult &What) {
--- a/src/node/operator_service.cpp
+++ b/src/node/operator_service.cpp
@@ -154,6 +154,13 @@
   } else if (Path == "/v1/explain") {
     Body = explainView(View, queryValue(Target, "method"),
                        queryValue(Target, "host"), queryValue(Target, "path"));
+  } else if (Path == "/metrics") {
+    const std::string Page = View.Telemetry.render(
+        View.Driver.core(), View.Links.usable(), EventLoop::now());
+    Server->reply(
+        Id, makeHttpAnswer(200, "Content-Type: text/plain; version=0.0.4\r\n",
+                           Page));
+    return true;
   } else if (Path == "/v1/history") {
     requestHistory(Id, queryValue(Target, "limit"));
     return true;
--- a/tools/replay/main.cpp
+++ b/tools/replay/main.cpp
@@ -2,6 +2,8 @@
 /// @brief hyssopford-replay: replays a recorded trace through the core.
 #include "replay_report.hpp"
 
+#include "hyssopford/core/error_codes.hpp"
+
 #include <fmt/format.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -76,15 +78,17 @@
   for (const std::string &Each : Expected.getValue()) {
     const auto Parsed = parseOutcome(Each);
     if (!Parsed) {
-      return faultyInput(Error{0, "replay.expect", Each,
+      return faultyInput(Error{numberOf(ErrorCode::OutcomeForm),
+                               "replay.expect", Each,
                                "expected MEASURE>=BOUND or MEASURE<=BOUND"});
     }
     Stated.push_back(*Parsed);
   }
   const auto Condition = conditionOf(Case.getValue());
   if (!Condition) {
-    return faultyInput(
-        Error{0, "replay.condition", Case.getValue(), "unknown condition"});
+    return faultyInput(Error{numberOf(ErrorCode::UnknownCondition),
+                             "replay.condition", Case.getValue(),
+                             "unknown condition"});
   }
   std::ifstream Input(File.getValue());
   Error LastError;
@@ -111,7 +115,7 @@
   try {
     return run(Count, Arguments);
   } catch (const TCLAP::ArgException &Fault) {
-    return faultyInput(
-        Error{0, "replay.arguments", Fault.argId(), Fault.error()});
+    return faultyInput(Error{numberOf(ErrorCode::CommandForm),
+                             "replay.arguments", Fault.argId(), Fault.error()});
   }
 }
--- a/tools/replay/trace_file.cpp
+++ b/tools/replay/trace_file.cpp
@@ -1,5 +1,7 @@
 #include "trace_file.hpp"
 
+#include "hyssopford/core/error_codes.hpp"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -61,8 +63,8 @@
   std::string Text;
   for (std::size_t Number = 1; std::getline(Input, Text); ++Number) {
     const auto Fail = [&](const std::string &Reason) {
-      LastError =
-          Error{0, "trace.read", fmt::format("line {}", Number), Reason};
+      LastError = Error{numberOf(ErrorCode::TraceForm), "trace.read",
+                        fmt::format("line {}", Number), Reason};
       return std::nullopt;
     };
     try {
@@ -81,7 +83,8 @@
     }
   }
   if (!Result) {
-    LastError = Error{0, "trace.read", "line 1", "the trace is empty"};
+    LastError = Error{numberOf(ErrorCode::TraceForm), "trace.read", "line 1",
+                      "the trace is empty"};
     return std::nullopt;
   }
   for (auto &[Name, Service] : Result->Services) {
