Ask for no wake-up at a limit of the start that has passed

Cause: a node whose peers announce a configuration that they cannot push kept asking for a wake-up at FirstOffer + SettleTime, which lay in the past, until the start ended after 2 s. The loop spent 0.7 s of processor time in the second after each start. A profile showed nextWakeup and clock_gettime on top; the load of the machine was ruled out, as the node spins on an idle one.

Change: limits that lie before the last tick are not asked for again.

--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -144,6 +144,7 @@
   std::uint64_t LastCall = 0;
   std::uint64_t OpenCall = 0;
   TimePoint CallEnd;
+  TimePoint LastTick;
   std::uint64_t Revision = 0;
   Duration Backoff = FirstBackoff;
   TimePoint NextStoreCall;
--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -56,6 +56,7 @@
     ingress = testsite.Node("ingress", None, "zone-a")
     owner = testsite.Node("owner", "bench", "zone-b")
     site.nodes = [ingress, owner]
+    site.start_store()
     site.start_node(ingress, [], routing)
     site.start_node(owner, [ingress.addresses["peer_address"]], routing)
     site.start_upstream(owner, 400, 0)
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -103,6 +103,7 @@
 }
 
 void ConfigSystem::tick(TimePoint Now, Actions &Out) {
+  LastTick = Now;
   if (!Begin) {
     Begin = Now;
     NextStoreCall = Now + PeersFirst;
@@ -130,11 +131,18 @@
   const auto Consider = [&](TimePoint Time) {
     Next = Next ? std::min(*Next, Time) : Time;
   };
+  // A limit of the start that has passed without ending it is over; asking for
+  // it again would keep the loop busy.
+  const auto ConsiderLater = [&](TimePoint Time) {
+    if (Time > LastTick) {
+      Consider(Time);
+    }
+  };
   if (!Started) {
-    Consider(*Begin + StartTime);
-    Consider(*Begin + StartLimit);
+    ConsiderLater(*Begin + StartTime);
+    ConsiderLater(*Begin + StartLimit);
     if (FirstOffer) {
-      Consider(*FirstOffer + SettleTime);
+      ConsiderLater(*FirstOffer + SettleTime);
     }
   }
   if (Asked) {
--- a/tests/core/config_system_test.cpp
+++ b/tests/core/config_system_test.cpp
@@ -314,3 +314,22 @@
   }
   CHECK(Worst <= 3s);
 }
+
+// Guards against a busy loop: the limits of the start lie in the past while a
+// node waits for a peer's configuration, and the loop must not wake for them.
+TEST_CASE("a starting node asks for no wake-up in the past", "[config]") {
+  const FakeConfigCodec Codec;
+  SeededRandomSource Random(1);
+  ConfigSystem System(Codec, Random);
+  const NodeRun Peer{NodeId{2}, Incarnation{1}};
+  Actions Out;
+  System.tick(TimePoint{}, Out);
+  System.linkUp(Peer, TimePoint{}, Out);
+  System.receive(Peer, ConfigDigest{1}, TimePoint{10ms}, Out);
+  for (TimePoint Now{20ms}; Now < TimePoint{12s}; Now += 20ms) {
+    System.tick(Now, Out);
+    const auto Next = System.nextWakeup();
+    INFO("after " << Now.time_since_epoch().count() << " us");
+    REQUIRE((!Next || *Next > Now));
+  }
+}
