--- a/tests/config/node_settings_test.cpp
+++ b/tests/config/node_settings_test.cpp
@@ -152,8 +152,10 @@
             continue;
           }
           ++Rows;
-          CAPTURE(Prefix + Name);
-          const std::size_t Row = Page.find("| `" + Prefix + Name + "` |");
+          std::string FirstCell = "| `";
+          FirstCell.append(Prefix).append(Name).append("` |");
+          CAPTURE(FirstCell);
+          const std::size_t Row = Page.find(FirstCell);
           REQUIRE(Row != std::string::npos);
           const std::string Line = Page.substr(Row, Page.find('\n', Row) - Row);
           if (Property.contains("default")) {
