--- a/scripts/lib/config_propagation.py
+++ b/scripts/lib/config_propagation.py
@@ -57,9 +57,11 @@
     os.kill(node.process.child.pid, signal.SIGKILL)
     node.process.child.wait()
     node.process.ready_path.unlink()
-    site.settings["peer_address"] = node.addresses["peer_address"]
+    site.settings["addresses"] = {
+        "callers": testsite.FREE, "peers": node.addresses["peer_address"],
+        "announcements": testsite.FREE, "operators": testsite.FREE}
     site.start_node(node, seeds, None)
-    del site.settings["peer_address"]
+    del site.settings["addresses"]
 
 
 def run(site, options):
--- a/scripts/lib/testsite.py
+++ b/scripts/lib/testsite.py
@@ -15,6 +15,8 @@
 # Deployment A of the design page: service -> instances.
 DEPLOYMENT_A = {"catalogue": 6, "enrolment": 4, "deposits": 3}
 DOMAINS = ["zone-a", "zone-b", "zone-c"]
+# Lets the system choose a port.
+FREE = "127.0.0.1:0"
 SITE_KEY = "key-of-the-demo-site-0123456789abcdef"
 READ_TOKEN = "read-token-of-the-demo-site-0123456789"
 WRITE_TOKEN = "write-token-of-the-demo-site-0123456789"
@@ -174,11 +176,10 @@
         self.wait_converged()
 
     def start_node(self, node, seeds, routing):
-        free = "127.0.0.1:0"
         settings = {"site": "demo", "failure_domain": node.domain,
                     "region": "west", "seeds": list(seeds),
-                    "addresses": {"callers": free, "peers": free,
-                                  "announcements": free, "operators": free}}
+                    "addresses": {"callers": FREE, "peers": FREE,
+                                  "announcements": FREE, "operators": FREE}}
         for name, text in (("site_key", SITE_KEY), ("read_token", READ_TOKEN),
                            ("write_token", WRITE_TOKEN)):
             settings[f"{name}_file"] = self.secret_file(name, text)
