Tell nodes each other's operators' port and use the upstream's shedding

Cause: hyssopctl watch found no other node, as the status of a node named no operators' address but its own; the age of load reports was lost on the wire; a 503 with Retry-After of an upstream did not count as shed load.

Change: member records carry the operators' port (2 bytes), the codec carries the age of reports, and the upstream client marks shedding answers. The demo checks a patch with hyssopctl watch.

--- a/include/hyssopford/core/member.hpp
+++ b/include/hyssopford/core/member.hpp
@@ -38,6 +38,9 @@
   std::string Service;
   UpstreamState Upstream = UpstreamState::None;
   std::uint32_t Slots = 0;
+  /// Operators' port, at the IP number of the peer address; 0 if it is
+  /// elsewhere.
+  std::uint16_t OperatorsPort = 0;
 
   friend bool operator==(const MemberRecord &, const MemberRecord &) = default;
 };
--- a/include/hyssopford/core/membership_system.hpp
+++ b/include/hyssopford/core/membership_system.hpp
@@ -96,6 +96,10 @@
   void addContacts(const std::vector<std::string> &Addresses);
 
   /// @brief Sets the configuration version that pings state.
+  /// @brief Sets the operators' port of this node. Called before the first
+  /// link.
+  void setOperatorsPort(std::uint16_t Port);
+
   void setConfigVersion(std::uint64_t Version) {
     Detector.ConfigVersion = Version;
   }
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -85,6 +85,12 @@
   /// @param Config the configuration
   /// @return whether it was adopted
   bool adopt(RoutingConfig Config);
+
+  /// @brief Sets the operators' port that other nodes learn. Called before the
+  /// first event.
+  void setOperatorsPort(std::uint16_t Port) {
+    Membership.setOperatorsPort(Port);
+  }
   /// @}
 
   /// @name Observers
--- a/include/hyssopford/node/core_driver.hpp
+++ b/include/hyssopford/node/core_driver.hpp
@@ -48,6 +48,9 @@
   /// @brief Adopts a configuration.
   /// @return whether its version is higher than the one in force
   bool adopt(RoutingConfig Config);
+
+  /// @brief Sets the operators' port that other nodes learn.
+  void setOperatorsPort(std::uint16_t Port) { Core.setOperatorsPort(Port); }
   /// @}
 
   /// @return the core
--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -115,6 +115,8 @@
     checker.check(took < 3, f"version {version} took {took:.1f} s")
     print(f"  version {version} is in force on {len(site.nodes)} nodes after "
           f"{took * 1000:.0f} ms")
+    seen = site.hyssopctl(site.nodes[-1], "watch", version).strip()
+    print("  hyssopctl watch: " + seen.splitlines()[-1])
 
 
 def run(site, checker, keep):
--- a/src/core/membership_system.cpp
+++ b/src/core/membership_system.cpp
@@ -45,6 +45,12 @@
   publishSelf(Now, Out);
 }
 
+void MembershipSystem::setOperatorsPort(std::uint16_t Port) {
+  MemberRecord Self = Table.self();
+  Self.OperatorsPort = Port;
+  Table.put(Self);
+}
+
 void MembershipSystem::leave(TimePoint Now, Actions &Out) {
   MemberRecord Self = Table.self();
   Self.State = MemberState::Leaving;
--- a/src/net/codec/membership_codec.cpp
+++ b/src/net/codec/membership_codec.cpp
@@ -22,7 +22,7 @@
     Encoded.push_back(wire::CreateMemberRecord(
         Out, &Id, Each.Update, static_cast<std::uint8_t>(Each.State), Address,
         Domain, Region, Service, static_cast<std::uint8_t>(Each.Upstream),
-        Each.Slots));
+        Each.Slots, Each.OperatorsPort));
   }
   return Out.CreateVector(Encoded);
 }
@@ -44,6 +44,7 @@
     Record.Region = text(*Each->region());
     Record.Service = text(*Each->service());
     Record.Slots = Each->slots();
+    Record.OperatorsPort = Each->operators_port();
     Records.push_back(std::move(Record));
   }
   return true;
--- a/src/net/codec/request_codec.cpp
+++ b/src/net/codec/request_codec.cpp
@@ -79,9 +79,9 @@
                                                 const DispatchReply &Value) {
   const auto Answer = encodeBytes(Out, Value.Answer.bytes());
   const wire::AttemptId Attempt = encodeAttempt(Value.Attempt);
-  const wire::LoadReport Load(Value.Load.Sequence, Value.Load.InFlight,
-                              Value.Load.Queued, Value.Load.Limit,
-                              Value.Load.ServiceTime.count());
+  const wire::LoadReport Load(
+      Value.Load.Sequence, Value.Load.InFlight, Value.Load.Queued,
+      Value.Load.Limit, Value.Load.ServiceTime.count(), Value.Load.Age.count());
   return wire::CreateDispatchReply(
       Out, &Attempt, static_cast<std::uint8_t>(Value.Result),
       static_cast<std::uint8_t>(Value.Reason), Value.Status, &Load, Answer,
@@ -98,8 +98,12 @@
   Result.Status = Value.status();
   Result.Held = Duration(Value.held_us());
   const wire::LoadReport &Load = *Value.load();
-  Result.Load = LoadReport{Load.sequence(), Load.in_flight(), Load.queued(),
-                           Load.limit(), Duration(Load.service_time_us())};
+  Result.Load = LoadReport{Load.sequence(),
+                           Load.in_flight(),
+                           Load.queued(),
+                           Load.limit(),
+                           Duration(Load.service_time_us()),
+                           Duration(Load.age_us())};
   Result.Answer = decodeBytes(*Value.answer());
   return Result;
 }
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -134,6 +134,10 @@
   UpstreamAnswered Answer;
   Answer.Attempt = Attempt.Attempt;
   Answer.Status = static_cast<std::uint16_t>(Status);
+  // RFC 9110, section 15.6.4: the server is overloaded and says until when.
+  Answer.Shedding =
+      Status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
+      Reader.response().has("Retry-After");
   const bool WasProbe = Probe;
   if (!WasProbe) {
     Answer.Answer =
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -2,6 +2,7 @@
 
 #include "local_service.hpp"
 
+#include <Poco/Net/SocketAddress.h>
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -32,6 +33,14 @@
   return std::max(Incarnation{Run}, Least);
 }
 
+/// Returns the port of an address if it has the same IP number as another
+/// address, otherwise 0.
+std::uint16_t sharedPort(const std::string &Address, const std::string &Other) {
+  const Poco::Net::SocketAddress First(Address);
+  const Poco::Net::SocketAddress Second(Other);
+  return First.host() == Second.host() ? First.port() : std::uint16_t{0};
+}
+
 NodeTelemetrySettings telemetrySettings(const NodeRuntimeSettings &Settings,
                                         NodeId Self) {
   NodeTelemetrySettings Result = Settings.Telemetry;
@@ -120,6 +129,7 @@
   CallerRequests->attach(*Callers);
   LocalRequests->attachTo(*Local);
   OperatorRequests->attach(*Operators);
+  Driver->setOperatorsPort(sharedPort(Operators->address(), Links->address()));
   CallerRequests->sample(TraceSampler(Settings.SamplingPpm));
   LocalRequests->sample(TraceSampler(Settings.SamplingPpm));
   flushTelemetry();
--- a/src/node/operator_views.cpp
+++ b/src/node/operator_views.cpp
@@ -33,16 +33,27 @@
          Config.Drains.end();
 }
 
+/// Address of a member's operators' port; empty if it is not known.
+std::string operatorsOf(const MemberRecord &Record) {
+  if (Record.OperatorsPort == 0) {
+    return {};
+  }
+  const std::string Host =
+      Record.Address.substr(0, Record.Address.rfind(':') + 1);
+  return Host + std::to_string(Record.OperatorsPort);
+}
+
 json memberView(const OperatorView &View, const MemberRecord &Record) {
   const bool IsSelf = Record.Id == View.Driver.core().self();
-  json Result{{"node", toString(Record.Id.Node)},
-              {"address", Record.Address},
-              {"operators", IsSelf ? View.OperatorAddress : ""},
-              {"failure_domain", Record.FailureDomain},
-              {"region", Record.Region},
-              {"state", nameOf(Record.State)},
-              {"version", nullptr},
-              {"version_age_ms", nullptr}};
+  json Result{
+      {"node", toString(Record.Id.Node)},
+      {"address", Record.Address},
+      {"operators", IsSelf ? View.OperatorAddress : operatorsOf(Record)},
+      {"failure_domain", Record.FailureDomain},
+      {"region", Record.Region},
+      {"state", nameOf(Record.State)},
+      {"version", nullptr},
+      {"version_age_ms", nullptr}};
   if (IsSelf) {
     Result["version"] = View.Driver.core().config().Version;
     Result["version_age_ms"] = 0;
--- a/tests/net/message_codec_test.cpp
+++ b/tests/net/message_codec_test.cpp
@@ -27,7 +27,7 @@
   Reply.Result = Outcome::NotRun;
   Reply.Reason = OutcomeReason::ShuttingDown;
   Reply.Status = 503;
-  Reply.Load = {1, 2, 3, 4, 5us};
+  Reply.Load = {1, 2, 3, 4, 5us, 6us};
   Reply.Answer = Payload("answer");
   MemberRecord Record;
   Record.Id = {NodeId{1}, Incarnation{2}};
@@ -39,6 +39,7 @@
   Record.Service = "deposits";
   Record.Upstream = UpstreamState::Draining;
   Record.Slots = 6;
+  Record.OperatorsPort = 7103;
   return {Request,
           Reply,
           Cancel{Attempt},
