Feed the documented metrics and check telemetry in the demo

Cause: several metrics of docs/metrics.md had no source, and nothing showed that spans of a running site reach a collector.

The demo starts the collector stand-in with all traces sampled and checks metrics and spans.

--- a/include/hyssopford/core/key_system.hpp
+++ b/include/hyssopford/core/key_system.hpp
@@ -131,6 +131,12 @@
   /// @return the number of requests that have or seek a claim
   std::size_t inFlight() const { return Requests.size(); }
 
+  /// @return the number of records that this node holds
+  std::size_t records() const { return Holder.size(); }
+
+  /// @return the most records that this node holds
+  std::size_t capacity() const { return Settings.MaxRecords; }
+
   const KeyHolder &holder() const { return Holder; }
   const RosterSystem &rosters() const { return Rosters; }
   /// @}
--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -156,6 +156,7 @@
   std::unique_ptr<HttpServer> Callers;
   std::unique_ptr<HttpServer> Local;
   std::unique_ptr<HttpServer> Operators;
+  std::size_t RefusedLinks = 0;
   bool ShuttingDown = false;
   bool Finished = false;
   TimePoint ShutdownEnd;
--- a/include/hyssopford/node/node_telemetry.hpp
+++ b/include/hyssopford/node/node_telemetry.hpp
@@ -68,6 +68,18 @@
   /// @brief Counts a probe.
   void probed(const ProbeFinished &Result);
 
+  /// @brief Notes that a call to the store was started.
+  void storeCalled(const StoreCall &Call);
+
+  /// @brief Counts the end of a call to the store.
+  void storeReplied(std::uint64_t Call, StoreStatus Status);
+
+  /// @brief Counts the result of a patch.
+  void patched(const PatchResult &Result);
+
+  /// @brief Counts a message to or from a peer.
+  void frame(const PeerMessage &Message, bool IsIncoming);
+
   /// @brief Writes the counts of suppressed log lines. Called about once a
   /// second.
   void flush() { Log.flushSuppressed(); }
@@ -76,6 +88,11 @@
   /// @name Output
   /// @{
 
+  /// @brief Sets a gauge or a counter that is kept elsewhere.
+  void set(MetricId Id, std::size_t Value) {
+    Metrics.set(Id, {}, static_cast<double>(Value));
+  }
+
   /// @brief Renders all metrics in the Prometheus text format.
   /// @param Core the core to sample
   /// @param Links usable links to peers
@@ -92,6 +109,8 @@
   SpanExporter Exporter;
   std::map<RequestId, TimePoint> RequestStarts;
   std::map<AttemptId, TimePoint> AttemptStarts;
+  /// Names of the operations of open calls to the store.
+  std::map<std::uint64_t, const char *> StoreCalls;
 };
 
 } // namespace hyssopford
--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -100,6 +100,25 @@
     checker.check(node.name not in owners, "the drained upstream got work")
 
 
+def check_telemetry(site, checker):
+    """Checks that nodes count requests and export their spans."""
+    _, _, page = testsite.request(
+        site.nodes[0].addresses["operator_address"], "GET", "/metrics", None,
+        {"Authorization": f"Bearer {testsite.READ_TOKEN}"})
+    checker.check(b'hyssopford_requests_total{outcome="answered"' in page,
+                  f"metrics without requests: {page[:300]!r}")
+
+    def spans():
+        _, _, text = testsite.request(site.collector_address, "GET", "/count")
+        return json.loads(text)["spans"]
+
+    # Each request has at least an ingress, a queue and an upstream span.
+    requests = REQUESTS_PER_NODE * len(site.nodes)
+    needed = 3 * requests
+    site.wait_for(f"{needed} spans", lambda: spans() >= needed)
+    print(f"the collector has {spans()} spans of {requests} requests")
+
+
 def patch(site, checker, operations, base, name):
     """Submits a patch with hyssopctl and waits until every node has it."""
     path = site.folder / f"{name}.json"
@@ -123,6 +142,7 @@
     print("starting the store and 13 nodes with their upstreams ...")
     begin = time.monotonic()
     site.start_store()
+    site.start_collector()
     site.start(testsite.DEPLOYMENT_A)
     print(f"all nodes know each other after {time.monotonic() - begin:.1f} s")
     print("first configuration:")
@@ -133,6 +153,7 @@
     checker.check(len(owners) == len(site.nodes),
                   f"only {sorted(owners)} got work")
     check_refusal(site, checker)
+    check_telemetry(site, checker)
     print("a patch on the deadline of the catalogue:")
     patch(site, checker, [{"op": "test", "path": "/routes/0/name",
                            "value": "catalogue"},
--- a/scripts/lib/testsite.py
+++ b/scripts/lib/testsite.py
@@ -116,22 +116,33 @@
         self.records = False
         self.store = None
         self.store_address = None
-
-    def start_store(self):
-        """Starts the stand-in of the platform's key-value service."""
-        self.store = Process(
-            "store", [self.build / "standins/store/hyssopford-store-standin",
-                      "--listen", "127.0.0.1:0"], self.folder, None)
+        self.collector = None
+        self.collector_address = None
+
+    def start_standin(self, name):
+        """Starts a stand-in; returns its process and its address."""
+        process = Process(
+            name, [self.build / f"standins/{name}/hyssopford-{name}-standin",
+                   "--listen", FREE], self.folder, None)
         end = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < end:
-            words = self.store.log_path.read_text().split()
+            words = process.log_path.read_text().split()
             ports = [word[5:] for word in words if word.startswith("port=")]
             if ports:
-                self.store_address = f"127.0.0.1:{ports[0]}"
-                self.settings["store"] = self.store_address
-                return
+                return process, f"127.0.0.1:{ports[0]}"
             time.sleep(0.01)
-        raise SiteError("the store did not become ready")
+        raise SiteError(f"the {name} did not become ready")
+
+    def start_store(self):
+        """Starts the stand-in of the platform's key-value service."""
+        self.store, self.store_address = self.start_standin("store")
+        self.settings["store"] = self.store_address
+
+    def start_collector(self):
+        """Starts the stand-in of the trace collector; samples each trace."""
+        self.collector, self.collector_address = self.start_standin("collector")
+        self.settings["tracing"] = {"sampling_ppm": 1_000_000,
+                                    "collector": self.collector_address}
 
     def secret_file(self, name, text):
         """Writes a key or token that only this user can read."""
@@ -246,8 +257,9 @@
                 status = process.wait()
                 if status != 0:
                     problems.append(f"{process.name} ended with {status}")
-        if self.store is not None:
-            self.store.terminate()
-            if self.store.wait() != 0:
-                problems.append("the store did not end well")
+        for standin in (self.store, self.collector):
+            if standin is not None:
+                standin.terminate()
+                if standin.wait() != 0:
+                    problems.append(f"the {standin.name} did not end well")
         return problems
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -1,12 +1,13 @@
 #!/usr/bin/env bash
 # Builds everything with a sanitizer and runs all tests:
-# scripts/sanitize.sh address|undefined|thread [ctest argument...]
+# scripts/sanitize.sh address|undefined|address,undefined|thread [ctest
+# argument...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 case "${1:-}" in
-address | undefined | thread) ;;
+address | undefined | address,undefined | thread) ;;
 *)
-  echo "usage: scripts/sanitize.sh address|undefined|thread [ctest argument...]" >&2
+  echo "usage: scripts/sanitize.sh address|undefined|address,undefined|thread [ctest argument...]" >&2
   exit 2
   ;;
 esac
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -101,6 +101,7 @@
     Store = std::make_unique<HttpStoreClient>(
         StoreSettings, [this](std::uint64_t Call, StoreResult Result) {
           Loop.post([this, Call, Moved = std::move(Result)] {
+            Telemetry->storeReplied(Call, Moved.Status);
             Driver->submit(StoreReplied{Call, Moved});
           });
         });
@@ -136,6 +137,10 @@
 }
 
 void NodeRuntime::flushTelemetry() {
+  Telemetry->set(MetricId::CallerConnections, Callers->connections());
+  Telemetry->set(MetricId::UpstreamConnections,
+                 Upstream->active() + Upstream->idle());
+  Telemetry->set(MetricId::RefusedRequests, CallerRequests->refusedRequests());
   Telemetry->flush();
   Loop.after(FlushPeriod, [this] { flushTelemetry(); });
 }
@@ -164,10 +169,13 @@
 }
 
 void NodeRuntime::onMessage(NodeRun From, PeerMessage Message) {
+  Telemetry->frame(Message, true);
   Driver->submit(PeerMessageReceived{From, std::move(Message)});
 }
 
 void NodeRuntime::onLinkRefused(const Error &Fault) {
+  ++RefusedLinks;
+  Telemetry->set(MetricId::RefusedFrames, RefusedLinks);
   Telemetry->log(LogLevel::Warning, "link_refused",
                  {{"reason", toString(Fault)}});
 }
@@ -198,6 +206,7 @@
 void NodeRuntime::onRefusedConnection() { Registry->withdraw(true); }
 
 void NodeRuntime::perform(SendToPeer &What) {
+  Telemetry->frame(What.Message, false);
   Links->send(What.To, What.Message);
 }
 
@@ -240,6 +249,7 @@
 
 void NodeRuntime::perform(StoreCall &What) {
   if (Store) {
+    Telemetry->storeCalled(What);
     Store->start(std::move(What));
     return;
   }
@@ -260,7 +270,10 @@
   }
 }
 
-void NodeRuntime::perform(PatchResult &What) { OperatorRequests->finish(What); }
+void NodeRuntime::perform(PatchResult &What) {
+  Telemetry->patched(What);
+  OperatorRequests->finish(What);
+}
 
 void NodeRuntime::perform(HistoryResult &What) {
   OperatorRequests->finish(What);
--- a/src/node/node_telemetry.cpp
+++ b/src/node/node_telemetry.cpp
@@ -1,11 +1,19 @@
 #include "hyssopford/node/node_telemetry.hpp"
 
+#include <array>
 #include <chrono>
+#include <variant>
 
 namespace hyssopford {
 
 namespace {
 
+constexpr std::array<const char *, std::variant_size_v<StoreOperation>>
+    StoreOperations{"read", "write", "watch", "lease"};
+
+constexpr std::array<const char *, 6> StoreStatuses{
+    "done", "missing", "conflict", "unchanged", "refused", "no-answer"};
+
 double seconds(Duration Value) {
   return std::chrono::duration<double>(Value).count();
 }
@@ -81,10 +89,43 @@
   Metrics.add(MetricId::ProbeSeconds, {}, seconds(Result.Elapsed));
 }
 
+void NodeTelemetry::storeCalled(const StoreCall &Call) {
+  StoreCalls[Call.Call] = StoreOperations.at(Call.Operation.index());
+}
+
+void NodeTelemetry::storeReplied(std::uint64_t Call, StoreStatus Status) {
+  const auto Found = StoreCalls.find(Call);
+  if (Found == StoreCalls.end()) {
+    return;
+  }
+  Metrics.add(
+      MetricId::StoreCalls,
+      {Found->second, StoreStatuses.at(static_cast<std::size_t>(Status))});
+  StoreCalls.erase(Found);
+}
+
+void NodeTelemetry::patched(const PatchResult &Result) {
+  const std::string Label = Result.Errors.empty()
+                                ? "accepted"
+                                : std::to_string(Result.Errors.front().Code);
+  Metrics.add(MetricId::Patches, {Label});
+}
+
+void NodeTelemetry::frame(const PeerMessage &Message, bool IsIncoming) {
+  const bool IsData = std::holds_alternative<Dispatch>(Message) ||
+                      std::holds_alternative<DispatchReply>(Message) ||
+                      std::holds_alternative<Cancel>(Message) ||
+                      std::holds_alternative<StatusQuery>(Message) ||
+                      std::holds_alternative<StatusReply>(Message);
+  Metrics.add(MetricId::PeerFrames,
+              {IsIncoming ? "in" : "out", IsData ? "data" : "control"});
+}
+
 std::string NodeTelemetry::render(const NodeCore &Core, std::size_t Links,
                                   TimePoint Now) {
   sampleCore(Core, Metrics);
   sampleProcess(Metrics);
+  set(MetricId::Quarantined, Core.quarantine().list(Now).size());
   Metrics.set(MetricId::PeerLinks, {}, static_cast<double>(Links));
   Metrics.set(MetricId::SpansExported, {},
               static_cast<double>(Exporter.exported()));
--- a/src/telemetry/samples.cpp
+++ b/src/telemetry/samples.cpp
@@ -34,6 +34,13 @@
   Registry.set(MetricId::OwnerQueued, {}, Load.Queued);
   Registry.set(MetricId::OwnerLimit, {}, Load.Limit);
   Registry.set(MetricId::OwnerServiceSeconds, {}, seconds(Load.ServiceTime));
+  Registry.set(MetricId::ExtraCalls, {"retry"},
+               static_cast<double>(Core.ingress().counters().Retries));
+  Registry.set(MetricId::ExtraCalls, {"hedge"},
+               static_cast<double>(Core.ingress().counters().Hedges));
+  Registry.set(MetricId::Keys, {}, static_cast<double>(Core.keys().records()));
+  Registry.set(MetricId::KeyCapacity, {},
+               static_cast<double>(Core.keys().capacity()));
   std::array<std::uint64_t, MemberStates.size()> Counts{};
   for (const auto &[Id, Record] : Core.membership().members()) {
     ++Counts.at(static_cast<std::size_t>(Record.State));
--- a/tests/telemetry/metrics_test.cpp
+++ b/tests/telemetry/metrics_test.cpp
@@ -40,7 +40,7 @@
             std::string::npos);
   }
   SECTION("large counters keep every digit") {
-    Registry.set(MetricId::HeldBytes, {}, 134'217'728'123.0);
+    Registry.set(MetricId::ProcessResidentBytes, {}, 134'217'728'123.0);
     REQUIRE(Registry.render(at(0s)).find(" 134217728123\n") !=
             std::string::npos);
   }
