Use one reader and writer of traceparent

Cause: net and telemetry both defined parseTraceParent and renderTraceParent with the same names in one namespace; the daemon links both libraries, so one of the two definitions was used by chance.

Change: net uses those of telemetry/trace_parent.hpp; its own are removed. The tests of net keep their assertions and run against the remaining ones.

--- a/include/hyssopford/net/http_forward.hpp
+++ b/include/hyssopford/net/http_forward.hpp
@@ -60,11 +60,4 @@
 std::string_view pathOf(const Poco::Net::HTTPRequest &Head,
                         const HttpHeadFacts &Facts);
 
-/// @brief Parses a traceparent value (W3C Trace Context level 1, section 3.2).
-/// @return the trace, or nothing if the value is malformed
-std::optional<TraceContext> parseTraceParent(std::string_view Value);
-
-/// @brief Renders a traceparent value of version 00.
-std::string renderTraceParent(const TraceContext &Trace);
-
 } // namespace hyssopford
--- a/src/net/http_forward.cpp
+++ b/src/net/http_forward.cpp
@@ -1,5 +1,7 @@
 #include "hyssopford/net/http_forward.hpp"
 
+#include "hyssopford/telemetry/trace_parent.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -124,12 +126,6 @@
   return !Text.empty() && Parsed.ec == std::errc() && Parsed.ptr == End;
 }
 
-bool isLowerHex(std::string_view Text) {
-  return std::all_of(Text.begin(), Text.end(), [](char C) {
-    return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'f');
-  });
-}
-
 } // namespace
 
 HopFields readHopFields(const Poco::Net::HTTPRequest &Head, bool Trusted) {
@@ -223,41 +219,4 @@
   return Target.substr(0, Target.find('?'));
 }
 
-std::optional<TraceContext> parseTraceParent(std::string_view Value) {
-  constexpr std::size_t Length = 55;
-  if (Value.size() < Length || Value[2] != '-' || Value[35] != '-' ||
-      Value[52] != '-') {
-    return std::nullopt;
-  }
-  const std::string_view Version = Value.substr(0, 2);
-  // Later versions may append fields after another dash.
-  if (Version == "ff" || (Version == "00" && Value.size() != Length) ||
-      (Value.size() > Length && Value[Length] != '-')) {
-    return std::nullopt;
-  }
-  TraceContext Trace;
-  std::uint8_t Flags = 0;
-  for (const std::string_view Part :
-       {Version, Value.substr(3, 32), Value.substr(36, 16),
-        Value.substr(53, 2)}) {
-    if (!isLowerHex(Part)) {
-      return std::nullopt;
-    }
-  }
-  parseNumber(Value.substr(3, 16), Trace.TraceHigh, 16);
-  parseNumber(Value.substr(19, 16), Trace.TraceLow, 16);
-  parseNumber(Value.substr(36, 16), Trace.ParentSpan, 16);
-  parseNumber(Value.substr(53, 2), Flags, 16);
-  if ((Trace.TraceHigh == 0 && Trace.TraceLow == 0) || Trace.ParentSpan == 0) {
-    return std::nullopt;
-  }
-  Trace.Sampled = (Flags & 1U) != 0;
-  return Trace;
-}
-
-std::string renderTraceParent(const TraceContext &Trace) {
-  return fmt::format("00-{:016x}{:016x}-{:016x}-{:02x}", Trace.TraceHigh,
-                     Trace.TraceLow, Trace.ParentSpan, Trace.Sampled ? 1 : 0);
-}
-
 } // namespace hyssopford
--- a/tests/net/http_forward_test.cpp
+++ b/tests/net/http_forward_test.cpp
@@ -2,6 +2,7 @@
 /// @brief Tests of the form in which requests and answers are passed on.
 #include "hyssopford/net/http_forward.hpp"
 #include "hyssopford/net/http_reader.hpp"
+#include "hyssopford/telemetry/trace_parent.hpp"
 
 #include <catch2/catch.hpp>
 
