Feed the metric of request times

Change: the caller services tell the telemetry when a request is complete and when its caller has gone; the demo checks that the series exists.

--- a/include/hyssopford/node/caller_service.hpp
+++ b/include/hyssopford/node/caller_service.hpp
@@ -5,6 +5,7 @@
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/net/http_server.hpp"
 #include "hyssopford/node/core_driver.hpp"
+#include "hyssopford/node/node_telemetry.hpp"
 #include "hyssopford/telemetry/trace_parent.hpp"
 
 #include <cstdint>
@@ -31,6 +32,9 @@
   /// @brief Sets which of the traces that start here are sampled.
   void sample(TraceSampler Chosen) { Sampler = Chosen; }
 
+  /// @brief Sets what counts the requests; must outlive this object.
+  void observe(NodeTelemetry &Observer) { Telemetry = &Observer; }
+
   /// @brief Refuses new requests from now on.
   void refuseNew() { Refusing = true; }
 
@@ -54,6 +58,7 @@
   bool Trusted;
   bool Refusing = false;
   HttpServer *Server = nullptr;
+  NodeTelemetry *Telemetry = nullptr;
   std::uint64_t RefusedRequests = 0;
   TraceSampler Sampler{0};
   std::mt19937_64 TraceSource;
--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -105,8 +105,9 @@
     _, _, page = testsite.request(
         site.nodes[0].addresses["operator_address"], "GET", "/metrics", None,
         {"Authorization": f"Bearer {testsite.READ_TOKEN}"})
-    checker.check(b'hyssopford_requests_total{outcome="answered"' in page,
-                  f"metrics without requests: {page[:300]!r}")
+    for series in (b'hyssopford_requests_total{outcome="answered"',
+                   b'hyssopford_request_seconds_count{outcome="answered"'):
+        checker.check(series in page, f"metrics without {series!r}")
 
     def spans():
         _, _, text = testsite.request(site.collector_address, "GET", "/count")
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -110,10 +110,18 @@
   Input.Trace = Hop.Trace ? *Hop.Trace : newTrace();
   Input.ServeInShutdown = true;
   Input.Request = buildForwardedRequest(Request, Trusted);
+  if (Telemetry != nullptr) {
+    Telemetry->requestStarted(Id, EventLoop::now());
+  }
   Driver.submit(std::move(Input));
 }
 
-void CallerService::onGone(RequestId Id) { Driver.submit(CallerGone{Id}); }
+void CallerService::onGone(RequestId Id) {
+  if (Telemetry != nullptr) {
+    Telemetry->requestDropped(Id);
+  }
+  Driver.submit(CallerGone{Id});
+}
 
 void CallerService::onRefused(const HttpFault & /*Fault*/) {
   ++RefusedRequests;
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -131,6 +131,8 @@
   LocalRequests->attachTo(*Local);
   OperatorRequests->attach(*Operators);
   Driver->setOperatorsPort(sharedPort(Operators->address(), Links->address()));
+  CallerRequests->observe(*Telemetry);
+  LocalRequests->observe(*Telemetry);
   CallerRequests->sample(TraceSampler(Settings.SamplingPpm));
   LocalRequests->sample(TraceSampler(Settings.SamplingPpm));
   flushTelemetry();
