--- a/include/hyssopford/core/action.hpp
+++ b/include/hyssopford/core/action.hpp
@@ -74,6 +74,8 @@
   std::uint16_t Status = 0;
   /// The upstream's answer; empty unless Result is Answered.
   Payload Answer;
+  /// When the caller may come back; 0 if nothing can be said.
+  Duration RetryAfter{0};
   /// Attempts made for this request, hedges included.
   std::uint32_t Attempts = 0;
   /// Node whose upstream answered.
--- a/include/hyssopford/core/admission_queue.hpp
+++ b/include/hyssopford/core/admission_queue.hpp
@@ -73,8 +73,9 @@
   }
 
   std::uint32_t HighBurst;
-  std::uint32_t HighStarts = 0;
-  std::array<Line, 2> Lines;
+  /// Starts of more urgent attempts while this class waited.
+  std::array<std::uint32_t, PriorityCount> Passed{};
+  std::array<Line, PriorityCount> Lines;
   std::unordered_map<AttemptId, Line::iterator> Positions;
   std::set<std::pair<TimePoint, AttemptId>> Deadlines;
 };
--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -35,6 +35,17 @@
   std::uint32_t ExtraBurst = 30;
   /// Retries that a service may use before its first requests pay for them.
   std::uint32_t ExtraStart = 5;
+  /// Attempts that an owner handed back before its upstream got anything which
+  /// do not count as attempts and cost no budget; further ones do.
+  std::uint32_t FreeHandBacks = 0;
+  /// Whether an idempotent request that an upstream answered with a 5xx is
+  /// sent to another, within the budget.
+  bool RetryFailedAnswers = false;
+  /// Shortest time after which the caller of a rejected request may return.
+  Duration RetryAfterMin = 50ms;
+  /// Longest such time; the actual one is drawn between both, so that rejected
+  /// callers do not return together.
+  Duration RetryAfterMax = 250ms;
   /// Upstreams of one service in the node's own region that get a link; 0
   /// disables subsets.
   std::size_t SubsetSize = 8;
--- a/include/hyssopford/core/ingress_system.hpp
+++ b/include/hyssopford/core/ingress_system.hpp
@@ -135,6 +135,11 @@
     friend auto operator<=>(const Timer &, const Timer &) = default;
   };
 
+  struct FailedAnswer {
+    DispatchReply Reply;
+    NodeId Owner;
+  };
+
   struct RequestRow {
     CallerRequest Request;
     std::string Service;
@@ -149,6 +154,10 @@
     /// An attempt ended as unknown, so the request can't end as not-run.
     bool MayHaveRun = false;
     std::uint32_t Attempts = 0;
+    /// Attempts handed back by owners without cost.
+    std::uint32_t HandBacks = 0;
+    /// The first failure that an upstream answered, while others are tried.
+    std::optional<FailedAnswer> Failed;
     OutcomeReason LastReason = OutcomeReason::None;
     std::vector<NodeId> Tried;
     /// Sequences of the attempts without a reply.
@@ -168,7 +177,12 @@
   };
 
   void startAttempt(RequestRow &Row, TimePoint Now, Actions &Out);
-  void retry(RequestRow &Row, TimePoint Now, Actions &Out);
+  /// @param Free true if the attempt that ended cost nothing
+  void retry(RequestRow &Row, TimePoint Now, Actions &Out, bool Free = false);
+  /// Tries another upstream instead of passing on a failure.
+  /// @return whether the request goes on
+  bool retryFailedAnswer(RequestRow &Row, const DispatchReply &Reply,
+                         NodeId Owner, TimePoint Now, Actions &Out);
   void hedge(RequestRow &Row, TimePoint Now, Actions &Out);
   void recall(RequestRow &Row, TimePoint Now, Actions &Out);
   std::optional<NodeRun> choose(const RequestRow &Row, ServicePool &Pool,
--- a/include/hyssopford/core/key_rules.hpp
+++ b/include/hyssopford/core/key_rules.hpp
@@ -41,6 +41,8 @@
 
 /// @brief Limits of the tables of idempotency keys.
 struct KeySettings {
+  /// Whether requests may carry keys. Without them no roster is kept.
+  bool Enabled = true;
   /// How long a key is kept after its request ended.
   Duration Retention = 24h;
   /// Greatest age at which an owner may still run an attempt: it does not
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -15,6 +15,7 @@
 #include "hyssopford/core/quarantine_system.hpp"
 #include "hyssopford/core/random_source.hpp"
 #include "hyssopford/core/routing_config.hpp"
+#include "hyssopford/core/traffic_split.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -172,6 +173,7 @@
   NodeRun Self;
   SeededRandomSource Random;
   RoutingConfig Config;
+  TrafficSplit Splits;
   MembershipSystem Membership;
   DirectorySystem Directory;
   std::optional<ConfigSystem> Configs;
--- a/include/hyssopford/core/outcome.hpp
+++ b/include/hyssopford/core/outcome.hpp
@@ -39,7 +39,11 @@
   UpstreamTimeout,
   LinkLost,
   AnswerTooLarge,
-  ShuttingDown
+  ShuttingDown,
+  /// The upstream stated that it did not run the request.
+  UpstreamRefused,
+  /// The node has no configuration yet.
+  NoConfig
 };
 
 /// @param Value the reason of an attempt's end
--- a/include/hyssopford/core/routing_config.hpp
+++ b/include/hyssopford/core/routing_config.hpp
@@ -5,6 +5,7 @@
 #include "hyssopford/core/ids.hpp"
 #include "hyssopford/core/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,11 +14,25 @@
 
 namespace hyssopford {
 
-/// @brief Priority class of a request.
+/// @brief Priority class of a request, most urgent first.
 enum class Priority : std::uint8_t {
   /// Requests between the organisations' own services.
   High,
-  Normal
+  Normal,
+  Low,
+  Lowest
+};
+
+/// Number of priority classes.
+inline constexpr std::size_t PriorityCount = 4;
+
+/// @brief One part of a traffic split.
+struct ServiceShare {
+  std::string Service;
+  /// Share of the requests, relative to the other parts.
+  std::uint32_t Weight = 1;
+
+  friend bool operator==(const ServiceShare &, const ServiceShare &) = default;
 };
 
 /// @brief Maps requests to a service and states how they are treated.
@@ -30,10 +45,14 @@
   std::string PathPrefix = "/";
   /// Methods to match; empty matches all.
   std::vector<std::string> Methods;
-  /// Service that answers.
+  /// Service that answers; unused if there is a split.
   std::string Service;
+  /// Services that share the requests in proportion to their weights.
+  std::vector<ServiceShare> Split;
   /// Time for the whole request unless the caller states less.
   Duration Deadline = 1s;
+  /// Time in which an answer is wanted; 0 if none is stated.
+  Duration TargetLatency{0};
   /// Overrides the method's idempotency (RFC 9110, section 9.2.2).
   std::optional<bool> Idempotent;
   Priority Class = Priority::Normal;
@@ -56,6 +75,30 @@
                          const QuarantineLift &) = default;
 };
 
+/// @brief Limits that operators set on what callers send.
+struct CallerLimits {
+  /// Longest head of a request in bytes.
+  std::size_t HeadBytes = 32'768;
+  /// Time for a head after its first byte.
+  Duration HeadTimeout = 10s;
+  /// How long a connection may wait for its next request.
+  Duration IdleTimeout = 60s;
+
+  friend bool operator==(const CallerLimits &, const CallerLimits &) = default;
+};
+
+/// @brief What operators state about a service.
+struct ServiceSettings {
+  std::string Name;
+  /// Path of the health endpoint of its upstreams.
+  std::string HealthPath = "/";
+  /// Most connections that an upstream accepts; 0 if not stated.
+  std::uint32_t ConnectionLimit = 0;
+
+  friend bool operator==(const ServiceSettings &,
+                         const ServiceSettings &) = default;
+};
+
 /// @brief One numbered version of the site's configuration.
 struct RoutingConfig {
   std::uint64_t Version = 0;
@@ -64,6 +107,10 @@
   /// Peer addresses ("ip:port") of nodes whose upstreams operators drain.
   std::vector<std::string> Drains;
   std::vector<QuarantineLift> Lifts;
+  /// Limits for callers; without them the node's own settings hold.
+  std::optional<CallerLimits> Callers;
+  /// Services that have settings.
+  std::vector<ServiceSettings> Services;
 
   friend bool operator==(const RoutingConfig &,
                          const RoutingConfig &) = default;
--- /dev/null
+++ b/include/hyssopford/net/http_caller.hpp
@@ -0,0 +1,86 @@
+/// @file
+/// @brief HTTP calls to one server on the event loop.
+#pragma once
+
+#include "hyssopford/net/event_loop.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hyssopford {
+
+/// @brief What became of a call.
+struct HttpCallResult {
+  /// Status of the response; 0 if there was none.
+  int Status = 0;
+  std::string Body;
+  /// True if a byte of the call may have reached the server.
+  bool Sent = false;
+  /// Why there was no response.
+  std::string Reason;
+
+  friend bool operator==(const HttpCallResult &,
+                         const HttpCallResult &) = default;
+};
+
+/// @brief Limits of the calls.
+struct HttpCallerSettings {
+  /// Address of the server, "ip:port".
+  std::string Address;
+  /// How long an idle connection is kept for the next call.
+  Duration IdleTimeout = 5s;
+  /// Most idle connections kept.
+  std::size_t PoolSize = 2;
+  /// Largest body of a response in bytes.
+  std::size_t BodyLimit = 4'194'304;
+};
+
+/// @brief Makes calls, each on a connection of its own while it runs, without
+/// a thread for each call. A connection on which a response did not arrive in
+/// time is closed.
+class HttpCaller {
+public:
+  using Callback = std::function<void(HttpCallResult)>;
+
+  /// @name Construction
+  /// @{
+
+  /// @param Loop the loop that serves the connections
+  /// @param Settings where the server is
+  HttpCaller(EventLoop &Loop, HttpCallerSettings Settings);
+  ~HttpCaller();
+  HttpCaller(const HttpCaller &) = delete;
+  HttpCaller &operator=(const HttpCaller &) = delete;
+  /// @}
+
+  /// @brief Starts a call; it ends with exactly one callback from the loop
+  /// unless this object is destroyed first.
+  /// @param Method the HTTP method
+  /// @param Target path and query
+  /// @param Body JSON text, or empty
+  /// @param Timeout time for connecting and the response
+  /// @param Done takes the result
+  void call(const std::string &Method, const std::string &Target,
+            const std::string &Body, Duration Timeout, Callback Done);
+
+  /// @return the number of connections opened so far
+  std::size_t opened() const { return Opened; }
+
+private:
+  class Exchange;
+  friend class Exchange;
+
+  void finish(Exchange &Ended, bool Reusable);
+
+  EventLoop &Loop;
+  HttpCallerSettings Settings;
+  std::unordered_map<const Exchange *, std::shared_ptr<Exchange>> Active;
+  std::vector<std::shared_ptr<Exchange>> Idle;
+  std::size_t Opened = 0;
+};
+
+} // namespace hyssopford
--- a/include/hyssopford/net/http_forward.hpp
+++ b/include/hyssopford/net/http_forward.hpp
@@ -11,6 +11,7 @@
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -39,6 +40,17 @@
 /// @return field lines, each with its line end
 std::string hopFieldLines(const ForwardToUpstream &Attempt);
 
+/// @brief Builds a request for an upstream from that of a caller, without
+/// hop-by-hop fields.
+/// @param Request the request
+/// @param Drops says which further fields are left out
+/// @param Added field lines that are added, each with its line end
+/// @return request line, fields and body
+Payload
+renderForwardedRequest(const HttpRequest &Request,
+                       const std::function<bool(std::string_view)> &Drops,
+                       const std::string &Added);
+
 /// @brief Builds the form of a request in which upstreams get it: without
 /// hop-by-hop and internal fields, with Forwarded, X-Forwarded-* and Via.
 /// @param Request the request
--- a/include/hyssopford/net/http_server.hpp
+++ b/include/hyssopford/net/http_server.hpp
@@ -104,6 +104,10 @@
   /// @name Shutdown
   /// @{
 
+  /// @brief Closes each connection after its next answer, and goes on
+  /// listening.
+  void retire() { Retiring = true; }
+
   /// @brief Stops listening, closes idle connections and closes the others
   /// after their current answer.
   void drain();
@@ -113,6 +117,17 @@
   bool isQuiet() const;
   /// @}
 
+  /// @brief Changes the limits of heads and idle connections.
+  /// @param HeadBytes longest head
+  /// @param HeadTimeout time for a head after its first byte
+  /// @param IdleTimeout how long a connection may wait for its next request
+  void setLimits(std::size_t HeadBytes, Duration HeadTimeout,
+                 Duration IdleTimeout) {
+    Settings.Limits.Head = HeadBytes;
+    Settings.HeadTimeout = HeadTimeout;
+    Settings.IdleTimeout = IdleTimeout;
+  }
+
   /// @name Observers
   /// @{
 
@@ -138,6 +153,7 @@
   Poco::Net::ServerSocket Socket;
   bool Listening = false;
   bool Draining = false;
+  bool Retiring = false;
   std::uint64_t LastRequest = 0;
   std::unordered_map<const Connection *, std::shared_ptr<Connection>>
       Connections;
--- a/include/hyssopford/net/upstream_client.hpp
+++ b/include/hyssopford/net/upstream_client.hpp
@@ -4,6 +4,7 @@
 
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/core/event.hpp"
+#include "hyssopford/net/edge_policy.hpp"
 #include "hyssopford/net/event_loop.hpp"
 #include "hyssopford/net/http_head.hpp"
 
@@ -54,8 +55,14 @@
 public:
   /// @name Construction
   /// @{
+
+  /// @param Loop the loop that serves the connections
+  /// @param Handler takes the results
+  /// @param Settings limits of the connections
+  /// @param Edge the header fields of the deployment; must outlive this object
   UpstreamClient(EventLoop &Loop, UpstreamClientHandler &Handler,
-                 UpstreamClientSettings Settings = {});
+                 UpstreamClientSettings Settings = {},
+                 const EdgePolicy &Edge = ownEdgePolicy());
   ~UpstreamClient();
   UpstreamClient(const UpstreamClient &) = delete;
   UpstreamClient &operator=(const UpstreamClient &) = delete;
@@ -68,9 +75,14 @@
   /// address are closed.
   /// @param Address "ip:port"
   /// @param HealthPath path of its health endpoint
-  void setUpstream(const std::string &Address, const std::string &HealthPath);
+  /// @param Instance identifier of the upstream's start, empty if unknown
+  void setUpstream(const std::string &Address, const std::string &HealthPath,
+                   const std::string &Instance = {});
   /// @}
 
+  /// @brief Sets the path of the upstream's health endpoint.
+  void setHealthPath(const std::string &Path) { HealthPath = Path; }
+
   /// @name Attempts
   /// @{
 
@@ -106,8 +118,10 @@
   EventLoop &Loop;
   UpstreamClientHandler &Handler;
   UpstreamClientSettings Settings;
+  const EdgePolicy &Edge;
   std::string Address;
   std::string HealthPath = "/";
+  std::string Instance;
   std::unordered_map<const Exchange *, std::shared_ptr<Exchange>> Active;
   std::unordered_map<AttemptId, Exchange *> ByAttempt;
   /// Oldest first.
--- a/include/hyssopford/node/caller_service.hpp
+++ b/include/hyssopford/node/caller_service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "hyssopford/core/action.hpp"
+#include "hyssopford/net/edge_policy.hpp"
 #include "hyssopford/net/http_server.hpp"
 #include "hyssopford/node/core_driver.hpp"
 #include "hyssopford/node/node_telemetry.hpp"
@@ -21,9 +22,10 @@
   /// @{
 
   /// @param Driver takes the requests
+  /// @param Edge the header fields of the deployment; must outlive this object
   /// @param Trusted true for the port of the upstream on this VM, whose
   /// internal fields are accepted
-  CallerService(CoreDriver &Driver, bool Trusted);
+  CallerService(CoreDriver &Driver, const EdgePolicy &Edge, bool Trusted);
   /// @}
 
   /// @brief Sets the server that the requests come from.
@@ -55,6 +57,7 @@
   TraceContext newTrace();
 
   CoreDriver &Driver;
+  const EdgePolicy &Edge;
   bool Trusted;
   bool Refusing = false;
   HttpServer *Server = nullptr;
@@ -64,10 +67,4 @@
   std::mt19937_64 TraceSource;
 };
 
-/// @brief Maps the outcome of a request to the status for its caller.
-/// @param Result the outcome, other than Answered
-/// @param Reason why
-/// @return the HTTP status, as in section 7 of the design page
-int statusOf(Outcome Result, OutcomeReason Reason);
-
 } // namespace hyssopford
--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -8,6 +8,7 @@
 #include "hyssopford/net/peer_links.hpp"
 #include "hyssopford/net/store_client.hpp"
 #include "hyssopford/net/upstream_client.hpp"
+#include "hyssopford/node/announcement_decoder.hpp"
 #include "hyssopford/node/caller_service.hpp"
 #include "hyssopford/node/core_driver.hpp"
 #include "hyssopford/node/node_telemetry.hpp"
@@ -15,6 +16,7 @@
 #include "hyssopford/node/trace_recorder.hpp"
 #include "hyssopford/node/upstream_registry.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +24,26 @@
 
 namespace hyssopford {
 
+class ReadinessService;
+
+/// @brief The parts of a node that a deployment replaces. Objects that are
+/// pointed to must outlive the node.
+struct NodeAdapters {
+  /// Header fields of callers and upstreams.
+  const EdgePolicy *Edge = &ownEdgePolicy();
+  /// Form of the configuration in the store; nullptr for the own form.
+  const ConfigCodec *Codec = nullptr;
+  /// Announcements of the upstream; nullptr for the own form.
+  const AnnouncementDecoder *Announcements = nullptr;
+  /// Makes the access to the store; empty for the own protocol. The callback
+  /// may be called from any thread.
+  std::function<std::unique_ptr<StoreClient>(EventLoop &,
+                                             const StoreClient::Callback &)>
+      MakeStore;
+  /// Takes the log lines; nullptr for standard error.
+  LogSink *Log = nullptr;
+};
+
 /// @brief Settings of a node. Ports of 0 are chosen by the system.
 struct NodeRuntimeSettings {
   std::string Site = "default";
@@ -34,13 +56,19 @@
   /// Port of the upstream on this VM; must be a loopback address.
   std::string LocalAddress = "127.0.0.1:0";
   std::string PeerAddress = "127.0.0.1:0";
+  /// Empty for none.
   std::string OperatorAddress = "127.0.0.1:0";
+  /// Address that says whether the node takes callers; empty for none.
+  std::string ReadyAddress;
   std::vector<std::string> Seeds;
   /// Address of the platform's key-value service; empty for none.
   std::string StoreAddress;
   OperatorTokens Tokens;
   /// Time for requests in flight after a request to end.
   Duration DrainDeadline = 30s;
+  /// Time after the request to shut down in which new callers are still
+  /// served, as they learn from the readiness only later.
+  Duration ShutdownNotice{0};
   HttpServerSettings Http;
   UpstreamClientSettings Upstream;
   /// Time for connecting to a peer and the handshake.
@@ -71,7 +99,8 @@
 
   /// @brief Opens all ports.
   /// @throws Poco::Exception if an address cannot be bound
-  explicit NodeRuntime(const NodeRuntimeSettings &Settings);
+  explicit NodeRuntime(const NodeRuntimeSettings &Settings,
+                       NodeAdapters Adapters = {});
   ~NodeRuntime() override;
   NodeRuntime(const NodeRuntime &) = delete;
   NodeRuntime &operator=(const NodeRuntime &) = delete;
@@ -95,7 +124,9 @@
   /// @{
   std::string callerAddress() const { return Callers->address(); }
   std::string localAddress() const { return Local->address(); }
-  std::string operatorAddress() const { return Operators->address(); }
+  std::string operatorAddress() const {
+    return Operators ? Operators->address() : std::string();
+  }
   const std::string &peerAddress() const { return Links->address(); }
   const NodeCore &core() const { return Driver->core(); }
 
@@ -133,17 +164,24 @@
   void perform(PatchResult &What);
   void perform(HistoryResult &What);
 
+  void makeStore();
+  void noteStore(const StoreResult &Result);
   void makeServers();
   void flushTelemetry();
   void beginShutdown();
+  void closePorts();
   void checkShutdown();
+  void applyCallerLimits();
+  bool isReady() const;
 
   NodeRuntimeSettings Settings;
   EventLoop Loop;
+  NodeAdapters Adapters;
   StandardErrorSink LogLines;
   std::unique_ptr<NodeTelemetry> Telemetry;
   std::optional<TraceRecorder> Recorder;
-  JsonConfigCodec Codec;
+  JsonConfigCodec OwnCodec;
+  OwnAnnouncementDecoder OwnAnnouncements;
   std::unique_ptr<PeerLinks> Links;
   std::unique_ptr<CoreDriver> Driver;
   /// Joins its threads, which post to the loop, before the loop ends.
@@ -153,10 +191,14 @@
   std::unique_ptr<CallerService> CallerRequests;
   std::unique_ptr<LocalService> LocalRequests;
   std::unique_ptr<OperatorService> OperatorRequests;
+  std::unique_ptr<ReadinessService> ReadyRequests;
   std::unique_ptr<HttpServer> Callers;
   std::unique_ptr<HttpServer> Local;
   std::unique_ptr<HttpServer> Operators;
+  std::unique_ptr<HttpServer> Ready;
   std::size_t RefusedLinks = 0;
+  std::uint64_t LimitsVersion = 0;
+  bool StoreReached = true;
   bool ShuttingDown = false;
   bool Finished = false;
   TimePoint ShutdownEnd;
--- a/include/hyssopford/node/upstream_registry.hpp
+++ b/include/hyssopford/node/upstream_registry.hpp
@@ -8,13 +8,25 @@
 #include "hyssopford/net/upstream_client.hpp"
 #include "hyssopford/node/core_driver.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
 namespace hyssopford {
 
+/// @brief What an announcement asks for.
+enum class AnnouncementKind : std::uint8_t {
+  /// The upstream is there, in the state that it names.
+  Renewal,
+  /// The upstream leaves: it finishes what it runs and gets nothing new.
+  Departure,
+  /// The upstream is gone.
+  Removal
+};
+
 /// @brief What an upstream states about itself.
 struct Announcement {
+  AnnouncementKind Kind = AnnouncementKind::Renewal;
   std::string Service;
   std::uint32_t Slots = 1;
   /// Address that it listens on, "ip:port".
@@ -24,6 +36,12 @@
   /// Time after which the upstream counts as gone unless it announces itself
   /// again.
   Duration TimeToLive = 3s;
+  /// Identifier of the upstream, empty if it states none.
+  std::string Instance;
+  /// Orders the starts of upstreams at one address; 0 if not stated.
+  std::uint64_t Start = 0;
+  /// Orders the announcements of one start; 0 if not stated.
+  std::uint64_t Sequence = 0;
 
   friend bool operator==(const Announcement &, const Announcement &) = default;
 };
@@ -49,8 +67,9 @@
   /// @name Inputs
   /// @{
 
-  /// @brief Takes a new announcement or a renewal.
-  void announce(const Announcement &New);
+  /// @brief Takes an announcement of any kind.
+  /// @return false if it was overtaken by a later one, and is ignored
+  bool announce(const Announcement &New);
 
   /// @brief Ends the announcement.
   /// @param Crashed true if the upstream did not leave by itself
@@ -64,7 +83,13 @@
   EventLoop &Loop;
   CoreDriver &Driver;
   UpstreamClient &Client;
+  bool isOvertaken(const Announcement &New) const;
+  void depart();
+
   std::optional<Announcement> Current;
+  /// The latest announcement that states its order, also after its end.
+  std::optional<Announcement> Latest;
+  bool Departed = false;
   EventLoop::TimerId Expiry = 0;
 };
 
--- a/src/core/admission_queue.cpp
+++ b/src/core/admission_queue.cpp
@@ -14,18 +14,21 @@
 }
 
 std::optional<AdmittedAttempt> AdmissionQueue::pop() {
-  Line &High = lineOf(Priority::High);
-  Line &Normal = lineOf(Priority::Normal);
-  if (High.empty() && Normal.empty()) {
+  std::optional<std::size_t> Chosen;
+  for (std::size_t Class = 0; Class < Lines.size(); ++Class) {
+    // A class that more urgent ones have passed too often has its turn.
+    if (!Lines[Class].empty() && (!Chosen || Passed[Class] >= HighBurst)) {
+      Chosen = Class;
+    }
+  }
+  if (!Chosen) {
     return std::nullopt;
   }
-  const bool NormalsTurn = !Normal.empty() && HighStarts >= HighBurst;
-  if (High.empty() || NormalsTurn) {
-    HighStarts = 0;
-    return take(Normal, Normal.begin());
+  Passed[*Chosen] = 0;
+  for (std::size_t Class = *Chosen + 1; Class < Lines.size(); ++Class) {
+    Passed[Class] = Lines[Class].empty() ? 0 : Passed[Class] + 1;
   }
-  HighStarts = Normal.empty() ? 0 : HighStarts + 1;
-  return take(High, High.begin());
+  return take(Lines[*Chosen], Lines[*Chosen].begin());
 }
 
 std::optional<AdmittedAttempt>
@@ -45,12 +48,19 @@
 }
 
 std::size_t AdmissionQueue::ahead(Priority Class) const {
-  const std::size_t High = lineOf(Priority::High).size();
-  const std::size_t Normal = lineOf(Priority::Normal).size();
-  if (Class == Priority::High) {
-    return High + std::min(Normal, High / std::max<std::size_t>(HighBurst, 1));
+  const auto Own = static_cast<std::size_t>(Class);
+  std::size_t Urgent = 0;
+  for (std::size_t Each = 0; Each < Own; ++Each) {
+    Urgent += Lines[Each].size();
+  }
+  std::size_t Count =
+      Lines[Own].size() + std::min(Urgent, (Lines[Own].size() + 1) * HighBurst);
+  // Each less urgent class gets one start for a burst of others.
+  for (std::size_t Each = Own + 1; Each < Lines.size(); ++Each) {
+    Count += std::min(Lines[Each].size(),
+                      Count / std::max<std::size_t>(HighBurst, 1));
   }
-  return Normal + std::min(High, (Normal + 1) * HighBurst);
+  return Count;
 }
 
 std::optional<TimePoint> AdmissionQueue::nextDeadline() const {
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -18,6 +18,8 @@
 constexpr double LatencyWeight = 0.05;
 /// Lowest HTTP status that counts as a failure of the upstream.
 constexpr std::uint16_t FirstServerError = 500;
+/// Status of an upstream that ran out of time; a retry would too.
+constexpr std::uint16_t GatewayTimeout = 504;
 
 /// The owner takes no attempt of this service in this run any more.
 bool closesCandidate(OutcomeReason Reason) {
@@ -101,10 +103,19 @@
   closeAttempt(Row, Reply.Attempt.Sequence, Reply.Result, Reply.Reason, Now,
                Out);
   if (Reply.Result == Outcome::Answered) {
-    answer(Row, Reply, Attempt.Owner.Node, Now, Out);
+    if (!retryFailedAnswer(Row, Reply, Attempt.Owner.Node, Now, Out)) {
+      answer(Row, Reply, Attempt.Owner.Node, Now, Out);
+    }
     return;
   }
-  retry(Row, Now, Out);
+  const bool Free = Reply.Result == Outcome::NotRun &&
+                    Reply.Reason != OutcomeReason::UpstreamRefused &&
+                    Row.HandBacks < Settings.FreeHandBacks;
+  if (Free) {
+    ++Row.HandBacks;
+    --Row.Attempts;
+  }
+  retry(Row, Now, Out, Free);
 }
 
 void IngressSystem::resolveStatus(const StatusReply &Reply, TimePoint Now,
@@ -221,7 +232,34 @@
   Timers.insert(Timer{*Row.LinkCheckAt, TimerKind::LinkCheck, Row.Request.Id});
 }
 
-void IngressSystem::retry(RequestRow &Row, TimePoint Now, Actions &Out) {
+bool IngressSystem::retryFailedAnswer(RequestRow &Row,
+                                      const DispatchReply &Reply, NodeId Owner,
+                                      TimePoint Now, Actions &Out) {
+  if (!Settings.RetryFailedAnswers || Reply.Status < FirstServerError ||
+      Reply.Status == GatewayTimeout || !Row.Idempotent ||
+      Row.Attempts >= Row.TryLimit || Row.Deadline <= Now) {
+    return false;
+  }
+  if (!Row.Failed) {
+    Row.Failed = FailedAnswer{Reply, Owner};
+  }
+  if (!Row.Open.empty()) {
+    return true;
+  }
+  ServicePool *Pool = Table.use(Row.Service, Now);
+  const std::optional<NodeRun> Chosen =
+      Pool == nullptr ? std::nullopt : choose(Row, *Pool, Now);
+  if (!Chosen || !Pool->Budget.takeRetry()) {
+    Row.Failed.reset();
+    return false;
+  }
+  ++Counters.Retries;
+  dispatch(Row, *Pool, *Chosen, Now, Out);
+  return true;
+}
+
+void IngressSystem::retry(RequestRow &Row, TimePoint Now, Actions &Out,
+                          bool Free) {
   const auto InDoubt = [&](std::uint64_t Sequence) {
     return Attempts.at(Sequence).InDoubt;
   };
@@ -258,12 +296,12 @@
     GiveUp(Row.LastReason);
     return;
   }
-  if (!Pool->Budget.takeRetry()) {
+  if (!Free && !Pool->Budget.takeRetry()) {
     ++Counters.RetriesDenied;
     GiveUp(OutcomeReason::RetryBudget);
     return;
   }
-  ++Counters.Retries;
+  Counters.Retries += Free ? 0 : 1;
   dispatch(Row, *Pool, *Chosen, Now, Out);
 }
 
@@ -339,6 +377,10 @@
   if (Row.Attempts == 1 && !IsExtra && Row.TryLimit > 1 &&
       Settings.HedgeQuantile < 1.0 && Pool.HedgeDelay.value() > Duration{0} &&
       Now + HedgeDelay < Row.Deadline) {
+    if (Row.HedgeAt) {
+      // Set by an attempt that was handed back.
+      Timers.erase(Timer{*Row.HedgeAt, TimerKind::Hedge, Row.Request.Id});
+    }
     Row.HedgeAt = Now + HedgeDelay;
     Timers.insert(Timer{*Row.HedgeAt, TimerKind::Hedge, Row.Request.Id});
   }
@@ -408,9 +450,20 @@
 
 void IngressSystem::settle(RequestRow &Row, Outcome Result,
                            OutcomeReason Reason, TimePoint Now, Actions &Out) {
+  if (Row.Failed) {
+    // A failure that an upstream answered tells more than one of its own.
+    const FailedAnswer First = *std::exchange(Row.Failed, std::nullopt);
+    answer(Row, First.Reply, First.Owner, Now, Out);
+    return;
+  }
   ReplyToCaller Reply;
   Reply.Id = Row.Request.Id;
   Reply.Result = Row.MayHaveRun ? Outcome::Unknown : Result;
+  if (Reply.Result == Outcome::NotRun) {
+    const Duration Spread = Settings.RetryAfterMax - Settings.RetryAfterMin;
+    Reply.RetryAfter =
+        Settings.RetryAfterMin + Duration(Random.below(Spread.count() + 1));
+  }
   Reply.Reason = Reason;
   Reply.Attempts = Row.Attempts;
   const Outcome Final = Reply.Result;
@@ -420,9 +473,14 @@
 
 void IngressSystem::answer(RequestRow &Row, const DispatchReply &Reply,
                            NodeId Owner, TimePoint Now, Actions &Out) {
-  Out.emplace_back(ReplyToCaller{Row.Request.Id, Outcome::Answered,
-                                 OutcomeReason::None, Reply.Status,
-                                 Reply.Answer, Row.Attempts, Owner, false});
+  ReplyToCaller Answer;
+  Answer.Id = Row.Request.Id;
+  Answer.Result = Outcome::Answered;
+  Answer.Status = Reply.Status;
+  Answer.Answer = Reply.Answer;
+  Answer.Attempts = Row.Attempts;
+  Answer.Owner = Owner;
+  Out.emplace_back(std::move(Answer));
   // An attempt that a hedge overtook counts with the time it took so far;
   // without it the percentile would fall with each hedge.
   ServicePool *Pool = Table.find(Row.Service);
--- a/src/core/key_system.cpp
+++ b/src/core/key_system.cpp
@@ -233,7 +233,7 @@
                      const RoutingConfig &Config, TimePoint Now, Actions &Out) {
   std::set<std::string> Services;
   for (const Route &Each : Config.Routes) {
-    if (!Each.Idempotent.value_or(false)) {
+    if (Settings.Enabled && !Each.Idempotent.value_or(false)) {
       Services.insert(Each.Service);
     }
   }
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -86,6 +86,7 @@
   }
   Config = std::move(NewConfig);
   Quarantine.adopt(Config);
+  Splits.adopt(Config);
   Membership.setConfigVersion(Config.Version);
   CandidateRevision = 0;
   refreshCandidates();
@@ -111,6 +112,10 @@
     Out.emplace_back(refusal(Input.Id, OutcomeReason::ShuttingDown));
     return;
   }
+  if (Config.Version == 0) {
+    Out.emplace_back(refusal(Input.Id, OutcomeReason::NoConfig));
+    return;
+  }
   const Route *Matched =
       findRoute(Config, Input.Host, Input.Path, Input.Method);
   if (Matched == nullptr) {
@@ -123,6 +128,9 @@
     return;
   }
   Route Limited = *Matched;
+  if (!Limited.Split.empty()) {
+    Limited.Service = Splits.choose(Limited, Random);
+  }
   if (Quarantine.isSuspect(Fingerprint, Now)) {
     Limited.TryLimit = 1;
   }
--- a/src/core/outcome.cpp
+++ b/src/core/outcome.cpp
@@ -10,7 +10,7 @@
 constexpr std::array<const char *, 3> OutcomeNames{"answered", "not-run",
                                                    "unknown"};
 
-constexpr std::array<const char *, 22> ReasonNames{"none",
+constexpr std::array<const char *, 24> ReasonNames{"none",
                                                    "no-route",
                                                    "no-upstream",
                                                    "queue-full",
@@ -31,9 +31,11 @@
                                                    "upstream-timeout",
                                                    "link-lost",
                                                    "answer-too-large",
-                                                   "shutting-down"};
+                                                   "shutting-down",
+                                                   "upstream-refused",
+                                                   "no-config"};
 
-static_assert(static_cast<std::size_t>(OutcomeReason::ShuttingDown) + 1 ==
+static_assert(static_cast<std::size_t>(OutcomeReason::NoConfig) + 1 ==
               ReasonNames.size());
 
 } // namespace
--- /dev/null
+++ b/src/core/traffic_split.cpp
@@ -0,0 +1,45 @@
+#include "hyssopford/core/traffic_split.hpp"
+
+#include <algorithm>
+
+namespace hyssopford {
+
+void TrafficSplit::adopt(const RoutingConfig &Config) {
+  std::map<std::string, Round> Kept;
+  for (const Route &Each : Config.Routes) {
+    const auto Found = Rounds.find(Each.Name);
+    if (Found != Rounds.end() && Found->second.Shares == Each.Split) {
+      Kept.insert(Rounds.extract(Found));
+    }
+  }
+  Rounds = std::move(Kept);
+}
+
+const std::string &TrafficSplit::choose(const Route &Matched,
+                                        RandomSource &Random) {
+  double Total = 0.0;
+  for (const ServiceShare &Each : Matched.Split) {
+    Total += Each.Weight;
+  }
+  const auto [At, IsNew] = Rounds.try_emplace(Matched.Name);
+  Round &Current = At->second;
+  if (IsNew || Current.Shares != Matched.Split) {
+    Current.Shares = Matched.Split;
+    Current.Credits.assign(Current.Shares.size(), 0.0);
+    for (double &Credit : Current.Credits) {
+      Credit = Total * static_cast<double>(Random.below(1'000)) / 1'000.0;
+    }
+  }
+  std::size_t Best = 0;
+  for (std::size_t Index = 0; Index < Current.Shares.size(); ++Index) {
+    Current.Credits[Index] += Current.Shares[Index].Weight;
+    if (Current.Credits[Index] > Current.Credits[Best] ||
+        Current.Shares[Best].Weight == 0) {
+      Best = Index;
+    }
+  }
+  Current.Credits[Best] -= Total;
+  return Current.Shares[Best].Service;
+}
+
+} // namespace hyssopford
--- a/src/net/codec/request_codec.cpp
+++ b/src/net/codec/request_codec.cpp
@@ -59,7 +59,7 @@
 
 std::optional<Dispatch> decode(const wire::Dispatch &Value) {
   Dispatch Result;
-  if (!decodeEnum(Value.priority(), Priority::Normal, Result.Class)) {
+  if (!decodeEnum(Value.priority(), Priority::Lowest, Result.Class)) {
     return std::nullopt;
   }
   Result.Attempt = decodeAttempt(*Value.attempt());
@@ -91,7 +91,7 @@
 std::optional<DispatchReply> decode(const wire::DispatchReply &Value) {
   DispatchReply Result;
   if (!decodeEnum(Value.result(), Outcome::Unknown, Result.Result) ||
-      !decodeEnum(Value.reason(), OutcomeReason::ShuttingDown, Result.Reason)) {
+      !decodeEnum(Value.reason(), OutcomeReason::NoConfig, Result.Reason)) {
     return std::nullopt;
   }
   Result.Attempt = decodeAttempt(*Value.attempt());
--- /dev/null
+++ b/src/net/http_caller.cpp
@@ -0,0 +1,184 @@
+#include "hyssopford/net/http_caller.hpp"
+
+#include "hyssopford/net/http_reader.hpp"
+#include "hyssopford/net/tcp_stream.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace hyssopford {
+
+/// One connection and the call that it carries.
+class HttpCaller::Exchange final : public TcpStreamHandler {
+public:
+  explicit Exchange(HttpCaller &Owner)
+      : Client(Owner), Stream(Owner.Loop, *this),
+        Reader(HttpReader::Kind::Response,
+               HttpLimits{8'192, 65'536, 100, Owner.Settings.BodyLimit}) {}
+
+  ~Exchange() override { Client.Loop.cancel(Timer); }
+  Exchange(const Exchange &) = delete;
+  Exchange &operator=(const Exchange &) = delete;
+
+  bool connect() { return Stream.connect(Client.Settings.Address); }
+
+  bool isReusable() { return Stream.looksIdle(); }
+
+  TimePoint idleSince() const { return IdleSince; }
+
+  void start(std::string Request, Duration Timeout, Callback Receiver) {
+    Text = std::move(Request);
+    Done = std::move(Receiver);
+    Sent = false;
+    Timer = Client.Loop.after(Timeout, [this] {
+      Timer = 0;
+      Stream.close();
+      fail("no response in time");
+    });
+    if (Connected) {
+      send();
+    }
+  }
+
+private:
+  void onConnected() override {
+    Connected = true;
+    send();
+  }
+
+  void onData(std::string_view Bytes) override {
+    Reader.feed(Bytes);
+    while (true) {
+      switch (Reader.advance()) {
+      case HttpReader::Progress::NeedMore:
+        return;
+      case HttpReader::Progress::HeadReady:
+        continue;
+      case HttpReader::Progress::Complete:
+        succeed();
+        return;
+      case HttpReader::Progress::Failed:
+        Stream.close();
+        fail("malformed response: " + Reader.fault().Reason);
+        return;
+      }
+    }
+  }
+
+  void onClosed(bool Orderly, std::string_view Reason) override {
+    if (Done && Orderly && Reader.finish() == HttpReader::Progress::Complete) {
+      succeed();
+      return;
+    }
+    fail(std::string(Reason));
+  }
+
+  void send() {
+    if (Done) {
+      Sent = true;
+      Stream.write(std::exchange(Text, {}));
+    }
+  }
+
+  void succeed() {
+    HttpCallResult Result{Reader.facts().Status, Reader.takeBody(), true, ""};
+    const bool Reusable =
+        Stream.isOpen() && Reader.facts().KeepAlive && Reader.buffered() == 0;
+    if (Reusable) {
+      Reader.next();
+      IdleSince = EventLoop::now();
+    } else {
+      Stream.close();
+    }
+    end(std::move(Result), Reusable);
+  }
+
+  void fail(std::string Reason) {
+    end(HttpCallResult{0, "", Sent, std::move(Reason)}, false);
+  }
+
+  void end(HttpCallResult Result, bool Reusable) {
+    Client.Loop.cancel(Timer);
+    Timer = 0;
+    const Callback Receiver = std::exchange(Done, nullptr);
+    Client.finish(*this, Reusable);
+    if (Receiver) {
+      Receiver(std::move(Result));
+    }
+  }
+
+  HttpCaller &Client;
+  TcpStream Stream;
+  HttpReader Reader;
+  std::string Text;
+  Callback Done;
+  bool Connected = false;
+  bool Sent = false;
+  TimePoint IdleSince;
+  EventLoop::TimerId Timer = 0;
+};
+
+HttpCaller::HttpCaller(EventLoop &EventSource, HttpCallerSettings Chosen)
+    : Loop(EventSource), Settings(std::move(Chosen)) {}
+
+HttpCaller::~HttpCaller() = default;
+
+void HttpCaller::call(const std::string &Method, const std::string &Target,
+                      const std::string &Body, Duration Timeout,
+                      Callback Done) {
+  std::string Request = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", Method,
+                                    Target, Settings.Address);
+  if (Method != "GET") {
+    Request += fmt::format("Content-Type: application/json\r\n"
+                           "Content-Length: {}\r\n",
+                           Body.size());
+  }
+  Request += "\r\n" + Body;
+  std::shared_ptr<Exchange> Carrier;
+  const TimePoint Oldest = EventLoop::now() - Settings.IdleTimeout;
+  while (!Idle.empty() && !Carrier) {
+    Carrier = std::move(Idle.back());
+    Idle.pop_back();
+    if (Carrier->idleSince() < Oldest || !Carrier->isReusable()) {
+      Carrier.reset();
+    }
+  }
+  if (!Carrier) {
+    Carrier = std::make_shared<Exchange>(*this);
+    if (!Carrier->connect()) {
+      Loop.defer([Receiver = std::move(Done)] {
+        Receiver(HttpCallResult{0, "", false, "cannot connect"});
+      });
+      return;
+    }
+    ++Opened;
+  }
+  Active.emplace(Carrier.get(), Carrier);
+  Carrier->start(std::move(Request), Timeout, std::move(Done));
+}
+
+void HttpCaller::finish(Exchange &Ended, bool Reusable) {
+  const auto InPool =
+      std::find_if(Idle.begin(), Idle.end(),
+                   [&](const auto &Each) { return Each.get() == &Ended; });
+  if (InPool != Idle.end()) {
+    Loop.defer([Kept = std::move(*InPool)] {});
+    Idle.erase(InPool);
+    return;
+  }
+  const auto Found = Active.find(&Ended);
+  if (Found == Active.end()) {
+    return;
+  }
+  std::shared_ptr<Exchange> Kept = std::move(Found->second);
+  Active.erase(Found);
+  if (Reusable && Idle.size() < Settings.PoolSize) {
+    Idle.push_back(std::move(Kept));
+  } else {
+    // Its own handler may be running.
+    Loop.defer([Dropped = std::move(Kept)] {});
+  }
+}
+
+} // namespace hyssopford
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -39,7 +39,8 @@
 
 void HttpServer::Connection::reply(const Payload &Answer,
                                    const std::string &Fields) {
-  const bool Close = Server.Draining || !Reader.facts().KeepAlive;
+  const bool Close =
+      Server.Draining || Server.Retiring || !Reader.facts().KeepAlive;
   // Sending may report at once that the stream is drained.
   const bool Nested = std::exchange(Processing, true);
   InFlight = false;
--- a/src/net/http_forward.cpp
+++ b/src/net/http_forward.cpp
@@ -37,14 +37,9 @@
     "proxy-authentication-info"};
 
 /// Fields of requests that are set anew or end at this hop.
-constexpr std::array<std::string_view, 7> DroppedRequestFields{
-    "host",
-    "forwarded",
-    "x-forwarded-for",
-    "x-forwarded-host",
-    "x-forwarded-proto",
-    "traceparent",
-    "via"};
+constexpr std::array<std::string_view, 6> DroppedRequestFields{
+    "forwarded",         "x-forwarded-for", "x-forwarded-host",
+    "x-forwarded-proto", "traceparent",     "via"};
 
 template <std::size_t Size>
 bool contains(const std::array<std::string_view, Size> &Names,
@@ -164,7 +159,10 @@
   return Lines;
 }
 
-Payload buildForwardedRequest(const HttpRequest &Request, bool Trusted) {
+Payload
+renderForwardedRequest(const HttpRequest &Request,
+                       const std::function<bool(std::string_view)> &Drops,
+                       const std::string &Added) {
   const Poco::Net::HTTPRequest &Head = Request.Head;
   const std::vector<std::string> Listed = connectionNames(Head);
   std::string Out;
@@ -174,11 +172,12 @@
   Out.append(" HTTP/1.1\r\n");
   appendField(Out, "Host", hostOf(Request));
   for (const auto &[Name, Value] : Head) {
-    if (!isDropped(Name, Listed) && !contains(DroppedRequestFields, Name)) {
+    if (!equalsIgnoreCase(Name, "host") && !isDropped(Name, Listed) &&
+        !Drops(Name)) {
       appendField(Out, Name, Value);
     }
   }
-  appendForwarded(Out, Request, Trusted);
+  Out.append(Added);
   // POST and PUT carry a length even if it is zero (RFC 9110, section 8.6).
   if (Request.Facts.Framing != BodyFraming::None ||
       Head.getMethod() == "POST" || Head.getMethod() == "PUT") {
@@ -188,6 +187,17 @@
   return Payload(std::move(Out));
 }
 
+Payload buildForwardedRequest(const HttpRequest &Request, bool Trusted) {
+  std::string Added;
+  appendForwarded(Added, Request, Trusted);
+  return renderForwardedRequest(
+      Request,
+      [](std::string_view Name) {
+        return contains(DroppedRequestFields, Name);
+      },
+      Added);
+}
+
 Payload buildForwardedAnswer(const Poco::Net::HTTPResponse &Head,
                              std::string_view Body, bool ToHead) {
   const std::vector<std::string> Listed = connectionNames(Head);
--- /dev/null
+++ b/src/net/own_edge_policy.cpp
@@ -0,0 +1,102 @@
+#include "hyssopford/net/edge_policy.hpp"
+
+#include <fmt/format.h>
+
+namespace hyssopford {
+
+namespace {
+
+/// Seconds after which a caller may repeat a request that did not run.
+constexpr int RetryAfterSeconds = 1;
+
+} // namespace
+
+HopFields OwnEdgePolicy::readHop(const Poco::Net::HTTPRequest &Head,
+                                 bool Trusted) const {
+  return readHopFields(Head, Trusted);
+}
+
+Payload OwnEdgePolicy::forwardedRequest(const HttpRequest &Request,
+                                        bool Trusted) const {
+  return buildForwardedRequest(Request, Trusted);
+}
+
+std::string OwnEdgePolicy::answerFields(const ReplyToCaller &Reply) const {
+  std::string Fields;
+  if (Reply.Result == Outcome::Answered) {
+    Fields = fmt::format("Hyssopford-Outcome: answered\r\n"
+                         "Hyssopford-Attempts: {}\r\n"
+                         "Hyssopford-Owner: {}\r\n",
+                         Reply.Attempts, toString(Reply.Owner));
+    if (Reply.Replayed) {
+      Fields += "Hyssopford-Replayed: 1\r\n";
+    }
+    return Fields;
+  }
+  return fmt::format("Hyssopford-Attempts: {}\r\n", Reply.Attempts);
+}
+
+Payload OwnEdgePolicy::refusal(const EdgeRefusal &Refused) const {
+  const int Status = Refused.Status != 0
+                         ? Refused.Status
+                         : statusOf(Refused.Result, Refused.Code);
+  std::string Fields = fmt::format("Content-Type: application/json\r\n"
+                                   "Hyssopford-Outcome: {}\r\n"
+                                   "Hyssopford-Reason: {}\r\n",
+                                   toString(Refused.Result), Refused.Reason);
+  if (Status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
+    Fields += fmt::format("Retry-After: {}\r\n", RetryAfterSeconds);
+  }
+  const std::string Body =
+      Refused.Detail.empty()
+          ? fmt::format("{{\"outcome\":\"{}\",\"reason\":\"{}\"}}\n",
+                        toString(Refused.Result), Refused.Reason)
+          : fmt::format(
+                "{{\"outcome\":\"{}\",\"reason\":\"{}\",\"detail\":\"{}\"}}\n",
+                toString(Refused.Result), Refused.Reason, Refused.Detail);
+  return makeHttpAnswer(Status, Fields, Body);
+}
+
+std::string
+OwnEdgePolicy::attemptFields(const ForwardToUpstream &Attempt,
+                             const std::string & /*Instance*/) const {
+  return hopFieldLines(Attempt);
+}
+
+std::string OwnEdgePolicy::echoOf(std::string_view /*Request*/) const {
+  return {};
+}
+
+AnswerKind OwnEdgePolicy::judge(const Poco::Net::HTTPResponse & /*Head*/,
+                                const std::string & /*Echo*/) const {
+  return AnswerKind::Answer;
+}
+
+std::string
+OwnEdgePolicy::instanceOf(const Poco::Net::HTTPResponse & /*Head*/) const {
+  return {};
+}
+
+const EdgePolicy &ownEdgePolicy() {
+  static const OwnEdgePolicy Policy;
+  return Policy;
+}
+
+int statusOf(Outcome Result, OutcomeReason Reason) {
+  if (Result == Outcome::Unknown) {
+    return 502;
+  }
+  switch (Reason) {
+  case OutcomeReason::NoRoute:
+    return 404;
+  case OutcomeReason::KeyReused:
+    return 422;
+  case OutcomeReason::DeadlineExceeded:
+  case OutcomeReason::DeadlineTooClose:
+    return 504;
+  default:
+    return 503;
+  }
+}
+
+} // namespace hyssopford
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -16,14 +16,18 @@
 
 UpstreamClient::UpstreamClient(EventLoop &EventSource,
                                UpstreamClientHandler &Receiver,
-                               UpstreamClientSettings ClientSettings)
-    : Loop(EventSource), Handler(Receiver), Settings(ClientSettings) {}
+                               UpstreamClientSettings ClientSettings,
+                               const EdgePolicy &Fields)
+    : Loop(EventSource), Handler(Receiver), Settings(ClientSettings),
+      Edge(Fields) {}
 
 UpstreamClient::~UpstreamClient() { Loop.cancel(StaleTimer); }
 
 void UpstreamClient::setUpstream(const std::string &NewAddress,
-                                 const std::string &NewHealthPath) {
+                                 const std::string &NewHealthPath,
+                                 const std::string &NewInstance) {
   HealthPath = NewHealthPath;
+  Instance = NewInstance;
   if (NewAddress == Address) {
     return;
   }
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -17,6 +17,7 @@
 void UpstreamClient::Exchange::start(const ForwardToUpstream &NewAttempt) {
   Attempt = NewAttempt;
   Probe = false;
+  Echo = Client.Edge.echoOf(Attempt.Request.bytes());
   Reader.expectHeadResponse(Attempt.Request.bytes().starts_with("HEAD "));
   begin(Attempt.Remaining);
 }
@@ -24,6 +25,7 @@
 void UpstreamClient::Exchange::startProbe(const std::string &Path,
                                           Duration Timeout) {
   Probe = true;
+  Echo.clear();
   Attempt = ForwardToUpstream();
   Attempt.Idempotent = true;
   Attempt.Request = Payload(
@@ -71,7 +73,8 @@
   if (retryOnNewConnection()) {
     return;
   }
-  if (Orderly && Reader.finish() == HttpReader::Progress::Complete) {
+  if (Orderly && Reader.finish() == HttpReader::Progress::Complete &&
+      Kind != AnswerKind::Foreign) {
     succeed();
     return;
   }
@@ -101,7 +104,7 @@
   if (!Probe) {
     ForwardToUpstream Now = Attempt;
     Now.Remaining -= EventLoop::now() - Started;
-    Head += hopFieldLines(Now);
+    Head += Client.Edge.attemptFields(Now, Client.Instance);
   }
   Stream.write(std::move(Head), Attempt.Request, LineEnd);
 }
@@ -112,8 +115,20 @@
     case HttpReader::Progress::NeedMore:
       return;
     case HttpReader::Progress::HeadReady:
+      Kind = Probe ? AnswerKind::Answer
+                   : Client.Edge.judge(Reader.response(), Echo);
+      if (Kind == AnswerKind::Invalid) {
+        Stream.close();
+        fail(OutcomeReason::UpstreamClosed);
+        return;
+      }
       continue;
     case HttpReader::Progress::Complete:
+      if (Kind == AnswerKind::Foreign) {
+        // A surplus answer to an earlier request; the own one may follow.
+        Reader.next();
+        continue;
+      }
       succeed();
       return;
     case HttpReader::Progress::Failed:
@@ -139,7 +154,8 @@
       Status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
       Reader.response().has("Retry-After");
   const bool WasProbe = Probe;
-  if (!WasProbe) {
+  const bool Ran = Kind != AnswerKind::NotRun;
+  if (!WasProbe && Ran) {
     Answer.Answer =
         buildForwardedAnswer(Reader.response(), Reader.body(),
                              Attempt.Request.bytes().starts_with("HEAD "));
@@ -163,8 +179,11 @@
   }
   if (WasProbe) {
     Receiver.onProbed(ProbeFinished{Status >= 200 && Status < 400, Elapsed});
-  } else {
+  } else if (Ran) {
     Receiver.onAnswered(std::move(Answer));
+  } else {
+    Receiver.onFailed(
+        UpstreamFailed{Answer.Attempt, OutcomeReason::UpstreamRefused, false});
   }
 }
 
--- a/src/net/upstream_exchange.hpp
+++ b/src/net/upstream_exchange.hpp
@@ -56,6 +56,9 @@
   TcpStream Stream;
   HttpReader Reader;
   ForwardToUpstream Attempt;
+  /// Identifier that the answer must repeat.
+  std::string Echo;
+  AnswerKind Kind = AnswerKind::Answer;
   TimePoint Started;
   TimePoint IdleSince;
   EventLoop::TimerId Timer = 0;
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -3,91 +3,53 @@
 #include "hyssopford/core/routing_config.hpp"
 #include "hyssopford/net/http_forward.hpp"
 
-#include <fmt/format.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <utility>
 
 namespace hyssopford {
 
 namespace {
 
-/// Seconds after which a caller may repeat a request that did not run.
-constexpr int RetryAfterSeconds = 1;
-
-/// Builds an answer of the node itself.
-Payload ownAnswer(int Status, Outcome Result, const char *Reason,
-                  const std::string &Detail) {
-  std::string Fields = fmt::format("Content-Type: application/json\r\n"
-                                   "Hyssopford-Outcome: {}\r\n"
-                                   "Hyssopford-Reason: {}\r\n",
-                                   toString(Result), Reason);
-  if (Status == 503) {
-    Fields += fmt::format("Retry-After: {}\r\n", RetryAfterSeconds);
-  }
-  const std::string Body =
-      Detail.empty()
-          ? fmt::format("{{\"outcome\":\"{}\",\"reason\":\"{}\"}}\n",
-                        toString(Result), Reason)
-          : fmt::format(
-                "{{\"outcome\":\"{}\",\"reason\":\"{}\",\"detail\":\"{}\"}}\n",
-                toString(Result), Reason, Detail);
-  return makeHttpAnswer(Status, Fields, Body);
+EdgeRefusal refusalOf(OutcomeReason Reason) {
+  EdgeRefusal Refused;
+  Refused.Code = Reason;
+  Refused.Reason = toString(Reason);
+  return Refused;
 }
 
 } // namespace
 
-int statusOf(Outcome Result, OutcomeReason Reason) {
-  if (Result == Outcome::Unknown) {
-    return 502;
-  }
-  switch (Reason) {
-  case OutcomeReason::NoRoute:
-    return 404;
-  case OutcomeReason::KeyReused:
-    return 422;
-  case OutcomeReason::DeadlineExceeded:
-  case OutcomeReason::DeadlineTooClose:
-    return 504;
-  default:
-    return 503;
-  }
-}
-
-CallerService::CallerService(CoreDriver &Target, bool FromUpstream)
-    : Driver(Target), Trusted(FromUpstream),
+CallerService::CallerService(CoreDriver &Target, const EdgePolicy &Fields,
+                             bool FromUpstream)
+    : Driver(Target), Edge(Fields), Trusted(FromUpstream),
       TraceSource(std::random_device{}()) {}
 
 void CallerService::answer(const ReplyToCaller &Reply) {
-  const std::string Common =
-      fmt::format("Hyssopford-Attempts: {}\r\n", Reply.Attempts);
-  if (Reply.Result != Outcome::Answered) {
-    Server->reply(Reply.Id,
-                  ownAnswer(statusOf(Reply.Result, Reply.Reason), Reply.Result,
-                            toString(Reply.Reason), {}),
-                  Common);
+  if (Reply.Result == Outcome::Answered) {
+    Server->reply(Reply.Id, Reply.Answer, Edge.answerFields(Reply));
     return;
   }
-  std::string Fields = fmt::format("Hyssopford-Outcome: answered\r\n{}"
-                                   "Hyssopford-Owner: {}\r\n",
-                                   Common, toString(Reply.Owner));
-  if (Reply.Replayed) {
-    Fields += "Hyssopford-Replayed: 1\r\n";
-  }
-  Server->reply(Reply.Id, Reply.Answer, Fields);
+  EdgeRefusal Refused = refusalOf(Reply.Reason);
+  Refused.Result = Reply.Result;
+  Refused.RetryAfter = Reply.RetryAfter;
+  Server->reply(Reply.Id, Edge.refusal(Refused), Edge.answerFields(Reply));
 }
 
 HeadDecision CallerService::onHead(const Poco::Net::HTTPRequest &Head,
                                    const HttpHeadFacts &Facts) {
   HeadDecision Decision;
   if (Refusing) {
-    Decision.Refusal = ownAnswer(503, Outcome::NotRun,
-                                 toString(OutcomeReason::ShuttingDown), {});
+    Decision.Refusal = Edge.refusal(refusalOf(OutcomeReason::ShuttingDown));
+    return Decision;
+  }
+  if (Driver.core().config().Version == 0) {
+    Decision.Refusal = Edge.refusal(refusalOf(OutcomeReason::NoConfig));
     return Decision;
   }
   const Route *Matched = findRoute(Driver.core().config(), Facts.Host,
                                    pathOf(Head, Facts), Head.getMethod());
   if (Matched == nullptr) {
-    Decision.Refusal =
-        ownAnswer(404, Outcome::NotRun, toString(OutcomeReason::NoRoute), {});
+    Decision.Refusal = Edge.refusal(refusalOf(OutcomeReason::NoRoute));
     return Decision;
   }
   Decision.BodyLimit = Matched->BodyLimit;
@@ -95,7 +57,7 @@
 }
 
 void CallerService::onRequest(RequestId Id, HttpRequest Request) {
-  const HopFields Hop = readHopFields(Request.Head, Trusted);
+  const HopFields Hop = Edge.readHop(Request.Head, Trusted);
   CallerRequest Input;
   Input.Id = Id;
   Input.Method = Request.Head.getMethod();
@@ -109,7 +71,7 @@
   Input.IsExtra = Hop.IsExtra;
   Input.Trace = Hop.Trace ? *Hop.Trace : newTrace();
   Input.ServeInShutdown = true;
-  Input.Request = buildForwardedRequest(Request, Trusted);
+  Input.Request = Edge.forwardedRequest(Request, Trusted);
   if (Telemetry != nullptr) {
     Telemetry->requestStarted(Id, EventLoop::now());
   }
@@ -128,13 +90,16 @@
 }
 
 Payload CallerService::refusal(const HttpFault &Fault) {
-  const char *Reason = "bad-request";
-  if (Fault.Status == 413) {
-    Reason = "body-too-large";
-  } else if (Fault.Status == 503) {
-    Reason = toString(OutcomeReason::ShuttingDown);
+  EdgeRefusal Refused = refusalOf(OutcomeReason::ShuttingDown);
+  Refused.Status = Fault.Status;
+  Refused.Detail = Fault.Reason;
+  if (Fault.Status == Poco::Net::HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE) {
+    Refused.Reason = "body-too-large";
+  } else if (Fault.Status !=
+             Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
+    Refused.Reason = "bad-request";
   }
-  return ownAnswer(Fault.Status, Outcome::NotRun, Reason, Fault.Reason);
+  return Edge.refusal(Refused);
 }
 
 TraceContext CallerService::newTrace() {
--- a/src/node/local_service.cpp
+++ b/src/node/local_service.cpp
@@ -17,36 +17,35 @@
 HeadDecision
 NodeRuntime::LocalService::onHead(const Poco::Net::HTTPRequest &Head,
                                   const HttpHeadFacts &Facts) {
-  if (pathOf(Head, Facts) == AnnouncePath) {
+  if (Decoder.accepts(pathOf(Head, Facts))) {
     return HeadDecision{std::nullopt, AnnouncementLimit};
   }
   return CallerService::onHead(Head, Facts);
 }
 
 void NodeRuntime::LocalService::onRequest(RequestId Id, HttpRequest Request) {
-  if (pathOf(Request.Head, Request.Facts) != AnnouncePath) {
+  const std::string_view Path = pathOf(Request.Head, Request.Facts);
+  if (!Decoder.accepts(Path)) {
     CallerService::onRequest(Id, std::move(Request));
     return;
   }
-  const std::string &Method = Request.Head.getMethod();
-  if (Method == "DELETE") {
-    Registry.withdraw(false);
-    Own->reply(Id, makeHttpAnswer(200, JsonField, "{}\n"));
-    return;
-  }
-  if (Method != "POST") {
-    Own->reply(Id, makeHttpAnswer(405, "Allow: POST, DELETE\r\n", ""));
-    return;
-  }
   Error Fault;
-  const auto New = parseAnnouncement(Request.Body, Fault);
+  const auto New =
+      Decoder.decode(Request.Head.getMethod(), Path, Request.Body, Fault);
   if (!New) {
+    Log.log(LogLevel::Warning, "announcement_refused",
+            {{"step", Fault.Step},
+             {"peer", Request.Peer},
+             {"reason", Fault.Reason}});
     Own->reply(
         Id, makeHttpAnswer(400, JsonField,
                            nlohmann::json{{"error", toString(Fault)}}.dump()));
     return;
   }
-  Registry.announce(*New);
+  if (!Registry.announce(*New)) {
+    Log.log(LogLevel::Info, "announcement_overtaken",
+            {{"instance", New->Instance}, {"sequence", New->Sequence}});
+  }
   Own->reply(Id, makeHttpAnswer(200, JsonField, "{}\n"));
 }
 
--- a/src/node/local_service.hpp
+++ b/src/node/local_service.hpp
@@ -2,21 +2,20 @@
 /// @brief The port of the upstream on this VM.
 #pragma once
 
+#include "hyssopford/node/announcement_decoder.hpp"
 #include "hyssopford/node/node_runtime.hpp"
 
-#include <unordered_set>
-
 namespace hyssopford {
 
-/// @brief Takes announcements under a reserved path and passes other requests
-/// on to a CallerService.
+/// @brief Takes announcements of the upstream, and passes its calls on to a
+/// CallerService.
 class NodeRuntime::LocalService final : public CallerService {
 public:
-  /// Path of announcements: POST announces or renews, DELETE leaves.
-  static constexpr std::string_view AnnouncePath = "/.hyssopford/upstream";
-
-  LocalService(CoreDriver &Target, UpstreamRegistry &Announcements)
-      : CallerService(Target, true), Registry(Announcements) {}
+  LocalService(CoreDriver &Target, const EdgePolicy &Fields,
+               UpstreamRegistry &Announcements,
+               const AnnouncementDecoder &Reader, NodeTelemetry &Observer)
+      : CallerService(Target, Fields, true), Registry(Announcements),
+        Decoder(Reader), Log(Observer) {}
 
   /// @brief Sets the server that the requests come from.
   void attachTo(HttpServer &Source) {
@@ -30,6 +29,8 @@
 
 private:
   UpstreamRegistry &Registry;
+  const AnnouncementDecoder &Decoder;
+  NodeTelemetry &Log;
   HttpServer *Own = nullptr;
 };
 
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -1,6 +1,7 @@
 #include "hyssopford/node/node_runtime.hpp"
 
 #include "local_service.hpp"
+#include "readiness_service.hpp"
 
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
@@ -17,6 +18,7 @@
 constexpr std::uint8_t CallerNumber = 0;
 constexpr std::uint8_t LocalNumber = 1;
 constexpr std::uint8_t OperatorNumber = 2;
+constexpr std::uint8_t ReadyNumber = 3;
 constexpr int NumberShift = 56;
 
 /// How often counts of suppressed log lines are written.
@@ -64,8 +66,9 @@
 
 } // namespace
 
-NodeRuntime::NodeRuntime(const NodeRuntimeSettings &RuntimeSettings)
-    : Settings(RuntimeSettings) {
+NodeRuntime::NodeRuntime(const NodeRuntimeSettings &RuntimeSettings,
+                         NodeAdapters Replaced)
+    : Settings(RuntimeSettings), Adapters(std::move(Replaced)) {
   PeerLinkSettings LinkSettings;
   LinkSettings.ListenAddress = Settings.PeerAddress;
   LinkSettings.Site = Settings.Site;
@@ -87,34 +90,61 @@
   CoreSettings.Decisions = Settings.Decisions;
   CoreSettings.Keys = Settings.Keys;
   Telemetry = std::make_unique<NodeTelemetry>(
-      telemetrySettings(Settings, nodeIdOf(CoreSettings.Address)), LogLines);
+      telemetrySettings(Settings, nodeIdOf(CoreSettings.Address)),
+      Adapters.Log != nullptr ? *Adapters.Log : LogLines);
   if (Settings.Recording) {
     Recorder.emplace(Settings.Recording);
   }
-  Driver = std::make_unique<CoreDriver>(Loop, CoreSettings, CoreActions,
-                                        Settings.StoreAddress.empty() ? nullptr
-                                                                      : &Codec);
-  if (!Settings.StoreAddress.empty()) {
+  const ConfigCodec *Codec = Adapters.Codec;
+  if (Codec == nullptr && !Settings.StoreAddress.empty()) {
+    Codec = &OwnCodec;
+  }
+  Driver = std::make_unique<CoreDriver>(Loop, CoreSettings, CoreActions, Codec);
+  makeStore();
+  Upstream = std::make_unique<UpstreamClient>(
+      Loop, UpstreamEvents, Settings.Upstream, *Adapters.Edge);
+  Registry = std::make_unique<UpstreamRegistry>(Loop, *Driver, *Upstream);
+  makeServers();
+}
+
+void NodeRuntime::makeStore() {
+  const StoreClient::Callback Done = [this](std::uint64_t Call,
+                                            StoreResult Result) {
+    Loop.post([this, Call, Moved = std::move(Result)] {
+      noteStore(Moved);
+      Telemetry->storeReplied(Call, Moved.Status);
+      Driver->submit(StoreReplied{Call, Moved});
+    });
+  };
+  if (Adapters.MakeStore) {
+    Store = Adapters.MakeStore(Loop, Done);
+  } else if (!Settings.StoreAddress.empty()) {
     HttpStoreSettings StoreSettings;
     StoreSettings.Address = Settings.StoreAddress;
     StoreSettings.CallTimeout = Settings.StoreCallTimeout;
-    Store = std::make_unique<HttpStoreClient>(
-        StoreSettings, [this](std::uint64_t Call, StoreResult Result) {
-          Loop.post([this, Call, Moved = std::move(Result)] {
-            Telemetry->storeReplied(Call, Moved.Status);
-            Driver->submit(StoreReplied{Call, Moved});
-          });
-        });
+    Store = std::make_unique<HttpStoreClient>(StoreSettings, Done);
+  }
+}
+
+void NodeRuntime::noteStore(const StoreResult &Result) {
+  const bool Reached = Result.Status != StoreStatus::Refused &&
+                       Result.Status != StoreStatus::NoAnswer;
+  if (Reached != StoreReached) {
+    StoreReached = Reached;
+    Telemetry->log(Reached ? LogLevel::Info : LogLevel::Warning,
+                   Reached ? "store_regained" : "store_lost",
+                   {{"reason", Result.Reason}});
   }
-  Upstream =
-      std::make_unique<UpstreamClient>(Loop, UpstreamEvents, Settings.Upstream);
-  Registry = std::make_unique<UpstreamRegistry>(Loop, *Driver, *Upstream);
-  makeServers();
 }
 
 void NodeRuntime::makeServers() {
-  CallerRequests = std::make_unique<CallerService>(*Driver, false);
-  LocalRequests = std::make_unique<LocalService>(*Driver, *Registry);
+  CallerRequests =
+      std::make_unique<CallerService>(*Driver, *Adapters.Edge, false);
+  const AnnouncementDecoder &Decoder = Adapters.Announcements != nullptr
+                                           ? *Adapters.Announcements
+                                           : OwnAnnouncements;
+  LocalRequests = std::make_unique<LocalService>(
+      *Driver, *Adapters.Edge, *Registry, Decoder, *Telemetry);
   OperatorRequests = std::make_unique<OperatorService>(
       OperatorView{*Driver, *Links, *Upstream, *Registry, *Telemetry, {}},
       Settings.Tokens);
@@ -124,13 +154,24 @@
   Local = std::make_unique<HttpServer>(
       Loop, *LocalRequests,
       serverSettings(Settings, Settings.LocalAddress, LocalNumber));
-  Operators = std::make_unique<HttpServer>(
-      Loop, *OperatorRequests,
-      serverSettings(Settings, Settings.OperatorAddress, OperatorNumber));
   CallerRequests->attach(*Callers);
   LocalRequests->attachTo(*Local);
-  OperatorRequests->attach(*Operators);
-  Driver->setOperatorsPort(sharedPort(Operators->address(), Links->address()));
+  if (!Settings.OperatorAddress.empty()) {
+    Operators = std::make_unique<HttpServer>(
+        Loop, *OperatorRequests,
+        serverSettings(Settings, Settings.OperatorAddress, OperatorNumber));
+    OperatorRequests->attach(*Operators);
+    Driver->setOperatorsPort(
+        sharedPort(Operators->address(), Links->address()));
+  }
+  if (!Settings.ReadyAddress.empty()) {
+    ReadyRequests =
+        std::make_unique<ReadinessService>([this] { return isReady(); });
+    Ready = std::make_unique<HttpServer>(
+        Loop, *ReadyRequests,
+        serverSettings(Settings, Settings.ReadyAddress, ReadyNumber));
+    ReadyRequests->attach(*Ready);
+  }
   CallerRequests->observe(*Telemetry);
   LocalRequests->observe(*Telemetry);
   CallerRequests->sample(TraceSampler(Settings.SamplingPpm));
@@ -138,7 +179,29 @@
   flushTelemetry();
 }
 
+bool NodeRuntime::isReady() const {
+  return !ShuttingDown && Driver->core().config().Version != 0;
+}
+
+void NodeRuntime::applyCallerLimits() {
+  const RoutingConfig &Config = Driver->core().config();
+  if (Config.Version == LimitsVersion) {
+    return;
+  }
+  LimitsVersion = Config.Version;
+  const CallerLimits Limits = Config.Callers.value_or(
+      CallerLimits{Settings.Http.Limits.Head, Settings.Http.HeadTimeout,
+                   Settings.Http.IdleTimeout});
+  for (const ServiceSettings &Each : Config.Services) {
+    if (Each.Name == Driver->core().owner().service()) {
+      Upstream->setHealthPath(Each.HealthPath);
+    }
+  }
+  Callers->setLimits(Limits.HeadBytes, Limits.HeadTimeout, Limits.IdleTimeout);
+}
+
 void NodeRuntime::flushTelemetry() {
+  applyCallerLimits();
   Telemetry->set(MetricId::CallerConnections, Callers->connections());
   Telemetry->set(MetricId::UpstreamConnections,
                  Upstream->active() + Upstream->idle());
@@ -287,9 +350,20 @@
   }
   ShuttingDown = true;
   ShutdownEnd = EventLoop::now() + Settings.DrainDeadline;
+  Telemetry->log(LogLevel::Info, "shutdown_started",
+                 {{"in_flight", Driver->core().ingress().inFlight()}});
+  Driver->submit(ShutdownRequested{});
+  if (Settings.ShutdownNotice == Duration{0}) {
+    closePorts();
+    return;
+  }
+  Callers->retire();
+  Loop.after(Settings.ShutdownNotice, [this] { closePorts(); });
+}
+
+void NodeRuntime::closePorts() {
   CallerRequests->refuseNew();
   Callers->drain();
-  Driver->submit(ShutdownRequested{});
   checkShutdown();
 }
 
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace hyssopford {
 
@@ -94,17 +95,66 @@
 
 UpstreamRegistry::~UpstreamRegistry() { Loop.cancel(Expiry); }
 
-void UpstreamRegistry::announce(const Announcement &New) {
+bool UpstreamRegistry::announce(const Announcement &New) {
+  if (New.Kind == AnnouncementKind::Removal) {
+    withdraw(false);
+    return true;
+  }
+  if (New.Kind == AnnouncementKind::Departure) {
+    if (Latest && Latest->Instance != New.Instance) {
+      return false;
+    }
+    depart();
+    return true;
+  }
+  if (isOvertaken(New)) {
+    return false;
+  }
+  if (New.Start != 0) {
+    Departed = Departed && Latest && Latest->Instance == New.Instance &&
+               Latest->Start == New.Start;
+    Latest = New;
+  }
   Loop.cancel(Expiry);
   Expiry = Loop.after(New.TimeToLive, [this] {
     Expiry = 0;
     withdraw(true);
   });
-  const bool Changed = !Current || *Current != New;
-  Current = New;
-  if (Changed) {
-    Client.setUpstream(New.Address, New.HealthPath);
-    Driver.submit(UpstreamAnnounced{New.Service, New.Slots, New.State});
+  const std::optional<Announcement> Old = std::exchange(Current, New);
+  const bool OtherStart =
+      Old && New.Start != 0 &&
+      (Old->Start != New.Start || Old->Instance != New.Instance);
+  if (OtherStart) {
+    // What the earlier start was running is lost.
+    Driver.submit(UpstreamGone{true});
+  }
+  Client.setUpstream(New.Address, New.HealthPath, New.Instance);
+  if (Departed) {
+    Current->State = UpstreamState::Draining;
+  }
+  if (!Old || OtherStart || Old->Service != New.Service ||
+      Old->Slots != New.Slots || Old->State != Current->State) {
+    Driver.submit(UpstreamAnnounced{New.Service, New.Slots, Current->State});
+  }
+  return true;
+}
+
+bool UpstreamRegistry::isOvertaken(const Announcement &New) const {
+  if (New.Start == 0 || !Latest) {
+    return false;
+  }
+  if (New.Start != Latest->Start) {
+    return New.Start < Latest->Start;
+  }
+  return New.Instance == Latest->Instance && New.Sequence <= Latest->Sequence;
+}
+
+void UpstreamRegistry::depart() {
+  Departed = true;
+  if (Current && Current->State != UpstreamState::Draining) {
+    Current->State = UpstreamState::Draining;
+    Driver.submit(
+        UpstreamAnnounced{Current->Service, Current->Slots, Current->State});
   }
 }
 
--- a/tools/node/main.cpp
+++ b/tools/node/main.cpp
@@ -2,22 +2,19 @@
 /// @brief The node daemon.
 #include "hyssopford/config/routing_config_json.hpp"
 #include "hyssopford/node/node_runtime.hpp"
+#include "hyssopford/node/process_signals.hpp"
 #include "runtime_settings.hpp"
 
 #include <Poco/Exception.h>
-#include <atomic>
-#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
-#include <pthread.h>
 #include <string>
 #include <string_view>
 #include <tclap/CmdLine.h>
-#include <thread>
 #include <vector>
 
 using namespace hyssopford;
@@ -29,43 +26,6 @@
 /// Exit status for bad settings or an address in use.
 constexpr int ExitSettings = 2;
 
-sigset_t shutdownSignals() {
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  // Ends the wait itself.
-  sigaddset(&Signals, SIGUSR1);
-  return Signals;
-}
-
-/// Turns the first SIGTERM or SIGINT into a graceful shutdown.
-class SignalWaiter {
-public:
-  explicit SignalWaiter(NodeRuntime &Target)
-      : Waiter([this, &Target] {
-          const sigset_t Signals = shutdownSignals();
-          int Received = 0;
-          sigwait(&Signals, &Received);
-          if (!Done) {
-            Target.requestShutdown();
-          }
-        }) {}
-
-  ~SignalWaiter() {
-    Done = true;
-    pthread_kill(Waiter.native_handle(), SIGUSR1);
-    Waiter.join();
-  }
-
-  SignalWaiter(const SignalWaiter &) = delete;
-  SignalWaiter &operator=(const SignalWaiter &) = delete;
-
-private:
-  std::atomic<bool> Done = false;
-  std::thread Waiter;
-};
-
 /// Tells scripts which addresses the system chose. The file appears complete
 /// or not at all.
 bool writeReadyFile(const NodeRuntime &Node, const std::string &Path) {
@@ -120,7 +80,7 @@
   fmt::print(stderr, "event=ready node={} caller={} local={} peer={} ops={}\n",
              toString(Node.core().self().Node), Node.callerAddress(),
              Node.localAddress(), Node.peerAddress(), Node.operatorAddress());
-  const SignalWaiter Signals(Node);
+  const ProcessSignals Signals([&] { Node.requestShutdown(); }, [] {});
   const bool Finished = Node.run();
   StartAgain = Node.requiredRun();
   fmt::print(stderr, "event=stopped complete={}\n", Finished);
@@ -173,10 +133,7 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  const sigset_t Signals = shutdownSignals();
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  // A peer that closes while it is written to is reported by the write.
-  std::signal(SIGPIPE, SIG_IGN);
+  ProcessSignals::block();
   try {
     TCLAP::CmdLine Line("Node of the hyssopford load balancer", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> SettingsPath(
