--- a/include/hyssopford/core/action.hpp
+++ b/include/hyssopford/core/action.hpp
@@ -7,6 +7,7 @@
 #include "hyssopford/core/message.hpp"
 #include "hyssopford/core/outcome.hpp"
 #include "hyssopford/core/payload.hpp"
+#include "hyssopford/core/probe_purpose.hpp"
 #include "hyssopford/core/store_call.hpp"
 #include "hyssopford/core/time.hpp"
 #include "hyssopford/core/trace_context.hpp"
@@ -90,6 +91,7 @@
 /// @brief Probes the upstream on this VM; ends with ProbeFinished.
 struct ProbeUpstream {
   Duration Timeout{0};
+  ProbePurpose Purpose = ProbePurpose::Health;
 
   friend bool operator==(const ProbeUpstream &,
                          const ProbeUpstream &) = default;
--- a/include/hyssopford/core/admission_queue.hpp
+++ b/include/hyssopford/core/admission_queue.hpp
@@ -23,6 +23,8 @@
   TimePoint Arrived;
   TimePoint Deadline;
   TimePoint Started;
+  /// When waiting any longer makes no sense; not after Deadline.
+  TimePoint StartBy = TimePoint::max();
 };
 
 /// @brief Queue with two priority classes. High goes first, but after a burst
@@ -55,6 +57,10 @@
     return Positions.contains(Attempt);
   }
 
+  /// @brief Removes the attempts that the ingress may send elsewhere.
+  /// @return the attempts, most urgent first
+  std::vector<AdmittedAttempt> takeHandBacks();
+
   /// @return the earliest deadline, if any
   std::optional<TimePoint> nextDeadline() const;
 
--- a/include/hyssopford/core/candidate_table.hpp
+++ b/include/hyssopford/core/candidate_table.hpp
@@ -83,7 +83,7 @@
   /// @param Region region of this node
   /// @param Settings constants of routing
   CandidateTable(NodeRun Self, std::string Region,
-                 const RoutingSettings &Settings);
+                 const RoutingSettings &Settings, std::string OwnDomain = {});
   /// @}
 
   /// @name Membership and links
@@ -103,6 +103,9 @@
   /// @brief Drops pools that no request has used for the retention time.
   void dropUnused(TimePoint Now);
 
+  /// @brief Sets the number of nodes that share the budgets of retries.
+  void setMembers(std::size_t Count);
+
   /// @return nodes to which this ingress needs a link
   const std::set<NodeId> &neededPeers() const { return Needed; }
 
@@ -164,6 +167,8 @@
 
   NodeRun Self;
   std::string Region;
+  std::string FailureDomain;
+  std::size_t Members = 1;
   RoutingSettings Settings;
   std::map<std::string, std::vector<Candidate>> Known;
   std::map<std::string, ServicePool> Pools;
--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -6,6 +6,7 @@
 #include "hyssopford/core/config_codec.hpp"
 #include "hyssopford/core/config_event.hpp"
 #include "hyssopford/core/config_message.hpp"
+#include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/patch_writer.hpp"
 #include "hyssopford/core/random_source.hpp"
@@ -43,7 +44,8 @@
 
   /// @param Json the JSON form of the configuration
   /// @param Source source of jitter and of the choice of peers
-  ConfigSystem(const ConfigCodec &Json, RandomSource &Source);
+  ConfigSystem(const ConfigCodec &Json, RandomSource &Source,
+               const StartSettings &Chosen = {});
   ConfigSystem(const ConfigSystem &) = delete;
   ConfigSystem &operator=(const ConfigSystem &) = delete;
 
@@ -109,6 +111,7 @@
 
   const ConfigCodec &Codec;
   RandomSource &Random;
+  StartSettings Settings;
   PatchWriter Writer;
 
   /// @name In force
--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -17,6 +17,13 @@
   Duration ReportHalfLife = 10ms;
   /// Weight of the round trip in the score; 0 disables it.
   double LocalityWeight = 1.0;
+  /// Expected length of a slow spell that an owner reports.
+  Duration SlowSpell = 150ms;
+  /// Service times charged for a candidate in a slow spell.
+  double SlowWeight = 1.0;
+  /// Time charged for a candidate in another failure domain, besides the round
+  /// trip; the price of bytes between domains.
+  Duration RemoteDomainCost{0};
   /// Round trip assumed for a failure domain before it was measured.
   Duration FirstRoundTrip = 1ms;
   /// Time charged for a failure, in mean latencies; 0 disables the charge.
@@ -33,6 +40,9 @@
   std::uint32_t ExtraPerThousand = 95;
   /// Most retries and hedges in a burst.
   std::uint32_t ExtraBurst = 30;
+  /// Retries of a service over all nodes that are allowed in a burst, of which
+  /// each node has its share; 0 gives each node ExtraBurst.
+  double SiteBurst = 0.0;
   /// Retries that a service may use before its first requests pay for them.
   std::uint32_t ExtraStart = 5;
   /// Attempts that an owner handed back before its upstream got anything which
@@ -72,6 +82,26 @@
   bool AdaptiveLimit = true;
   /// Longest expected wait in the queue.
   Duration QueueDelayMax = 30ms;
+  /// Time before its deadline at which a waiting attempt is refused.
+  Duration ExpiryMargin{0};
+  /// Share of the announced slots that is used. Upstreams that share their
+  /// machine slow down before all slots are busy.
+  double SlotShare = 1.0;
+  /// Expected wait at which an attempt that has other candidates is handed
+  /// back.
+  Duration HandBackWait = 15ms;
+  /// Reported slowness, as a multiple of the usual, that counts as a slow
+  /// spell; 1 disables the check.
+  double SlowFactor = 1.0;
+  /// Age up to which a report of the speed is relied on.
+  Duration SpeedFresh = 8ms;
+  /// Time between two looks at the speed while attempts wait for it.
+  Duration SpeedRecheck = 15ms;
+  /// Longest look at the speed. An upstream that does not answer by then is
+  /// given work as if it ran as usual.
+  Duration SpeedTimeout = 30ms;
+  /// Window over which the usual speed is the best one reported.
+  Duration SpeedWindow = 3s;
   /// Most attempts in the queue, which bounds its memory.
   std::size_t QueueLengthMax = 1024;
   /// High-priority starts after which a waiting normal attempt is started.
@@ -110,11 +140,33 @@
                          const ProbeSettings &) = default;
 };
 
+/// @brief Constants of the start of a node.
+struct StartSettings {
+  /// Time for peers to offer a configuration before the store is read.
+  Duration PeersFirst = 500ms;
+  /// Whether what the store answers ends the wait for newer offers. True for
+  /// stores whose reads are never stale.
+  bool TrustStore = false;
+  /// Time without a peer after which the directory is read; doubled at random.
+  Duration DirectoryDelay = 1s;
+  /// Time between reads of two slots of the directory.
+  Duration DirectoryInterval = 200ms;
+  /// How long members that left or died are contacted often, as they may
+  /// restart at the same address; 0 disables this.
+  Duration RejoinWindow{0};
+  /// Time between two such contacts.
+  Duration RejoinPeriod = 400ms;
+
+  friend bool operator==(const StartSettings &,
+                         const StartSettings &) = default;
+};
+
 /// @brief All constants of the decisions on requests.
 struct DecisionSettings {
   RoutingSettings Routing;
   AdmissionSettings Admission;
   ProbeSettings Probing;
+  StartSettings Start;
 
   friend bool operator==(const DecisionSettings &,
                          const DecisionSettings &) = default;
--- a/include/hyssopford/core/directory_system.hpp
+++ b/include/hyssopford/core/directory_system.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "hyssopford/core/action.hpp"
+#include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/random_source.hpp"
 
@@ -27,15 +28,14 @@
   static constexpr Duration LeaseMargin = 5s;
   /// Time between two changes of a slot's value.
   static constexpr Duration RewritePeriod = 30s;
-  /// Time for the seeds of the settings to answer before a slot is read.
-  static constexpr Duration AloneTime = 1s;
   /// First and longest time between two rounds through the slots.
   static constexpr Duration FirstBackoff = 1s;
   static constexpr Duration LastBackoff = 16s;
   /// Time after which a store call counts as lost.
   static constexpr Duration CallTime = 5s;
 
-  DirectorySystem(std::string Address, RandomSource &Source);
+  DirectorySystem(std::string Address, RandomSource &Source,
+                  const StartSettings &Chosen = {});
 
   /// @name Inputs
   /// @{
@@ -81,6 +81,7 @@
 
   std::string Address;
   RandomSource &Random;
+  StartSettings Settings;
 
   /// @name Store call
   /// @{
--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -7,6 +7,7 @@
 #include "hyssopford/core/member.hpp"
 #include "hyssopford/core/message.hpp"
 #include "hyssopford/core/payload.hpp"
+#include "hyssopford/core/probe_purpose.hpp"
 #include "hyssopford/core/routing_config.hpp"
 #include "hyssopford/core/store_call.hpp"
 #include "hyssopford/core/time.hpp"
@@ -37,6 +38,8 @@
   std::uint64_t BodySize = 0;
   /// True if the request is, at an earlier hop, a retry or a hedge.
   bool IsExtra = false;
+  /// True if the upstream on this VM makes the request while it runs another.
+  bool IsCall = false;
   /// True if the request is served although the node is shutting down: it
   /// began to arrive before, or belongs to one that the upstream on this VM is
   /// still running.
@@ -86,6 +89,9 @@
   Payload Answer;
   /// True for a 503 with Retry-After: the upstream sheds load.
   bool Shedding = false;
+  /// Time that work takes at the upstream now, in percent of the usual; 0 if
+  /// not stated.
+  std::uint32_t SpeedPercent = 0;
 
   friend bool operator==(const UpstreamAnswered &,
                          const UpstreamAnswered &) = default;
@@ -125,6 +131,9 @@
 struct ProbeFinished {
   bool Succeeded = false;
   Duration Elapsed{0};
+  ProbePurpose Purpose = ProbePurpose::Health;
+  /// As in UpstreamAnswered.
+  std::uint32_t SpeedPercent = 0;
 
   friend bool operator==(const ProbeFinished &,
                          const ProbeFinished &) = default;
--- a/include/hyssopford/core/ingress_system.hpp
+++ b/include/hyssopford/core/ingress_system.hpp
@@ -52,7 +52,8 @@
   /// @param Settings constants of routing
   /// @param Region region of this node, for the choice of subsets
   IngressSystem(NodeRun Self, RandomSource &Random,
-                const RoutingSettings &Settings = {}, std::string Region = {});
+                const RoutingSettings &Settings = {}, std::string Region = {},
+                std::string FailureDomain = {});
 
   /// @brief Replaces the policy that chooses upstreams.
   /// @param Chosen the policy; the default is EstimatedDelayPolicy
@@ -94,6 +95,9 @@
   /// are retried at once.
   void linkDown(NodeId Peer, TimePoint Now, Actions &Out);
 
+  /// @brief Sets the number of nodes that share the budgets of retries.
+  void setMembers(std::size_t Count) { Table.setMembers(Count); }
+
   /// @brief Replaces the table of candidates.
   void setCandidates(std::vector<Candidate> All);
 
@@ -156,6 +160,12 @@
     std::uint32_t Attempts = 0;
     /// Attempts handed back by owners without cost.
     std::uint32_t HandBacks = 0;
+    /// Owners that handed the request back and might take it later.
+    std::vector<NodeId> Busy;
+    /// Set when all candidates have handed the request back.
+    bool LastChance = false;
+    /// Time in which the answer is wanted; not above 0 if none is stated.
+    Duration Target{0};
     /// The first failure that an upstream answered, while others are tried.
     std::optional<FailedAnswer> Failed;
     OutcomeReason LastReason = OutcomeReason::None;
--- a/include/hyssopford/core/load_report.hpp
+++ b/include/hyssopford/core/load_report.hpp
@@ -22,6 +22,8 @@
   Duration ServiceTime{0};
   /// Age of the report when it was sent; 0 if it was made for the message.
   Duration Age{0};
+  /// True if a request that the upstream started then would run slowly.
+  bool Slow = false;
 
   friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
--- a/include/hyssopford/core/membership_system.hpp
+++ b/include/hyssopford/core/membership_system.hpp
@@ -4,6 +4,7 @@
 
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/core/byte_budget.hpp"
+#include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/failure_detector.hpp"
 #include "hyssopford/core/link_table.hpp"
@@ -53,7 +54,7 @@
   /// @param Seeds peer addresses of nodes to contact first
   /// @param Random source of the choice of peers
   MembershipSystem(const MemberRecord &Self, std::vector<std::string> Seeds,
-                   RandomSource &Random);
+                   RandomSource &Random, const StartSettings &Chosen = {});
   MembershipSystem(const MembershipSystem &) = delete;
   MembershipSystem &operator=(const MembershipSystem &) = delete;
   /// @}
@@ -155,6 +156,7 @@
   void endSuspicions(TimePoint Now, Actions &Out);
   void contactSeeds(TimePoint Now, Actions &Out);
   void recontact(TimePoint Now, Actions &Out);
+  void rejoin(TimePoint Now, Actions &Out);
   void forgetDead(TimePoint Now);
   void planLinks(TimePoint Now, Actions &Out);
   std::vector<MemberRecord> piggyback(TimePoint Now);
@@ -162,6 +164,7 @@
   NodeRun SelfRun;
   std::vector<std::string> Seeds;
   RandomSource &Random;
+  StartSettings Settings;
   MemberTable Table;
   GossipQueue News;
   LinkTable Links;
@@ -181,6 +184,8 @@
   TimePoint NextPlan;
   TimePoint NextSeed;
   TimePoint NextRecontact;
+  /// Set while members that ended lately may restart.
+  std::optional<TimePoint> NextRejoin;
   std::optional<Incarnation> SupersededBy;
   std::optional<Incarnation> RequiredRun;
 };
--- a/include/hyssopford/core/message.hpp
+++ b/include/hyssopford/core/message.hpp
@@ -38,6 +38,11 @@
   std::uint64_t Fingerprint = 0;
   TraceContext Trace;
   Payload Request;
+  /// True if the ingress knows other candidates, so that the owner may refuse
+  /// what it could only start later.
+  bool MayHandBack = false;
+  /// Time left in which the answer is wanted; 0 if none is stated.
+  Duration Target{0};
 
   friend bool operator==(const Dispatch &, const Dispatch &) = default;
 };
--- a/include/hyssopford/core/outcome.hpp
+++ b/include/hyssopford/core/outcome.hpp
@@ -43,7 +43,9 @@
   /// The upstream stated that it did not run the request.
   UpstreamRefused,
   /// The node has no configuration yet.
-  NoConfig
+  NoConfig,
+  /// The upstream runs slowly for a moment; others may not.
+  UpstreamSlow
 };
 
 /// @param Value the reason of an attempt's end
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -9,6 +9,7 @@
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/finished_attempts.hpp"
 #include "hyssopford/core/load_report.hpp"
+#include "hyssopford/core/speed_gate.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -63,6 +64,9 @@
   /// after a crash running ones are unknown.
   void withdraw(const UpstreamGone &Gone, TimePoint Now, Actions &Out);
 
+  /// @brief Takes the result of a look at the upstream's speed.
+  void finishLook(const ProbeFinished &Result, TimePoint Now, Actions &Out);
+
   /// @brief Takes the verdict of the probes and of observed failures.
   void suspect(bool Suspected, TimePoint Now, Actions &Out);
 
@@ -104,6 +108,12 @@
   /// as it exceeds that of recent answers.
   double expectedService() const;
   void startQueued(TimePoint Now, Actions &Out);
+  /// Looks at the speed and hands back what may not wait for it.
+  /// @return whether an attempt may start now
+  bool passGate(TimePoint Now, Actions &Out);
+  void handBackQueued(TimePoint Now, Actions &Out);
+  TimePoint startBy(const Dispatch &Attempt, TimePoint Now) const;
+  double serviceOf(const std::string &Route) const;
   AdmittedAttempt
   takeRunning(std::unordered_map<AttemptId, AdmittedAttempt>::iterator At);
   void end(const AdmittedAttempt &Row, DispatchReply Reply, TimePoint Now,
@@ -126,6 +136,14 @@
   TimePoint LatestUsual;
   /// Sum of the start times of the running attempts, in µs.
   std::int64_t StartSum = 0;
+  /// Smoothed service time of each route in µs.
+  std::unordered_map<std::string, double> RouteTimes;
+  SpeedGate Speed;
+  bool Looking = false;
+  /// When attempts that wait for a usual speed look again.
+  std::optional<TimePoint> NextLook;
+  /// Until when a look that failed counts as a usual speed.
+  TimePoint TrustUntil;
   ConcurrencyLimit Limit;
   AdmissionQueue Queue;
   std::unordered_map<AttemptId, AdmittedAttempt> Running;
--- a/include/hyssopford/core/retry_budget.hpp
+++ b/include/hyssopford/core/retry_budget.hpp
@@ -5,6 +5,7 @@
 #include "hyssopford/core/decision_settings.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 
 namespace hyssopford {
@@ -15,13 +16,24 @@
 public:
   /// @param Settings share and burst
   explicit RetryBudget(const RoutingSettings &Settings)
-      : PerRequest(Settings.ExtraPerThousand),
+      : SiteBurst(Settings.SiteBurst), PerRequest(Settings.ExtraPerThousand),
         Capacity(Settings.ExtraBurst * PerToken),
         Level(Settings.ExtraStart * PerToken) {}
 
   /// @brief Adds the share of one original request.
   void fund() { Level = std::min(Capacity, Level + PerRequest); }
 
+  /// @brief Limits the burst to this node's share of that of the site.
+  /// @param Nodes the number of nodes of the site, at least 1
+  void share(std::size_t Nodes) {
+    if (SiteBurst > 0.0) {
+      const double Own = SiteBurst / static_cast<double>(Nodes);
+      Capacity = std::max<std::uint64_t>(
+          PerToken, static_cast<std::uint64_t>(Own * PerToken));
+      Level = std::min(Level, Capacity);
+    }
+  }
+
   /// @brief Takes one token for a retry.
   /// @return false if the budget is spent
   bool takeRetry() { return take(PerToken); }
@@ -46,6 +58,7 @@
     return true;
   }
 
+  double SiteBurst;
   std::uint64_t PerRequest;
   std::uint64_t Capacity;
   std::uint64_t Level;
--- a/include/hyssopford/core/selection_policy.hpp
+++ b/include/hyssopford/core/selection_policy.hpp
@@ -23,6 +23,8 @@
   UpstreamState State = UpstreamState::Serving;
   /// Index of the failure domain in Selection::RoundTrips.
   std::size_t Domain = 0;
+  /// True if the upstream is in the failure domain of this node.
+  bool IsLocalDomain = false;
   /// Latest load report; its sequence is 0 before the first.
   LoadReport Report;
   /// When the latest report arrived.
--- a/include/hyssopford/net/edge_policy.hpp
+++ b/include/hyssopford/net/edge_policy.hpp
@@ -87,9 +87,9 @@
   virtual AnswerKind judge(const Poco::Net::HTTPResponse &Head,
                            const std::string &Echo) const = 0;
 
-  /// @brief Reads the identifier that a response to a probe states.
-  /// @return the upstream's identifier, or empty
-  virtual std::string instanceOf(const Poco::Net::HTTPResponse &Head) const = 0;
+  /// @brief Reads the time that work takes at the upstream now.
+  /// @return percent of the usual time; 0 if the response does not state it
+  virtual std::uint32_t speedOf(const Poco::Net::HTTPResponse &Head) const = 0;
   /// @}
 };
 
@@ -107,7 +107,7 @@
   std::string echoOf(std::string_view Request) const override;
   AnswerKind judge(const Poco::Net::HTTPResponse &Head,
                    const std::string &Echo) const override;
-  std::string instanceOf(const Poco::Net::HTTPResponse &Head) const override;
+  std::uint32_t speedOf(const Poco::Net::HTTPResponse &Head) const override;
 };
 
 /// @return the policy of the own interface
--- a/include/hyssopford/net/upstream_client.hpp
+++ b/include/hyssopford/net/upstream_client.hpp
@@ -74,7 +74,7 @@
   /// @brief Sets where the upstream listens; pooled connections to another
   /// address are closed.
   /// @param Address "ip:port"
-  /// @param HealthPath path of its health endpoint
+  /// @param HealthPath path of its health endpoint; empty keeps the one set
   /// @param Instance identifier of the upstream's start, empty if unknown
   void setUpstream(const std::string &Address, const std::string &HealthPath,
                    const std::string &Instance = {});
--- a/include/hyssopford/node/caller_service.hpp
+++ b/include/hyssopford/node/caller_service.hpp
@@ -11,6 +11,8 @@
 
 #include <cstdint>
 #include <random>
+#include <string>
+#include <utility>
 
 namespace hyssopford {
 
@@ -34,6 +36,9 @@
   /// @brief Sets which of the traces that start here are sampled.
   void sample(TraceSampler Chosen) { Sampler = Chosen; }
 
+  /// @brief Sets the IP number from which only the upstream on this VM calls.
+  void setUpstreamHost(std::string Host) { UpstreamHost = std::move(Host); }
+
   /// @brief Sets what counts the requests; must outlive this object.
   void observe(NodeTelemetry &Observer) { Telemetry = &Observer; }
 
@@ -59,6 +64,7 @@
   CoreDriver &Driver;
   const EdgePolicy &Edge;
   bool Trusted;
+  std::string UpstreamHost;
   bool Refusing = false;
   HttpServer *Server = nullptr;
   NodeTelemetry *Telemetry = nullptr;
--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -58,6 +58,12 @@
   std::string PeerAddress = "127.0.0.1:0";
   /// Empty for none.
   std::string OperatorAddress = "127.0.0.1:0";
+  /// Service of the upstream on this VM, if it is known before its first
+  /// announcement.
+  std::string Service;
+  /// IP number from which only the upstream on this VM sends requests to
+  /// CallerAddress; empty if it uses LocalAddress.
+  std::string UpstreamHost;
   /// Address that says whether the node takes callers; empty for none.
   std::string ReadyAddress;
   std::vector<std::string> Seeds;
@@ -171,7 +177,7 @@
   void beginShutdown();
   void closePorts();
   void checkShutdown();
-  void applyCallerLimits();
+  void applyConfig();
   bool isReady() const;
 
   NodeRuntimeSettings Settings;
--- a/include/hyssopford/node/upstream_registry.hpp
+++ b/include/hyssopford/node/upstream_registry.hpp
@@ -7,10 +7,12 @@
 #include "hyssopford/net/event_loop.hpp"
 #include "hyssopford/net/upstream_client.hpp"
 #include "hyssopford/node/core_driver.hpp"
+#include "hyssopford/node/node_telemetry.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace hyssopford {
 
@@ -58,7 +60,13 @@
 public:
   /// @name Construction
   /// @{
-  UpstreamRegistry(EventLoop &Loop, CoreDriver &Driver, UpstreamClient &Client);
+
+  /// @param Loop the loop on which announcements expire
+  /// @param Driver learns of the upstream's state
+  /// @param Client learns where the upstream is
+  /// @param Log takes a line for each change
+  UpstreamRegistry(EventLoop &Loop, CoreDriver &Driver, UpstreamClient &Client,
+                   NodeTelemetry &Log);
   ~UpstreamRegistry();
   UpstreamRegistry(const UpstreamRegistry &) = delete;
   UpstreamRegistry &operator=(const UpstreamRegistry &) = delete;
@@ -71,9 +79,15 @@
   /// @return false if it was overtaken by a later one, and is ignored
   bool announce(const Announcement &New);
 
+  /// @brief Takes the result of a probe of an upstream that this node found
+  /// running.
+  /// @param TakesRequests whether the upstream says that it is well
+  void verified(bool TakesRequests);
+
   /// @brief Ends the announcement.
   /// @param Crashed true if the upstream did not leave by itself
-  void withdraw(bool Crashed);
+  /// @param Reason why, for the log
+  void withdraw(bool Crashed, std::string_view Reason);
   /// @}
 
   /// @return the announcement in force, if any
@@ -83,13 +97,18 @@
   EventLoop &Loop;
   CoreDriver &Driver;
   UpstreamClient &Client;
+  NodeTelemetry &Log;
   bool isOvertaken(const Announcement &New) const;
+  void submitState();
   void depart();
 
   std::optional<Announcement> Current;
   /// The latest announcement that states its order, also after its end.
   std::optional<Announcement> Latest;
   bool Departed = false;
+  /// True while an upstream that an earlier run of this node may have seen
+  /// leave has not been asked whether it still takes requests.
+  bool Unverified = false;
   EventLoop::TimerId Expiry = 0;
 };
 
--- a/src/core/admission_queue.cpp
+++ b/src/core/admission_queue.cpp
@@ -8,7 +8,7 @@
 void AdmissionQueue::push(AdmittedAttempt Row) {
   Line &To = lineOf(Row.Attempt.Class);
   const AttemptId Id = Row.Attempt.Attempt;
-  Deadlines.emplace(Row.Deadline, Id);
+  Deadlines.emplace(std::min(Row.Deadline, Row.StartBy), Id);
   To.push_back(std::move(Row));
   Positions.emplace(Id, std::prev(To.end()));
 }
@@ -63,6 +63,20 @@
   return Count;
 }
 
+std::vector<AdmittedAttempt> AdmissionQueue::takeHandBacks() {
+  std::vector<AdmittedAttempt> Taken;
+  for (Line &Each : Lines) {
+    for (auto At = Each.begin(); At != Each.end();) {
+      const auto Next = std::next(At);
+      if (At->Attempt.MayHandBack) {
+        Taken.push_back(take(Each, At));
+      }
+      At = Next;
+    }
+  }
+  return Taken;
+}
+
 std::optional<TimePoint> AdmissionQueue::nextDeadline() const {
   return Deadlines.empty() ? std::nullopt
                            : std::optional(Deadlines.begin()->first);
@@ -72,7 +86,7 @@
   AdmittedAttempt Row = std::move(*At);
   From.erase(At);
   Positions.erase(Row.Attempt.Attempt);
-  Deadlines.erase({Row.Deadline, Row.Attempt.Attempt});
+  Deadlines.erase({std::min(Row.Deadline, Row.StartBy), Row.Attempt.Attempt});
   return Row;
 }
 
--- a/src/core/candidate_table.cpp
+++ b/src/core/candidate_table.cpp
@@ -28,8 +28,17 @@
 } // namespace
 
 CandidateTable::CandidateTable(NodeRun Run, std::string OwnRegion,
-                               const RoutingSettings &Chosen)
-    : Self(Run), Region(std::move(OwnRegion)), Settings(Chosen) {}
+                               const RoutingSettings &Chosen,
+                               std::string OwnDomain)
+    : Self(Run), Region(std::move(OwnRegion)),
+      FailureDomain(std::move(OwnDomain)), Settings(Chosen) {}
+
+void CandidateTable::setMembers(std::size_t Count) {
+  Members = Count;
+  for (auto &[Service, Pool] : Pools) {
+    Pool.Budget.share(Members);
+  }
+}
 
 void CandidateTable::setCandidates(std::vector<Candidate> All) {
   Known.clear();
@@ -88,6 +97,7 @@
       return nullptr;
     }
     Pool = &Pools.try_emplace(Service, Settings).first->second;
+    Pool->Budget.share(Members);
     rebuild(Service, *Pool);
     refreshNeeded();
   }
@@ -265,6 +275,7 @@
     View.Slots = Each.Slots;
     View.State = Each.State;
     View.Domain = domainIndex(Each.FailureDomain);
+    View.IsLocalDomain = Each.FailureDomain == FailureDomain;
     const auto Link = Links.find(Each.Owner.Node);
     Past.Linked = Link != Links.end() && Link->second == Each.Owner.Run;
     if (Past.Ejected) {
--- a/src/core/concurrency_limit.cpp
+++ b/src/core/concurrency_limit.cpp
@@ -1,6 +1,7 @@
 #include "hyssopford/core/concurrency_limit.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hyssopford {
 
@@ -64,7 +65,10 @@
   if (IsSuspected) {
     return 1;
   }
-  double Value = std::min<double>(Limit, Slots);
+  // The margin keeps an exact share from being rounded down.
+  constexpr double Margin = 1e-6;
+  double Value =
+      std::min(Limit, std::floor(Slots * Settings.SlotShare + Margin));
   if (ramping(Now)) {
     const double Elapsed = static_cast<double>((Now - RampStart).count()) /
                            static_cast<double>(Settings.ColdRamp.count());
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -10,13 +10,12 @@
 
 constexpr Duration CallMargin = 5s;
 constexpr Duration ReadTimeout = 5s;
-// Time for peers to offer a version before a starting node reads the store.
-constexpr Duration PeersFirst = 500ms;
 
 } // namespace
 
-ConfigSystem::ConfigSystem(const ConfigCodec &Json, RandomSource &Source)
-    : Codec(Json), Random(Source), Writer(Json) {}
+ConfigSystem::ConfigSystem(const ConfigCodec &Json, RandomSource &Source,
+                           const StartSettings &Chosen)
+    : Codec(Json), Random(Source), Settings(Chosen), Writer(Json) {}
 
 void ConfigSystem::submit(const PatchSubmitted &Input, TimePoint Now,
                           Actions &Out) {
@@ -106,7 +105,7 @@
   LastTick = Now;
   if (!Begin) {
     Begin = Now;
-    NextStoreCall = Now + PeersFirst;
+    NextStoreCall = Now + Settings.PeersFirst;
   }
   Writer.tick(Now, Out);
   if (const auto Stored = Writer.takeStored()) {
@@ -314,6 +313,10 @@
   }
   Revision = std::max(Revision, Result.Revision);
   offer(Head->Version, Payload(Head->Document), Now, Out);
+  if (Settings.TrustStore && !Started && Pending) {
+    Started = true;
+    putInForce(*std::exchange(Pending, std::nullopt), Out);
+  }
 }
 
 void ConfigSystem::storeFailed(TimePoint Now) {
--- a/src/core/directory_system.cpp
+++ b/src/core/directory_system.cpp
@@ -6,8 +6,6 @@
 namespace hyssopford {
 
 namespace {
-
-constexpr Duration ReadInterval = 200ms;
 constexpr Duration RetryPeriod = 2s;
 // A slot that another node holds is tried again after half its lease.
 constexpr Duration HeldPeriod = 15s;
@@ -18,8 +16,9 @@
 
 } // namespace
 
-DirectorySystem::DirectorySystem(std::string OwnAddress, RandomSource &Source)
-    : Address(std::move(OwnAddress)), Random(Source) {}
+DirectorySystem::DirectorySystem(std::string OwnAddress, RandomSource &Source,
+                                 const StartSettings &Chosen)
+    : Address(std::move(OwnAddress)), Random(Source), Settings(Chosen) {}
 
 void DirectorySystem::setDuty(std::optional<std::uint32_t> NewSlot,
                               std::vector<std::string> Addresses,
@@ -38,7 +37,8 @@
 
 void DirectorySystem::setAlone(bool Value, TimePoint Now) {
   if (Value && (!Alone || !NextRead)) {
-    NextRead = Now + AloneTime + Duration(Random.below(AloneTime.count()));
+    NextRead = Now + Settings.DirectoryDelay +
+               Duration(Random.below(Settings.DirectoryDelay.count()));
     Backoff = FirstBackoff;
     FoundNone = false;
     SlotsRead = 0;
@@ -137,7 +137,7 @@
   if (Result.Status == StoreStatus::Done) {
     addContacts(Result.Value);
   } else if (!Failed && SlotsRead < Slots) {
-    NextRead = Now + ReadInterval;
+    NextRead = Now + Settings.DirectoryInterval;
     return;
   }
   FoundNone = Result.Status == StoreStatus::Missing;
--- a/src/core/estimated_delay_policy.cpp
+++ b/src/core/estimated_delay_policy.cpp
@@ -107,6 +107,13 @@
   const double RoundTrip =
       Settings.LocalityWeight * micros(Input.RoundTrips[View.Domain]);
   double Score = RoundTrip + Queueing + Service;
+  if (!View.IsLocalDomain) {
+    Score += micros(Settings.RemoteDomainCost);
+  }
+  if (View.Report.Slow && Settings.SlowWeight > 0.0) {
+    Score += Settings.SlowWeight * MeanService *
+             std::exp(-micros(Age) / micros(Settings.SlowSpell));
+  }
   if (View.Outstanding > 0) {
     // A reply that does not come is the only sign of a sudden stall.
     const double Pending = micros(Input.Now - View.OldestSent);
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -31,9 +31,10 @@
 } // namespace
 
 IngressSystem::IngressSystem(NodeRun Run, RandomSource &Source,
-                             const RoutingSettings &Chosen, std::string Region)
+                             const RoutingSettings &Chosen, std::string Region,
+                             std::string FailureDomain)
     : Self(Run), Random(Source), Settings(Chosen),
-      Table(Run, std::move(Region), Chosen),
+      Table(Run, std::move(Region), Chosen, std::move(FailureDomain)),
       Policy(std::make_unique<EstimatedDelayPolicy>(Chosen)) {}
 
 void IngressSystem::setPolicy(std::unique_ptr<SelectionPolicy> Chosen) {
@@ -56,6 +57,13 @@
                                 Matched.Deadline);
   Row.Idempotent =
       Matched.Idempotent.value_or(isIdempotentMethod(Request.Method));
+  if (Matched.TargetLatency > Duration{0}) {
+    // A caller that has less time than the route allows has used the rest on
+    // earlier tries.
+    const Duration Used =
+        Matched.Deadline - Request.Deadline.value_or(Matched.Deadline);
+    Row.Target = Matched.TargetLatency - std::max(Used, Duration{0});
+  }
   ++Counters.Requests;
   RequestRow &Stored =
       Requests.insert_or_assign(Request.Id, std::move(Row)).first->second;
@@ -65,9 +73,10 @@
     return;
   }
   ServicePool *Pool = Table.use(Stored.Service, Now);
-  if (Pool != nullptr && !Request.IsExtra) {
+  if (Pool != nullptr && !Request.IsExtra && !Request.IsCall) {
     // Retries of an earlier hop don't fund further ones; otherwise budgets
-    // would multiply along a call chain.
+    // would multiply along a call chain. Calls that a running request makes
+    // fund none either, as its own budget covers them.
     Pool->Budget.fund();
   }
   startAttempt(Stored, Now, Out);
@@ -114,6 +123,10 @@
   if (Free) {
     ++Row.HandBacks;
     --Row.Attempts;
+    if (Reply.Reason == OutcomeReason::UpstreamSlow ||
+        Reply.Reason == OutcomeReason::QueueFull) {
+      Row.Busy.push_back(Attempt.Owner.Node);
+    }
   }
   retry(Row, Now, Out, Free);
 }
@@ -290,8 +303,16 @@
     return;
   }
   ServicePool *Pool = Table.use(Row.Service, Now);
-  const std::optional<NodeRun> Chosen =
+  std::optional<NodeRun> Chosen =
       Pool == nullptr ? std::nullopt : choose(Row, *Pool, Now);
+  if (!Chosen && Pool != nullptr && Free && !Row.Busy.empty()) {
+    // All are busy or slow: the best of them keeps the attempt this time.
+    for (const NodeId Each : std::exchange(Row.Busy, {})) {
+      std::erase(Row.Tried, Each);
+    }
+    Row.LastChance = true;
+    Chosen = choose(Row, *Pool, Now);
+  }
   if (!Chosen) {
     GiveUp(Row.LastReason);
     return;
@@ -371,6 +392,12 @@
   Message.Trace = Row.Request.Trace;
   Message.Trace.ParentSpan = Span;
   Message.Request = Row.Request.Request;
+  Message.MayHandBack = !Row.LastChance &&
+                        Row.HandBacks + 1 < Settings.FreeHandBacks &&
+                        Pool.usable().size() > Row.Tried.size();
+  if (Row.Target > Duration{0}) {
+    Message.Target = std::max(Row.Started + Row.Target - Now, Duration{1});
+  }
   Out.emplace_back(SendToPeer{Owner.Node, std::move(Message)});
   const Duration HedgeDelay =
       std::max(Pool.HedgeDelay.value(), Settings.HedgeFloor);
--- a/src/core/membership_system.cpp
+++ b/src/core/membership_system.cpp
@@ -11,6 +11,8 @@
 constexpr Duration PlanPeriod = 250ms;
 // Seeds contacted at a time, so that a site that starts does not flood them.
 constexpr std::size_t SeedsAtOnce = 2;
+/// Members that contact one that may have restarted, in each period.
+constexpr std::uint64_t RejoinContacts = 4;
 
 Notice memberNotice(const char *Event, const MemberRecord &Record) {
   return Notice{Event,
@@ -24,9 +26,10 @@
 
 MembershipSystem::MembershipSystem(const MemberRecord &Self,
                                    std::vector<std::string> FirstContacts,
-                                   RandomSource &Source)
+                                   RandomSource &Source,
+                                   const StartSettings &Chosen)
     : SelfRun(Self.Id), Seeds(std::move(FirstContacts)), Random(Source),
-      Table(Self), Budget(BytesPerSecond, BurstBytes),
+      Settings(Chosen), Table(Self), Budget(BytesPerSecond, BurstBytes),
       Detector(Table, Links, Source,
                [this](TimePoint Now) { return piggyback(Now); }),
       Sync(Table, Links, Source) {}
@@ -193,6 +196,7 @@
   endSuspicions(Now, Out);
   contactSeeds(Now, Out);
   recontact(Now, Out);
+  rejoin(Now, Out);
   planLinks(Now, Out);
   gossip(Now, Out);
   Sync.tick(Now, Out);
@@ -203,6 +207,9 @@
   for (const TimePoint Each : {NextPlan, NextSeed, NextRecontact}) {
     Next = std::min(Next, Each);
   }
+  if (NextRejoin) {
+    Next = std::min(Next, *NextRejoin);
+  }
   if (!News.empty()) {
     Next = std::min(Next, NextGossip);
   }
@@ -291,6 +298,9 @@
     SuspectUntil[Node] = Now + SuspicionTime;
   } else if (Record.State == MemberState::Dead) {
     DeadSince[Node] = Now;
+    if (Settings.RejoinWindow > Duration{0} && !NextRejoin) {
+      NextRejoin = Now + Settings.RejoinPeriod;
+    }
     Out.emplace_back(memberNotice("member_dead", Record));
   } else if (Record.State == MemberState::Leaving) {
     Out.emplace_back(memberNotice("member_leaving", Record));
@@ -418,6 +428,24 @@
   }
 }
 
+void MembershipSystem::rejoin(TimePoint Now, Actions &Out) {
+  if (!NextRejoin || Now < *NextRejoin) {
+    return;
+  }
+  NextRejoin.reset();
+  const std::size_t Members = std::max<std::size_t>(Table.records().size(), 1);
+  for (const auto &[Node, Since] : DeadSince) {
+    if (Since + Settings.RejoinWindow <= Now) {
+      continue;
+    }
+    NextRejoin = Now + Settings.RejoinPeriod;
+    // A few members at a time, however large the site is.
+    if (Random.below(Members) < RejoinContacts) {
+      Links.open(Node, Table.find(Node)->Address, Now, Out);
+    }
+  }
+}
+
 void MembershipSystem::forgetDead(TimePoint Now) {
   std::erase_if(DeadSince, [&](const auto &Entry) {
     const bool Old = Entry.second + DeadRetention <= Now;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -33,14 +33,16 @@
 
 NodeCore::NodeCore(const NodeCoreSettings &Settings, const ConfigCodec *Codec)
     : Self{nodeIdOf(Settings.Address), Settings.Run}, Random(Settings.Seed),
-      Membership(ownRecord(Settings, Self), Settings.Seeds, Random),
-      Directory(Settings.Address, Random),
-      Ingress(Self, Random, Settings.Decisions.Routing, Settings.Region),
+      Membership(ownRecord(Settings, Self), Settings.Seeds, Random,
+                 Settings.Decisions.Start),
+      Directory(Settings.Address, Random, Settings.Decisions.Start),
+      Ingress(Self, Random, Settings.Decisions.Routing, Settings.Region,
+              Settings.FailureDomain),
       Owner(Self, Settings.Decisions.Admission),
       Probes(Settings.Decisions.Probing), Keys(Self, Settings.Keys, Random),
       Quarantine(Self, Random) {
   if (Codec != nullptr) {
-    Configs.emplace(*Codec, Random);
+    Configs.emplace(*Codec, Random, Settings.Decisions.Start);
   }
   Actions None;
   Ingress.linkUp(Self, TimePoint{}, None);
@@ -202,6 +204,10 @@
 }
 
 void NodeCore::on(const ProbeFinished &Input, TimePoint Now, Actions &Out) {
+  if (Input.Purpose == ProbePurpose::Speed) {
+    Owner.finishLook(Input, Now, Out);
+    return;
+  }
   Probes.finish(Input, Now, Out);
   Owner.suspect(Probes.suspected(), Now, Out);
 }
@@ -406,6 +412,7 @@
     }
   }
   Ingress.setCandidates(std::move(Candidates));
+  Ingress.setMembers(Membership.members().size());
 }
 
 } // namespace hyssopford
--- a/src/core/outcome.cpp
+++ b/src/core/outcome.cpp
@@ -10,7 +10,7 @@
 constexpr std::array<const char *, 3> OutcomeNames{"answered", "not-run",
                                                    "unknown"};
 
-constexpr std::array<const char *, 24> ReasonNames{"none",
+constexpr std::array<const char *, 25> ReasonNames{"none",
                                                    "no-route",
                                                    "no-upstream",
                                                    "queue-full",
@@ -33,9 +33,10 @@
                                                    "answer-too-large",
                                                    "shutting-down",
                                                    "upstream-refused",
-                                                   "no-config"};
+                                                   "no-config",
+                                                   "upstream-slow"};
 
-static_assert(static_cast<std::size_t>(OutcomeReason::NoConfig) + 1 ==
+static_assert(static_cast<std::size_t>(OutcomeReason::UpstreamSlow) + 1 ==
               ReasonNames.size());
 
 } // namespace
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -9,6 +9,12 @@
 
 /// Weight of a new answer in the smoothed service time.
 constexpr double ServiceTimeWeight = 0.125;
+/// Longest time that counts in the smoothed ones, in smoothed times.
+constexpr double OutlierFactor = 3.0;
+/// Factor by which slow spells of a quarter of the time lengthen a wait.
+constexpr double SpellStretch = 1.33;
+/// How long a failed look at the speed counts as a usual speed.
+constexpr Duration LookPause = 1s;
 /// The running attempts have stalled when they have run, all together, longer
 /// than this many service times each, and one more. The mean of a running
 /// attempt is below one service time unless the times spread very widely.
@@ -57,7 +63,8 @@
 } // namespace
 
 OwnerSystem::OwnerSystem(NodeRun Run, const AdmissionSettings &Chosen)
-    : Self(Run), Settings(Chosen), Limit(Chosen), Queue(Chosen.HighBurst),
+    : Self(Run), Settings(Chosen), Speed(Chosen), Limit(Chosen),
+      Queue(Chosen.HighBurst),
       Finished(FinishedRetention, Chosen.FinishedBytesMax) {}
 
 void OwnerSystem::admit(NodeId From, const Dispatch &Attempt, TimePoint Now,
@@ -83,7 +90,8 @@
          Out);
     return;
   }
-  AdmittedAttempt Row{From, Attempt, Now, Now + Attempt.Remaining, Now};
+  AdmittedAttempt Row{
+      From, Attempt, Now, Now + Attempt.Remaining, Now, startBy(Attempt, Now)};
   const std::optional<OutcomeReason> Reason = Refusal == OutcomeReason::None
                                                   ? refusalReason(Attempt)
                                                   : std::optional(Refusal);
@@ -143,6 +151,7 @@
   if (Found == Running.end()) {
     return;
   }
+  Speed.observe(Answer.SpeedPercent, Now);
   const auto InFlight = static_cast<std::uint32_t>(Running.size());
   const AdmittedAttempt Row = takeRunning(Found);
   if (Answer.Shedding) {
@@ -150,7 +159,17 @@
   } else if (Answer.Status < FirstServerError) {
     // A fast failure says nothing of the time that a good answer takes.
     const Duration Elapsed = Now - Row.Started;
-    const auto Micros = static_cast<double>(Elapsed.count());
+    auto Micros = static_cast<double>(Elapsed.count());
+    if (Speed.percent() != 0 && ServiceTime > 0.0) {
+      // A run that began in a slow spell is not usual.
+      Micros = std::min(Micros, ServiceTime * OutlierFactor);
+    }
+    double &OfRoute = RouteTimes[Row.Attempt.Route];
+    OfRoute = OfRoute == 0.0
+                  ? Micros
+                  : OfRoute + ServiceTimeWeight *
+                                  (std::min(Micros, OfRoute * OutlierFactor) -
+                                   OfRoute);
     if (Micros <= ServiceTime * StallFactor) {
       LatestUsual = Now;
     }
@@ -187,6 +206,8 @@
   Latest = Now;
   if (Upstream.Service != Announced.Service) {
     ServiceTime = 0.0;
+    RouteTimes.clear();
+    Speed.reset();
   }
   Upstream = Announced;
   Limit.announce(Announced.Slots, Announced.State == UpstreamState::Cold, Now);
@@ -198,6 +219,9 @@
   Upstream = UpstreamAnnounced{"", 0, UpstreamState::None};
   Limit = ConcurrencyLimit(Settings);
   ServiceTime = 0.0;
+  RouteTimes.clear();
+  Speed.reset();
+  NextLook.reset();
   while (const std::optional<AdmittedAttempt> Row = Queue.pop()) {
     endQueued(*Row, OutcomeReason::NoUpstream, Now, Out);
   }
@@ -223,17 +247,29 @@
 void OwnerSystem::tick(TimePoint Now, Actions &Out) {
   Latest = Now;
   Finished.forget(Now);
-  while (const std::optional<AdmittedAttempt> Late = Queue.popExpired(Now)) {
-    endQueued(*Late, OutcomeReason::DeadlineExceeded, Now, Out);
+  // Refused while the ingress can still tell its caller that it did not run.
+  while (const std::optional<AdmittedAttempt> Late =
+             Queue.popExpired(Now + Settings.ExpiryMargin)) {
+    endQueued(*Late,
+              Late->Deadline <= Now + Settings.ExpiryMargin
+                  ? OutcomeReason::DeadlineExceeded
+                  : OutcomeReason::QueueFull,
+              Now, Out);
   }
   startQueued(Now, Out);
 }
 
 std::optional<TimePoint> OwnerSystem::nextWakeup() const {
   std::optional<TimePoint> Next = Queue.nextDeadline();
+  if (Next) {
+    *Next -= Settings.ExpiryMargin;
+  }
   if (Next && (Limit.ramping(Latest) || stalled())) {
     Next = std::min(*Next, Latest + RampStep);
   }
+  if (Next && NextLook) {
+    Next = std::min(*Next, *NextLook);
+  }
   return Next;
 }
 
@@ -243,7 +279,8 @@
                     static_cast<std::uint32_t>(Queue.size()),
                     Limit.value(Latest),
                     Duration(static_cast<std::int64_t>(expectedService())),
-                    Duration{0}};
+                    Duration{0},
+                    Speed.state(Latest) == SpeedState::Slow};
 }
 
 std::vector<const Dispatch *> OwnerSystem::running() const {
@@ -272,12 +309,16 @@
     return std::nullopt;
   }
   const Duration Wait = expectedWait(Attempt.Class);
-  const Duration Service(static_cast<std::int64_t>(expectedService()));
+  const Duration Service(static_cast<std::int64_t>(
+      Speed.percent() != 0 ? serviceOf(Attempt.Route) : expectedService()));
   if (Wait + Service > Attempt.Remaining) {
     return OutcomeReason::DeadlineTooClose;
   }
-  if (Wait > Settings.QueueDelayMax ||
-      Queue.size() >= Settings.QueueLengthMax) {
+  // An answer within the target is worth the wait.
+  const Duration Longest =
+      std::max(Settings.QueueDelayMax, Attempt.Target - Service);
+  if (Wait > Longest || Queue.size() >= Settings.QueueLengthMax ||
+      (Attempt.MayHandBack && Wait > Settings.HandBackWait)) {
     return OutcomeReason::QueueFull;
   }
   return std::nullopt;
@@ -289,7 +330,10 @@
     return Duration{0};
   }
   const auto Ahead = static_cast<double>(Queue.ahead(Class) + 1);
-  return Duration(static_cast<std::int64_t>(Ahead * expectedService() / Slots));
+  const double Wait = Ahead * expectedService() / Slots;
+  // Slow spells take their share of the time in which attempts start.
+  const double Stretch = Speed.percent() != 0 ? SpellStretch : 1.0;
+  return Duration(static_cast<std::int64_t>(Wait * Stretch));
 }
 
 std::uint32_t OwnerSystem::limit() const {
@@ -332,9 +376,63 @@
   return Row;
 }
 
+TimePoint OwnerSystem::startBy(const Dispatch &Attempt, TimePoint Now) const {
+  if (Attempt.Target == Duration{0}) {
+    return TimePoint::max();
+  }
+  const Duration Service(static_cast<std::int64_t>(serviceOf(Attempt.Route)));
+  return Now + Settings.ExpiryMargin +
+         std::max(Settings.QueueDelayMax, Attempt.Target - Service);
+}
+
+double OwnerSystem::serviceOf(const std::string &Route) const {
+  const auto Found = RouteTimes.find(Route);
+  return Found == RouteTimes.end() ? ServiceTime : Found->second;
+}
+
+void OwnerSystem::finishLook(const ProbeFinished &Result, TimePoint Now,
+                             Actions &Out) {
+  Looking = false;
+  if (Result.Succeeded || Result.SpeedPercent != 0) {
+    Speed.observe(Result.SpeedPercent, Now);
+  }
+  if (Result.SpeedPercent == 0) {
+    TrustUntil = Now + LookPause;
+  }
+  startQueued(Now, Out);
+}
+
+bool OwnerSystem::passGate(TimePoint Now, Actions &Out) {
+  const SpeedState State = Speed.state(Now);
+  if (State == SpeedState::Usual || Now < TrustUntil) {
+    NextLook.reset();
+    return true;
+  }
+  if (State == SpeedState::Unknown) {
+    if (!Looking) {
+      Looking = true;
+      Out.emplace_back(
+          ProbeUpstream{Settings.SpeedTimeout, ProbePurpose::Speed});
+    }
+    return false;
+  }
+  handBackQueued(Now, Out);
+  NextLook = Now + Settings.SpeedRecheck;
+  return false;
+}
+
+void OwnerSystem::handBackQueued(TimePoint Now, Actions &Out) {
+  for (const AdmittedAttempt &Row : Queue.takeHandBacks()) {
+    endQueued(Row, OutcomeReason::UpstreamSlow, Now, Out);
+  }
+}
+
 void OwnerSystem::startQueued(TimePoint Now, Actions &Out) {
   Latest = Now;
   while (Running.size() < limit()) {
+    if (Queue.size() == 0 || !passGate(Now, Out)) {
+      return;
+    }
     std::optional<AdmittedAttempt> Row = Queue.pop();
     if (!Row) {
       return;
--- a/src/net/codec/request_codec.cpp
+++ b/src/net/codec/request_codec.cpp
@@ -54,7 +54,8 @@
   return wire::CreateDispatch(
       Out, &Attempt, Value.Owner.Value, Service, Route, Value.Remaining.count(),
       static_cast<std::uint8_t>(Value.Class), Value.Idempotent, Value.IsExtra,
-      Value.Fingerprint, &Trace, Request);
+      Value.Fingerprint, &Trace, Request, Value.MayHandBack,
+      Value.Target.count());
 }
 
 std::optional<Dispatch> decode(const wire::Dispatch &Value) {
@@ -72,6 +73,8 @@
   Result.Fingerprint = Value.fingerprint();
   Result.Trace = decodeTrace(*Value.trace());
   Result.Request = decodeBytes(*Value.request());
+  Result.MayHandBack = Value.may_hand_back();
+  Result.Target = Duration(Value.target_us());
   return Result;
 }
 
@@ -79,9 +82,10 @@
                                                 const DispatchReply &Value) {
   const auto Answer = encodeBytes(Out, Value.Answer.bytes());
   const wire::AttemptId Attempt = encodeAttempt(Value.Attempt);
-  const wire::LoadReport Load(
-      Value.Load.Sequence, Value.Load.InFlight, Value.Load.Queued,
-      Value.Load.Limit, Value.Load.ServiceTime.count(), Value.Load.Age.count());
+  const wire::LoadReport Load(Value.Load.Sequence, Value.Load.InFlight,
+                              Value.Load.Queued, Value.Load.Limit,
+                              Value.Load.ServiceTime.count(),
+                              Value.Load.Age.count(), Value.Load.Slow);
   return wire::CreateDispatchReply(
       Out, &Attempt, static_cast<std::uint8_t>(Value.Result),
       static_cast<std::uint8_t>(Value.Reason), Value.Status, &Load, Answer,
@@ -91,7 +95,7 @@
 std::optional<DispatchReply> decode(const wire::DispatchReply &Value) {
   DispatchReply Result;
   if (!decodeEnum(Value.result(), Outcome::Unknown, Result.Result) ||
-      !decodeEnum(Value.reason(), OutcomeReason::NoConfig, Result.Reason)) {
+      !decodeEnum(Value.reason(), OutcomeReason::UpstreamSlow, Result.Reason)) {
     return std::nullopt;
   }
   Result.Attempt = decodeAttempt(*Value.attempt());
@@ -103,7 +107,8 @@
                            Load.queued(),
                            Load.limit(),
                            Duration(Load.service_time_us()),
-                           Duration(Load.age_us())};
+                           Duration(Load.age_us()),
+                           Load.slow()};
   Result.Answer = decodeBytes(*Value.answer());
   return Result;
 }
--- a/src/net/own_edge_policy.cpp
+++ b/src/net/own_edge_policy.cpp
@@ -72,9 +72,9 @@
   return AnswerKind::Answer;
 }
 
-std::string
-OwnEdgePolicy::instanceOf(const Poco::Net::HTTPResponse & /*Head*/) const {
-  return {};
+std::uint32_t
+OwnEdgePolicy::speedOf(const Poco::Net::HTTPResponse & /*Head*/) const {
+  return 0;
 }
 
 const EdgePolicy &ownEdgePolicy() {
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -26,7 +26,9 @@
 void UpstreamClient::setUpstream(const std::string &NewAddress,
                                  const std::string &NewHealthPath,
                                  const std::string &NewInstance) {
-  HealthPath = NewHealthPath;
+  if (!NewHealthPath.empty()) {
+    HealthPath = NewHealthPath;
+  }
   Instance = NewInstance;
   if (NewAddress == Address) {
     return;
@@ -69,11 +71,11 @@
     Carrier = openNew();
   }
   if (!Carrier) {
-    Handler.onProbed(ProbeFinished{false, Duration{0}});
+    Handler.onProbed(ProbeFinished{false, Duration{0}, Probe.Purpose});
     Handler.onRefusedConnection();
     return;
   }
-  Carrier->startProbe(HealthPath, Probe.Timeout);
+  Carrier->startProbe(HealthPath, Probe);
 }
 
 std::shared_ptr<UpstreamClient::Exchange>
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -23,15 +23,16 @@
 }
 
 void UpstreamClient::Exchange::startProbe(const std::string &Path,
-                                          Duration Timeout) {
+                                          const ProbeUpstream &What) {
   Probe = true;
+  Purpose = What.Purpose;
   Echo.clear();
   Attempt = ForwardToUpstream();
   Attempt.Idempotent = true;
   Attempt.Request = Payload(
       fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", Path, Client.Address));
   Reader.expectHeadResponse(false);
-  begin(Timeout);
+  begin(What.Timeout);
 }
 
 void UpstreamClient::Exchange::abandon() {
@@ -153,6 +154,7 @@
   Answer.Shedding =
       Status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
       Reader.response().has("Retry-After");
+  Answer.SpeedPercent = Client.Edge.speedOf(Reader.response());
   const bool WasProbe = Probe;
   const bool Ran = Kind != AnswerKind::NotRun;
   if (!WasProbe && Ran) {
@@ -178,7 +180,8 @@
     Client.discard(*this);
   }
   if (WasProbe) {
-    Receiver.onProbed(ProbeFinished{Status >= 200 && Status < 400, Elapsed});
+    Receiver.onProbed(ProbeFinished{Status >= 200 && Status < 400, Elapsed,
+                                    Purpose, Answer.SpeedPercent});
   } else if (Ran) {
     Receiver.onAnswered(std::move(Answer));
   } else {
@@ -197,7 +200,7 @@
   const bool WasProbe = Probe;
   Client.discard(*this);
   if (WasProbe) {
-    Receiver.onProbed(ProbeFinished{false, Elapsed});
+    Receiver.onProbed(ProbeFinished{false, Elapsed, Purpose});
   } else {
     Receiver.onFailed(Failure);
   }
@@ -219,12 +222,13 @@
   Attempt.Remaining = Left;
   const ForwardToUpstream Again = Attempt;
   const bool WasProbe = Probe;
+  const ProbePurpose WhatFor = Purpose;
   UpstreamClient &Owner = Client;
   Owner.discard(*this);
   const std::shared_ptr<Exchange> Fresh = Owner.openNew();
   if (!Fresh) {
     if (WasProbe) {
-      Owner.Handler.onProbed(ProbeFinished{false, Duration{0}});
+      Owner.Handler.onProbed(ProbeFinished{false, Duration{0}, WhatFor});
     } else {
       Owner.Handler.onFailed(
           UpstreamFailed{Again.Attempt, OutcomeReason::UpstreamClosed, true});
@@ -232,7 +236,7 @@
     return true;
   }
   if (WasProbe) {
-    Fresh->startProbe(Owner.HealthPath, Left);
+    Fresh->startProbe(Owner.HealthPath, ProbeUpstream{Left, WhatFor});
   } else {
     Owner.ByAttempt.insert_or_assign(Again.Attempt, Fresh.get());
     Fresh->start(Again);
--- a/src/net/upstream_exchange.hpp
+++ b/src/net/upstream_exchange.hpp
@@ -27,7 +27,7 @@
   void start(const ForwardToUpstream &NewAttempt);
 
   /// @brief Sends a probe as soon as the connection is open.
-  void startProbe(const std::string &Path, Duration Timeout);
+  void startProbe(const std::string &Path, const ProbeUpstream &What);
 
   /// @brief Closes the connection; the attempt does not end in an event.
   void abandon();
@@ -38,6 +38,7 @@
   TimePoint idleSince() const { return IdleSince; }
   const AttemptId &attempt() const { return Attempt.Attempt; }
   bool isProbe() const { return Probe; }
+  ProbePurpose purpose() const { return Purpose; }
 
 private:
   void onConnected() override;
@@ -64,6 +65,7 @@
   EventLoop::TimerId Timer = 0;
   bool Busy = false;
   bool Probe = false;
+  ProbePurpose Purpose = ProbePurpose::Health;
   bool Connected = false;
   bool Sent = false;
   /// True if the connection carried an earlier exchange.
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -65,6 +65,13 @@
   Input.Path = std::string(pathOf(Request.Head, Request.Facts));
   Input.Deadline = Hop.Deadline;
   Input.Class = Hop.Class;
+  const std::size_t HostEnd = Request.Peer.rfind(':');
+  if (!UpstreamHost.empty() &&
+      Request.Peer.substr(0, HostEnd) == UpstreamHost) {
+    // Refusing a call throws away what its caller has done already.
+    Input.IsCall = true;
+    Input.Class = Priority::High;
+  }
   Input.Key = Request.Head.get("Idempotency-Key", "");
   Input.BodyHash = hashBytes(Request.Body);
   Input.BodySize = Request.Body.size();
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -103,7 +103,8 @@
   makeStore();
   Upstream = std::make_unique<UpstreamClient>(
       Loop, UpstreamEvents, Settings.Upstream, *Adapters.Edge);
-  Registry = std::make_unique<UpstreamRegistry>(Loop, *Driver, *Upstream);
+  Registry =
+      std::make_unique<UpstreamRegistry>(Loop, *Driver, *Upstream, *Telemetry);
   makeServers();
 }
 
@@ -155,6 +156,7 @@
       Loop, *LocalRequests,
       serverSettings(Settings, Settings.LocalAddress, LocalNumber));
   CallerRequests->attach(*Callers);
+  CallerRequests->setUpstreamHost(Settings.UpstreamHost);
   LocalRequests->attachTo(*Local);
   if (!Settings.OperatorAddress.empty()) {
     Operators = std::make_unique<HttpServer>(
@@ -183,7 +185,7 @@
   return !ShuttingDown && Driver->core().config().Version != 0;
 }
 
-void NodeRuntime::applyCallerLimits() {
+void NodeRuntime::applyConfig() {
   const RoutingConfig &Config = Driver->core().config();
   if (Config.Version == LimitsVersion) {
     return;
@@ -193,7 +195,7 @@
       CallerLimits{Settings.Http.Limits.Head, Settings.Http.HeadTimeout,
                    Settings.Http.IdleTimeout});
   for (const ServiceSettings &Each : Config.Services) {
-    if (Each.Name == Driver->core().owner().service()) {
+    if (Each.Name == Settings.Service) {
       Upstream->setHealthPath(Each.HealthPath);
     }
   }
@@ -201,7 +203,6 @@
 }
 
 void NodeRuntime::flushTelemetry() {
-  applyCallerLimits();
   Telemetry->set(MetricId::CallerConnections, Callers->connections());
   Telemetry->set(MetricId::UpstreamConnections,
                  Upstream->active() + Upstream->idle());
@@ -223,6 +224,7 @@
 
 void NodeRuntime::carryOut(Action &What) {
   std::visit([this](auto &Each) { perform(Each); }, What);
+  applyConfig();
 }
 
 void NodeRuntime::onLinkUp(NodeRun Peer) { Driver->submit(PeerLinkUp{Peer}); }
@@ -264,11 +266,25 @@
 }
 
 void NodeRuntime::onProbed(const ProbeFinished &Result) {
+  if (Result.Purpose == ProbePurpose::Arrival) {
+    Registry->verified(Result.Succeeded);
+    return;
+  }
   Telemetry->probed(Result);
   Driver->submit(Result);
 }
 
-void NodeRuntime::onRefusedConnection() { Registry->withdraw(true); }
+void NodeRuntime::onRefusedConnection() {
+  // An upstream at its connection limit refuses further ones while it serves
+  // the others.
+  const std::size_t Running = Driver->core().owner().running().size();
+  if (Running <= 1) {
+    Registry->withdraw(true, "connection refused");
+  } else {
+    Telemetry->log(LogLevel::Warning, "upstream_connection_refused",
+                   {{"running", Running}});
+  }
+}
 
 void NodeRuntime::perform(SendToPeer &What) {
   Telemetry->frame(What.Message, false);
@@ -352,16 +368,17 @@
   ShutdownEnd = EventLoop::now() + Settings.DrainDeadline;
   Telemetry->log(LogLevel::Info, "shutdown_started",
                  {{"in_flight", Driver->core().ingress().inFlight()}});
-  Driver->submit(ShutdownRequested{});
   if (Settings.ShutdownNotice == Duration{0}) {
     closePorts();
     return;
   }
+  // Until callers have noticed, the node goes on as before.
   Callers->retire();
   Loop.after(Settings.ShutdownNotice, [this] { closePorts(); });
 }
 
 void NodeRuntime::closePorts() {
+  Driver->submit(ShutdownRequested{});
   CallerRequests->refuseNew();
   Callers->drain();
   checkShutdown();
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -13,6 +13,8 @@
 
 /// Most concurrent requests that an upstream may offer.
 constexpr std::uint32_t MaximumSlots = 65'536;
+/// Time for an upstream to say that it takes requests; it may be busy.
+constexpr Duration ArrivalTimeout = 500ms;
 
 bool refuse(Error &Fault, const std::string &Reason) {
   Fault = Error{numberOf(ErrorCode::AnnouncementForm), "upstream.announce", "",
@@ -90,14 +92,15 @@
 }
 
 UpstreamRegistry::UpstreamRegistry(EventLoop &EventSource, CoreDriver &Target,
-                                   UpstreamClient &Connections)
-    : Loop(EventSource), Driver(Target), Client(Connections) {}
+                                   UpstreamClient &Connections,
+                                   NodeTelemetry &Observer)
+    : Loop(EventSource), Driver(Target), Client(Connections), Log(Observer) {}
 
 UpstreamRegistry::~UpstreamRegistry() { Loop.cancel(Expiry); }
 
 bool UpstreamRegistry::announce(const Announcement &New) {
   if (New.Kind == AnnouncementKind::Removal) {
-    withdraw(false);
+    withdraw(false, "left");
     return true;
   }
   if (New.Kind == AnnouncementKind::Departure) {
@@ -110,6 +113,9 @@
   if (isOvertaken(New)) {
     return false;
   }
+  // A node that restarts beside its upstream does not know of a departure that
+  // its earlier run acknowledged.
+  Unverified = Unverified || (!Latest && New.Start != 0 && New.Sequence > 1);
   if (New.Start != 0) {
     Departed = Departed && Latest && Latest->Instance == New.Instance &&
                Latest->Start == New.Start;
@@ -118,7 +124,7 @@
   Loop.cancel(Expiry);
   Expiry = Loop.after(New.TimeToLive, [this] {
     Expiry = 0;
-    withdraw(true);
+    withdraw(true, "announcement expired");
   });
   const std::optional<Announcement> Old = std::exchange(Current, New);
   const bool OtherStart =
@@ -126,19 +132,41 @@
       (Old->Start != New.Start || Old->Instance != New.Instance);
   if (OtherStart) {
     // What the earlier start was running is lost.
+    Log.log(LogLevel::Warning, "upstream_gone",
+            {{"instance", Old->Instance},
+             {"service", Old->Service},
+             {"sequence", Old->Sequence},
+             {"reason", "another start announced itself"}});
     Driver.submit(UpstreamGone{true});
   }
   Client.setUpstream(New.Address, New.HealthPath, New.Instance);
   if (Departed) {
     Current->State = UpstreamState::Draining;
   }
+  if (Unverified && Current->State != UpstreamState::Draining) {
+    Client.probe(ProbeUpstream{ArrivalTimeout, ProbePurpose::Arrival});
+    return true;
+  }
   if (!Old || OtherStart || Old->Service != New.Service ||
       Old->Slots != New.Slots || Old->State != Current->State) {
-    Driver.submit(UpstreamAnnounced{New.Service, New.Slots, Current->State});
+    submitState();
   }
   return true;
 }
 
+void UpstreamRegistry::submitState() {
+  static const char *const States[] = {"none", "cold", "serving", "draining"};
+  Log.log(LogLevel::Info, "upstream_announced",
+          {{"instance", Current->Instance},
+           {"service", Current->Service},
+           {"state", States[static_cast<std::size_t>(Current->State)]},
+           {"slots", Current->Slots},
+           {"start", Current->Start},
+           {"sequence", Current->Sequence}});
+  Driver.submit(
+      UpstreamAnnounced{Current->Service, Current->Slots, Current->State});
+}
+
 bool UpstreamRegistry::isOvertaken(const Announcement &New) const {
   if (New.Start == 0 || !Latest) {
     return false;
@@ -149,19 +177,39 @@
   return New.Instance == Latest->Instance && New.Sequence <= Latest->Sequence;
 }
 
+void UpstreamRegistry::verified(bool TakesRequests) {
+  if (!Unverified || !Current) {
+    return;
+  }
+  if (!TakesRequests) {
+    // Asked again at the next announcement.
+    Log.log(LogLevel::Info, "upstream_not_taken",
+            {{"instance", Current->Instance},
+             {"sequence", Current->Sequence},
+             {"reason", "its health endpoint did not answer with success"}});
+    return;
+  }
+  Unverified = false;
+  submitState();
+}
+
 void UpstreamRegistry::depart() {
   Departed = true;
   if (Current && Current->State != UpstreamState::Draining) {
     Current->State = UpstreamState::Draining;
-    Driver.submit(
-        UpstreamAnnounced{Current->Service, Current->Slots, Current->State});
+    submitState();
   }
 }
 
-void UpstreamRegistry::withdraw(bool Crashed) {
+void UpstreamRegistry::withdraw(bool Crashed, std::string_view Reason) {
   Loop.cancel(Expiry);
   Expiry = 0;
   if (Current) {
+    Log.log(Crashed ? LogLevel::Warning : LogLevel::Info, "upstream_gone",
+            {{"instance", Current->Instance},
+             {"service", Current->Service},
+             {"sequence", Current->Sequence},
+             {"reason", Reason}});
     Current.reset();
     Driver.submit(UpstreamGone{Crashed});
   }
