Find peers and a missing configuration sooner; test the platform deployment

Ruled out: the store (it answered "missing" at once) and gossip (a table was complete 0.1 s after the first link).

--- a/include/hyssopford/core/candidate_table.hpp
+++ b/include/hyssopford/core/candidate_table.hpp
@@ -106,6 +106,9 @@
   /// @brief Sets the number of nodes that share the budgets of retries.
   void setMembers(std::size_t Count);
 
+  /// @return the number of nodes known, this one included
+  std::size_t members() const { return Members; }
+
   /// @return nodes to which this ingress needs a link
   const std::set<NodeId> &neededPeers() const { return Needed; }
 
--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -37,8 +37,6 @@
   /// First and longest time between two tries to reach the store.
   static constexpr Duration FirstBackoff = 250ms;
   static constexpr Duration LastBackoff = 2s;
-  /// Time between two reads while the store has no configuration.
-  static constexpr Duration MissingPeriod = 5s;
   /// Time between two notices about a store that serves an older version.
   static constexpr Duration OlderNoticePeriod = 60s;
 
--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -51,6 +51,11 @@
   /// Whether an idempotent request that an upstream answered with a 5xx is
   /// sent to another, within the budget.
   bool RetryFailedAnswers = false;
+  /// Whether the end of a request is reported with the decisions on it.
+  bool ReportRequests = false;
+  /// Of the requests that their first attempt served, one in this many is
+  /// reported; 0 reports none.
+  std::uint32_t ReportOneOf = 100;
   /// Shortest time after which the caller of a rejected request may return.
   Duration RetryAfterMin = 50ms;
   /// Longest such time; the actual one is drawn between both, so that rejected
@@ -67,6 +72,9 @@
   Duration EjectionTime = 500ms;
   /// Longest ejection.
   Duration EjectionTimeMax = 30s;
+  /// Whether a node that knows no other yet lets requests of unknown services
+  /// wait as for a link.
+  bool WaitWhenAlone = false;
   /// How long a request waits for the first link of its service.
   Duration LinkWait = 250ms;
   /// A service without requests for this long loses its links.
@@ -82,6 +90,8 @@
   bool AdaptiveLimit = true;
   /// Longest expected wait in the queue.
   Duration QueueDelayMax = 30ms;
+  /// Whether refused and failed attempts are reported.
+  bool ReportAttempts = false;
   /// Time before its deadline at which a waiting attempt is refused.
   Duration ExpiryMargin{0};
   /// Share of the announced slots that is used. Upstreams that share their
@@ -144,6 +154,9 @@
 struct StartSettings {
   /// Time for peers to offer a configuration before the store is read.
   Duration PeersFirst = 500ms;
+  /// Time between reads while the store holds no configuration; doubled at
+  /// random.
+  Duration MissingPeriod = 5s;
   /// Whether what the store answers ends the wait for newer offers. True for
   /// stores whose reads are never stale.
   bool TrustStore = false;
@@ -151,6 +164,13 @@
   Duration DirectoryDelay = 1s;
   /// Time between reads of two slots of the directory.
   Duration DirectoryInterval = 200ms;
+  /// Slots of the directory that are read in one look.
+  std::uint32_t DirectoryReads = 8;
+  /// First time between two looks; doubles up to 16 s.
+  Duration DirectoryBackoff = 1s;
+  /// Longest delay of the first write of a slot, drawn at random so that nodes
+  /// whose tables change together do not write together.
+  Duration DirectorySpread = 2s;
   /// How long members that left or died are contacted often, as they may
   /// restart at the same address; 0 disables this.
   Duration RejoinWindow{0};
--- a/include/hyssopford/core/directory_system.hpp
+++ b/include/hyssopford/core/directory_system.hpp
@@ -28,8 +28,7 @@
   static constexpr Duration LeaseMargin = 5s;
   /// Time between two changes of a slot's value.
   static constexpr Duration RewritePeriod = 30s;
-  /// First and longest time between two rounds through the slots.
-  static constexpr Duration FirstBackoff = 1s;
+  /// Longest time between two rounds through the slots.
   static constexpr Duration LastBackoff = 16s;
   /// Time after which a store call counts as lost.
   static constexpr Duration CallTime = 5s;
@@ -109,7 +108,7 @@
   /// True once a round through the slots found nothing.
   bool FoundNone = false;
   std::optional<TimePoint> NextRead;
-  Duration Backoff = FirstBackoff;
+  Duration Backoff = 1s;
   std::uint32_t FirstSlot = 0;
   std::uint32_t SlotsRead = 0;
   std::vector<std::string> Found;
--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -34,6 +34,8 @@
   std::optional<Priority> Class;
   /// Value of Idempotency-Key; empty if there is none.
   std::string Key;
+  /// Identifier under which the caller knows the request; may be empty.
+  std::string Tag;
   std::uint64_t BodyHash = 0;
   std::uint64_t BodySize = 0;
   /// True if the request is, at an earlier hop, a retry or a hedge.
--- a/include/hyssopford/core/ingress_system.hpp
+++ b/include/hyssopford/core/ingress_system.hpp
@@ -160,6 +160,8 @@
     std::uint32_t Attempts = 0;
     /// Attempts handed back by owners without cost.
     std::uint32_t HandBacks = 0;
+    /// One entry for each attempt that ended, for the report.
+    std::string Steps;
     /// Owners that handed the request back and might take it later.
     std::vector<NodeId> Busy;
     /// Set when all candidates have handed the request back.
@@ -209,6 +211,11 @@
               TimePoint Now, Actions &Out);
   void answer(RequestRow &Row, const DispatchReply &Reply, NodeId Owner,
               TimePoint Now, Actions &Out);
+  void noteStep(RequestRow &Row, const AttemptRow &Attempt,
+                std::uint64_t Sequence, Outcome Result, OutcomeReason Reason,
+                TimePoint Now);
+  void report(const RequestRow &Row, Outcome Result, OutcomeReason Reason,
+              TimePoint Now, Actions &Out);
   void erase(RequestRow &Row, Outcome Result, OutcomeReason Reason,
              TimePoint Now, Actions &Out);
 
@@ -220,6 +227,7 @@
   std::uint64_t NextSequence = 1;
   TimePoint NextUnusedCheck;
   IngressCounters Counters;
+  std::uint32_t Unreported = 0;
   std::unordered_map<RequestId, RequestRow> Requests;
   std::unordered_map<std::uint64_t, AttemptRow> Attempts;
   std::unordered_map<NodeId, std::set<std::uint64_t>> AttemptsByOwner;
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -120,6 +120,8 @@
            Actions &Out);
   void endQueued(const AdmittedAttempt &Row, OutcomeReason Reason,
                  TimePoint Now, Actions &Out);
+  void report(const char *Name, const AdmittedAttempt &Row,
+              OutcomeReason Reason, TimePoint Now, Actions &Out) const;
   void send(NodeId From, DispatchReply Reply, TimePoint Now, Actions &Out);
 
   NodeRun Self;
--- a/include/hyssopford/net/edge_policy.hpp
+++ b/include/hyssopford/net/edge_policy.hpp
@@ -53,6 +53,9 @@
   virtual HopFields readHop(const Poco::Net::HTTPRequest &Head,
                             bool Trusted) const = 0;
 
+  /// @return the identifier under which the caller knows the request, or empty
+  virtual std::string requestTag(const Poco::Net::HTTPRequest &Head) const = 0;
+
   /// @brief Builds the form of a request in which upstreams get it.
   /// @param Request the request
   /// @param Trusted true for requests of the upstream on this VM
@@ -98,6 +101,7 @@
 public:
   HopFields readHop(const Poco::Net::HTTPRequest &Head,
                     bool Trusted) const override;
+  std::string requestTag(const Poco::Net::HTTPRequest &Head) const override;
   Payload forwardedRequest(const HttpRequest &Request,
                            bool Trusted) const override;
   std::string answerFields(const ReplyToCaller &Reply) const override;
--- a/include/hyssopford/net/upstream_client.hpp
+++ b/include/hyssopford/net/upstream_client.hpp
@@ -93,7 +93,9 @@
   /// @brief Abandons an attempt by closing its connection.
   void cancel(AttemptId Attempt);
 
-  /// @brief Reads the health endpoint; ends with onProbed.
+  /// @brief Reads the health endpoint; ends with onProbed. Without a known path
+  /// nothing is sent: the upstream counts as well, but not as one that has said
+  /// that it takes requests.
   void probe(const ProbeUpstream &Probe);
   /// @}
 
--- a/include/hyssopford/node/caller_service.hpp
+++ b/include/hyssopford/node/caller_service.hpp
@@ -60,6 +60,7 @@
 
 private:
   TraceContext newTrace();
+  Payload refuseHead(const Poco::Net::HTTPRequest &Head, OutcomeReason Reason);
 
   CoreDriver &Driver;
   const EdgePolicy &Edge;
--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -61,6 +61,9 @@
   /// Service of the upstream on this VM, if it is known before its first
   /// announcement.
   std::string Service;
+  /// Path of the upstream's health endpoint until the configuration or an
+  /// announcement states it; may be empty.
+  std::string HealthPath = "/";
   /// IP number from which only the upstream on this VM sends requests to
   /// CallerAddress; empty if it uses LocalAddress.
   std::string UpstreamHost;
@@ -72,6 +75,8 @@
   OperatorTokens Tokens;
   /// Time for requests in flight after a request to end.
   Duration DrainDeadline = 30s;
+  /// Time after the start from which a node without peers counts as ready.
+  Duration ReadyWithoutPeers{0};
   /// Time after the request to shut down in which new callers are still
   /// served, as they learn from the readiness only later.
   Duration ShutdownNotice{0};
@@ -133,6 +138,9 @@
   std::string operatorAddress() const {
     return Operators ? Operators->address() : std::string();
   }
+  std::string readyAddress() const {
+    return Ready ? Ready->address() : std::string();
+  }
   const std::string &peerAddress() const { return Links->address(); }
   const NodeCore &core() const { return Driver->core(); }
 
@@ -207,6 +215,7 @@
   bool StoreReached = true;
   bool ShuttingDown = false;
   bool Finished = false;
+  TimePoint Begin = EventLoop::now();
   TimePoint ShutdownEnd;
 };
 
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -288,8 +288,8 @@
   Backoff = FirstBackoff;
   NextStoreCall = Watching ? Now : TimePoint::max();
   if (Result.Status == StoreStatus::Missing) {
-    const Duration Jitter(Random.below(MissingPeriod.count()));
-    NextStoreCall = Now + MissingPeriod + Jitter;
+    const Duration Jitter(Random.below(Settings.MissingPeriod.count()));
+    NextStoreCall = Now + Settings.MissingPeriod + Jitter;
     return;
   }
   if (Result.Status != StoreStatus::Done) {
--- a/src/core/directory_system.cpp
+++ b/src/core/directory_system.cpp
@@ -29,7 +29,7 @@
     Revision = 0;
     Written.clear();
     // Spreads the calls of nodes whose tables change at the same time.
-    NextWrite = Now + Duration(Random.below(RetryPeriod.count()));
+    NextWrite = Now + Duration(Random.below(Settings.DirectorySpread.count()));
   }
   Slot = NewSlot;
   Contacts = std::move(Addresses);
@@ -39,7 +39,7 @@
   if (Value && (!Alone || !NextRead)) {
     NextRead = Now + Settings.DirectoryDelay +
                Duration(Random.below(Settings.DirectoryDelay.count()));
-    Backoff = FirstBackoff;
+    Backoff = Settings.DirectoryBackoff;
     FoundNone = false;
     SlotsRead = 0;
   }
@@ -110,7 +110,10 @@
 
 void DirectorySystem::read(TimePoint Now, Actions &Out) {
   if (SlotsRead == 0) {
-    FirstSlot = static_cast<std::uint32_t>(Random.below(Slots));
+    // A site that starts has no slot but the first one.
+    FirstSlot = Settings.DirectoryReads < Slots
+                    ? 0
+                    : static_cast<std::uint32_t>(Random.below(Slots));
   }
   const std::uint32_t Next = (FirstSlot + SlotsRead) % Slots;
   ++SlotsRead;
@@ -136,7 +139,7 @@
                       Result.Status == StoreStatus::NoAnswer;
   if (Result.Status == StoreStatus::Done) {
     addContacts(Result.Value);
-  } else if (!Failed && SlotsRead < Slots) {
+  } else if (!Failed && SlotsRead < Settings.DirectoryReads) {
     NextRead = Now + Settings.DirectoryInterval;
     return;
   }
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -4,6 +4,8 @@
 #include "hyssopford/core/fingerprint.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
+#include <iterator>
 #include <utility>
 
 namespace hyssopford {
@@ -227,11 +229,12 @@
 
 void IngressSystem::startAttempt(RequestRow &Row, TimePoint Now, Actions &Out) {
   ServicePool *Pool = Table.use(Row.Service, Now);
-  if (Pool == nullptr) {
+  if (Pool == nullptr && !(Settings.WaitWhenAlone && Table.members() <= 1)) {
     settle(Row, Outcome::NotRun, OutcomeReason::NoUpstream, Now, Out);
     return;
   }
-  const std::optional<NodeRun> Chosen = choose(Row, *Pool, Now);
+  const std::optional<NodeRun> Chosen =
+      Pool == nullptr ? std::nullopt : choose(Row, *Pool, Now);
   if (Chosen) {
     dispatch(Row, *Pool, *Chosen, Now, Out);
     return;
@@ -447,6 +450,7 @@
   AttemptsByOwner[Attempt.Owner.Node].erase(Sequence);
   Table.ended(Attempt.Owner.Node, Sequence);
   std::erase(Row.Open, Sequence);
+  noteStep(Row, Attempt, Sequence, Result, Reason, Now);
   if (Result == Outcome::Unknown) {
     Row.MayHaveRun = true;
   }
@@ -521,9 +525,55 @@
   erase(Row, Outcome::Answered, OutcomeReason::None, Now, Out);
 }
 
+void IngressSystem::noteStep(RequestRow &Row, const AttemptRow &Attempt,
+                             std::uint64_t Sequence, Outcome Result,
+                             OutcomeReason Reason, TimePoint Now) {
+  if (!Settings.ReportRequests) {
+    return;
+  }
+  if (!Row.Steps.empty()) {
+    Row.Steps += ",";
+  }
+  fmt::format_to(std::back_inserter(Row.Steps), "{}/{}/{}/{}/{}us", Sequence,
+                 toString(Attempt.Owner.Node), toString(Result),
+                 toString(Reason), (Now - Attempt.Sent).count());
+}
+
+void IngressSystem::report(const RequestRow &Row, Outcome Result,
+                           OutcomeReason Reason, TimePoint Now, Actions &Out) {
+  const bool Plain = Result == Outcome::Answered && Row.Attempts <= 1 &&
+                     Row.HandBacks == 0 && !Row.Failed;
+  if (!Settings.ReportRequests ||
+      (Plain && ++Unreported < Settings.ReportOneOf) ||
+      (Plain && Settings.ReportOneOf == 0)) {
+    return;
+  }
+  if (Plain) {
+    Unreported = 0;
+  }
+  const ServicePool *Pool = Table.find(Row.Service);
+  Out.emplace_back(Notice{
+      "request_ended",
+      {{"id", Row.Request.Tag},
+       {"route", Row.Route},
+       {"service", Row.Service},
+       {"outcome", toString(Result)},
+       {"reason", toString(Reason)},
+       {"elapsed_us", std::to_string((Now - Row.Started).count())},
+       {"deadline_us", std::to_string((Row.Deadline - Row.Started).count())},
+       {"target_us", std::to_string(Row.Target.count())},
+       {"call", Row.Request.IsCall ? "yes" : "no"},
+       {"attempts", std::to_string(Row.Attempts)},
+       {"hand_backs", std::to_string(Row.HandBacks)},
+       {"candidates", std::to_string(Pool ? Pool->usable().size() : 0)},
+       {"of", std::to_string(Pool ? Pool->size() : 0)},
+       {"steps", Row.Steps}}});
+}
+
 void IngressSystem::erase(RequestRow &Row, Outcome Result, OutcomeReason Reason,
                           TimePoint Now, Actions &Out) {
   const RequestId Id = Row.Request.Id;
+  report(Row, Result, Reason, Now, Out);
   Timers.erase(Timer{Row.Deadline, TimerKind::Deadline, Id});
   if (Row.HedgeAt) {
     Timers.erase(Timer{*Row.HedgeAt, TimerKind::Hedge, Id});
--- a/src/core/membership_system.cpp
+++ b/src/core/membership_system.cpp
@@ -159,6 +159,7 @@
   for (const std::string &Address : Addresses) {
     if (std::find(Seeds.begin(), Seeds.end(), Address) == Seeds.end()) {
       Seeds.push_back(Address);
+      NextSeed = TimePoint{};
     }
   }
 }
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -193,6 +193,7 @@
     return;
   }
   const AdmittedAttempt Row = takeRunning(Found);
+  report("attempt_failed", Row, Failure.Reason, Now, Out);
   end(Row,
       endOf(Failure.Attempt,
             Failure.BytesSent ? Outcome::Unknown : Outcome::NotRun,
@@ -470,9 +471,35 @@
   DispatchReply Reply = endOf(Row.Attempt.Attempt, Outcome::NotRun, Reason);
   Reply.Held = std::max(Now - Row.Arrived, Duration{1});
   reportSpan(Row, SpanKind::Queue, Row.Arrived, Now, Reply, Out);
+  report("attempt_refused", Row, Reason, Now, Out);
   send(Row.From, std::move(Reply), Now, Out);
 }
 
+void OwnerSystem::report(const char *Name, const AdmittedAttempt &Row,
+                         OutcomeReason Reason, TimePoint Now,
+                         Actions &Out) const {
+  if (!Settings.ReportAttempts) {
+    return;
+  }
+  Out.emplace_back(Notice{
+      Name,
+      {{"attempt", toString(Row.Attempt.Attempt)},
+       {"service", Row.Attempt.Service},
+       {"route", Row.Attempt.Route},
+       {"reason", toString(Reason)},
+       {"held_us", std::to_string((Now - Row.Arrived).count())},
+       {"remaining_us", std::to_string((Row.Deadline - Now).count())},
+       {"target_us", std::to_string(Row.Attempt.Target.count())},
+       {"running", std::to_string(Running.size())},
+       {"queued", std::to_string(Queue.size())},
+       {"limit", std::to_string(Limit.value(Now))},
+       {"wait_us", std::to_string(expectedWait(Row.Attempt.Class).count())},
+       {"service_us", std::to_string(static_cast<std::int64_t>(
+                          serviceOf(Row.Attempt.Route)))},
+       {"speed_percent", std::to_string(Speed.percent())},
+       {"speed_age_us", std::to_string((Now - Speed.observedAt()).count())}}});
+}
+
 void OwnerSystem::send(NodeId From, DispatchReply Reply, TimePoint Now,
                        Actions &Out) {
   Latest = Now;
--- a/src/net/own_edge_policy.cpp
+++ b/src/net/own_edge_policy.cpp
@@ -16,6 +16,11 @@
   return readHopFields(Head, Trusted);
 }
 
+std::string
+OwnEdgePolicy::requestTag(const Poco::Net::HTTPRequest &Head) const {
+  return Head.get("X-Request-Id", "");
+}
+
 Payload OwnEdgePolicy::forwardedRequest(const HttpRequest &Request,
                                         bool Trusted) const {
   return buildForwardedRequest(Request, Trusted);
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -66,6 +66,14 @@
 }
 
 void UpstreamClient::probe(const ProbeUpstream &Probe) {
+  if (HealthPath.empty()) {
+    // Nothing is known against the upstream, and nothing in its favour.
+    const bool Good = Probe.Purpose != ProbePurpose::Arrival;
+    Loop.defer([this, Good, What = Probe.Purpose] {
+      Handler.onProbed(ProbeFinished{Good, Duration{0}, What});
+    });
+    return;
+  }
   std::shared_ptr<Exchange> Carrier = takeIdle(true);
   if (!Carrier) {
     Carrier = openNew();
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// When callers may come back that were refused before their request was read.
+constexpr Duration RefusalPause = 150ms;
+
 EdgeRefusal refusalOf(OutcomeReason Reason) {
   EdgeRefusal Refused;
   Refused.Code = Reason;
@@ -38,29 +41,45 @@
 HeadDecision CallerService::onHead(const Poco::Net::HTTPRequest &Head,
                                    const HttpHeadFacts &Facts) {
   HeadDecision Decision;
+  const RoutingConfig &Config = Driver.core().config();
   if (Refusing) {
-    Decision.Refusal = Edge.refusal(refusalOf(OutcomeReason::ShuttingDown));
+    Decision.Refusal = refuseHead(Head, OutcomeReason::ShuttingDown);
     return Decision;
   }
-  if (Driver.core().config().Version == 0) {
-    Decision.Refusal = Edge.refusal(refusalOf(OutcomeReason::NoConfig));
+  if (Config.Version == 0) {
+    Decision.Refusal = refuseHead(Head, OutcomeReason::NoConfig);
     return Decision;
   }
-  const Route *Matched = findRoute(Driver.core().config(), Facts.Host,
-                                   pathOf(Head, Facts), Head.getMethod());
+  const Route *Matched =
+      findRoute(Config, Facts.Host, pathOf(Head, Facts), Head.getMethod());
   if (Matched == nullptr) {
-    Decision.Refusal = Edge.refusal(refusalOf(OutcomeReason::NoRoute));
+    Decision.Refusal = refuseHead(Head, OutcomeReason::NoRoute);
     return Decision;
   }
   Decision.BodyLimit = Matched->BodyLimit;
   return Decision;
 }
 
+Payload CallerService::refuseHead(const Poco::Net::HTTPRequest &Head,
+                                  OutcomeReason Reason) {
+  if (Telemetry != nullptr) {
+    Telemetry->log(LogLevel::Info, "request_refused",
+                   {{"id", Edge.requestTag(Head)},
+                    {"reason", toString(Reason)},
+                    {"target", Head.getURI()},
+                    {"config_version", Driver.core().config().Version}});
+  }
+  EdgeRefusal Refused = refusalOf(Reason);
+  Refused.RetryAfter = RefusalPause;
+  return Edge.refusal(Refused);
+}
+
 void CallerService::onRequest(RequestId Id, HttpRequest Request) {
   const HopFields Hop = Edge.readHop(Request.Head, Trusted);
   CallerRequest Input;
   Input.Id = Id;
   Input.Method = Request.Head.getMethod();
+  Input.Tag = Edge.requestTag(Request.Head);
   Input.Host = Request.Facts.Host;
   Input.Path = std::string(pathOf(Request.Head, Request.Facts));
   Input.Deadline = Hop.Deadline;
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -103,6 +103,7 @@
   makeStore();
   Upstream = std::make_unique<UpstreamClient>(
       Loop, UpstreamEvents, Settings.Upstream, *Adapters.Edge);
+  Upstream->setHealthPath(Settings.HealthPath);
   Registry =
       std::make_unique<UpstreamRegistry>(Loop, *Driver, *Upstream, *Telemetry);
   makeServers();
@@ -182,7 +183,9 @@
 }
 
 bool NodeRuntime::isReady() const {
-  return !ShuttingDown && Driver->core().config().Version != 0;
+  const bool HasPeers = !Driver->core().membership().linkedPeers().empty();
+  return !ShuttingDown && Driver->core().config().Version != 0 &&
+         (HasPeers || EventLoop::now() >= Begin + Settings.ReadyWithoutPeers);
 }
 
 void NodeRuntime::applyConfig() {
--- /dev/null
+++ b/tests/core/overload_test.cpp
@@ -0,0 +1,188 @@
+/// @file
+/// @brief More requests than the upstreams can answer: who waits, who is
+/// refused and when, and what retries may cost the site.
+#include "hyssopford/core/admission_queue.hpp"
+#include "hyssopford/core/owner_system.hpp"
+#include "hyssopford/core/retry_budget.hpp"
+#include "hyssopford/core/traffic_split.hpp"
+
+#include "support/decisions.hpp"
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <map>
+
+using namespace hyssopford;
+using namespace hyssopford::test;
+
+namespace {
+
+AdmittedAttempt waiting(std::uint64_t Sequence, Priority Class) {
+  return AdmittedAttempt{NodeId{9}, dispatchOf(Sequence, Class), at(0ms),
+                         at(1s), at(0ms)};
+}
+
+/// An owner with two usable slots of 50 ms service time each.
+struct BusyOwner {
+  OwnerSystem Owner;
+  Actions Out;
+
+  BusyOwner() : Owner(nodeRun(1), settings()) {
+    Owner.announce({"seats", 2, UpstreamState::Serving}, at(0ms), Out);
+    admit(dispatchOf(1), 0ms);
+    Owner.answered({AttemptId{nodeRun(9), 1}, 200, Payload("ok"), false, 100},
+                   at(50ms), Out);
+    admit(dispatchOf(2), 50ms);
+    admit(dispatchOf(3), 50ms);
+  }
+  static AdmissionSettings settings() {
+    AdmissionSettings Settings;
+    Settings.AdaptiveLimit = false;
+    Settings.SlowFactor = 2.5;
+    Settings.ExpiryMargin = 20ms;
+    return Settings;
+  }
+  void admit(const Dispatch &Attempt, Duration Now) {
+    Out.clear();
+    Owner.admit(NodeId{9}, Attempt, at(Now), Out);
+  }
+  std::vector<OutcomeReason> refusals() const {
+    std::vector<OutcomeReason> Found;
+    for (const auto &Each : messages<DispatchReply>(Out)) {
+      if (Each.Message.Result == Outcome::NotRun) {
+        Found.push_back(Each.Message.Reason);
+      }
+    }
+    return Found;
+  }
+};
+
+Dispatch withTarget(std::uint64_t Sequence, Duration Target,
+                    bool MayHandBack = false) {
+  Dispatch Result = dispatchOf(Sequence);
+  Result.Target = Target;
+  Result.MayHandBack = MayHandBack;
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("calls of running requests and urgent kinds start first",
+          "[overload]") {
+  AdmissionQueue Queue(4);
+  Queue.push(waiting(1, Priority::Lowest));
+  Queue.push(waiting(2, Priority::Low));
+  Queue.push(waiting(3, Priority::High));
+  Queue.push(waiting(4, Priority::Normal));
+  std::vector<std::uint64_t> Order;
+  while (const auto Next = Queue.pop()) {
+    Order.push_back(Next->Attempt.Attempt.Sequence);
+  }
+  CHECK(Order == std::vector<std::uint64_t>{3, 4, 2, 1});
+}
+
+TEST_CASE("no class starves behind a steady stream of urgent ones",
+          "[overload]") {
+  AdmissionQueue Queue(4);
+  Queue.push(waiting(1, Priority::Lowest));
+  Queue.push(waiting(2, Priority::Normal));
+  std::map<Priority, int> Started;
+  for (std::uint64_t Sequence = 10; Sequence < 30; ++Sequence) {
+    Queue.push(waiting(Sequence, Priority::High));
+    ++Started[Queue.pop()->Attempt.Class];
+  }
+  CHECK(Started[Priority::Lowest] == 1);
+  CHECK(Started[Priority::Normal] == 1);
+}
+
+TEST_CASE("a wait is bounded by what the target leaves", "[overload]") {
+  BusyOwner Test;
+  SECTION("an attempt that can still meet its target waits for it") {
+    Test.admit(withTarget(4, 300ms), 60ms);
+    CHECK(Test.refusals().empty());
+  }
+  SECTION("one that cannot is refused on arrival") {
+    for (std::uint64_t Sequence = 4; Sequence < 10; ++Sequence) {
+      Test.admit(withTarget(Sequence, 120ms), 60ms);
+    }
+    CHECK(Test.refusals() ==
+          std::vector<OutcomeReason>{OutcomeReason::QueueFull});
+  }
+  SECTION("one whose wait turns out too long is refused, not held") {
+    Test.admit(withTarget(4, 120ms), 60ms);
+    REQUIRE(Test.refusals().empty());
+    Test.Out.clear();
+    Test.Owner.tick(at(140ms), Test.Out);
+    CHECK(Test.refusals() ==
+          std::vector<OutcomeReason>{OutcomeReason::QueueFull});
+  }
+  SECTION("one that others may take is handed back instead of queued") {
+    Test.admit(withTarget(4, 300ms, true), 60ms);
+    CHECK(Test.refusals() ==
+          std::vector<OutcomeReason>{OutcomeReason::QueueFull});
+  }
+  SECTION("a refusal at the deadline leaves time to tell the caller") {
+    // At the deadline itself the ingress could only answer that it does not
+    // know whether the request ran.
+    Dispatch Short = withTarget(4, 200ms);
+    Short.Remaining = 150ms;
+    Test.admit(Short, 60ms);
+    REQUIRE(Test.refusals().empty());
+    REQUIRE(Test.Owner.nextWakeup().has_value());
+    CHECK(*Test.Owner.nextWakeup() == at(190ms));
+  }
+}
+
+TEST_CASE("slots beyond the usable share stay free", "[overload]") {
+  for (const auto &[Slots, Usable] :
+       std::map<std::uint32_t, std::uint32_t>{{9, 7}, {6, 4}, {5, 4}, {1, 1}}) {
+    AdmissionSettings Settings;
+    Settings.SlotShare = 0.8;
+    OwnerSystem Owner(nodeRun(1), Settings);
+    Actions Out;
+    Owner.announce({"seats", Slots, UpstreamState::Serving}, at(0ms), Out);
+    CHECK(Owner.load().Limit == Usable);
+  }
+}
+
+TEST_CASE("the burst of retries is shared by all nodes", "[overload]") {
+  RoutingSettings Settings;
+  Settings.SiteBurst = 60.0;
+  Settings.ExtraStart = 30;
+  Settings.ExtraPerThousand = 1'000;
+  for (const std::size_t Nodes :
+       {std::size_t{1}, std::size_t{13}, std::size_t{60}, std::size_t{1'060}}) {
+    RetryBudget Budget(Settings);
+    Budget.share(Nodes);
+    for (int Request = 0; Request < 1'000; ++Request) {
+      Budget.fund();
+    }
+    std::size_t Taken = 0;
+    while (Budget.takeRetry()) {
+      ++Taken;
+    }
+    INFO(Nodes);
+    CHECK(Taken == std::max<std::size_t>(1, 60 / Nodes));
+  }
+}
+
+TEST_CASE("a split keeps its weights over any stretch", "[overload]") {
+  Route Split = seatsRoute();
+  Split.Split = {{"a", 90}, {"b", 7}, {"c", 3}, {"unused", 0}};
+  SeededRandomSource Random(3);
+  TrafficSplit Splits;
+  std::map<std::string, int> Counts;
+  for (int Request = 1; Request <= 1'000; ++Request) {
+    ++Counts[Splits.choose(Split, Random)];
+    for (const ServiceShare &Each : Split.Split) {
+      const double Wanted = Request * Each.Weight / 100.0;
+      REQUIRE(std::abs(Counts[Each.Service] - Wanted) <= 4.0);
+    }
+  }
+  CHECK(Counts["unused"] == 0);
+  RoutingConfig Config;
+  Split.Split = {{"b", 1}};
+  Config.Routes = {Split};
+  Splits.adopt(Config);
+  CHECK(Splits.choose(Split, Random) == "b");
+}
--- /dev/null
+++ b/tests/core/start_test.cpp
@@ -0,0 +1,118 @@
+/// @file
+/// @brief Starts and restarts: how soon a node has a configuration and peers.
+#include "hyssopford/core/config_system.hpp"
+#include "hyssopford/core/membership_system.hpp"
+#include "hyssopford/core/node_core.hpp"
+
+#include "fake_config_codec.hpp"
+#include "support/decisions.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hyssopford;
+using namespace hyssopford::test;
+
+namespace {
+
+StartSettings fastStart() {
+  StartSettings Settings;
+  Settings.PeersFirst = 50ms;
+  Settings.TrustStore = true;
+  Settings.MissingPeriod = 250ms;
+  Settings.DirectoryDelay = 50ms;
+  Settings.RejoinWindow = 20s;
+  return Settings;
+}
+
+/// Gives the call that reads the configuration; fails if there is none.
+StoreCall onlyCall(const Actions &Out) {
+  const auto Calls = all<StoreCall>(Out);
+  REQUIRE(Calls.size() == 1);
+  return Calls[0];
+}
+
+} // namespace
+
+TEST_CASE("a store without a configuration is read again soon", "[start]") {
+  // All nodes of a site start before the first configuration is written. With
+  // the usual 5 to 10 s between reads none was ready when traffic began.
+  const FakeConfigCodec Codec;
+  SeededRandomSource Random(1);
+  ConfigSystem System(Codec, Random, fastStart());
+  Actions Out;
+  System.tick(at(0ms), Out);
+  Out.clear();
+  System.tick(at(50ms), Out);
+  StoreReplied Missing{onlyCall(Out).Call, {}};
+  Missing.Result.Status = StoreStatus::Missing;
+  System.receive(Missing, at(54ms), Out);
+  REQUIRE(System.nextWakeup().has_value());
+  Out.clear();
+  System.tick(at(54ms + 2 * fastStart().MissingPeriod), Out);
+  CHECK(all<StoreCall>(Out).size() == 1);
+}
+
+TEST_CASE("what the store answers is in force at once", "[start]") {
+  const FakeConfigCodec Codec;
+  SeededRandomSource Random(1);
+  const bool Trusted = GENERATE(true, false);
+  StartSettings Settings = fastStart();
+  Settings.TrustStore = Trusted;
+  ConfigSystem System(Codec, Random, Settings);
+  Actions Out;
+  System.tick(at(0ms), Out);
+  Out.clear();
+  System.tick(at(50ms), Out);
+  ConfigHead Head;
+  Head.Version = 3;
+  Head.Document = "three";
+  StoreReplied Reply{onlyCall(Out).Call, {}};
+  Reply.Result.Status = StoreStatus::Done;
+  Reply.Result.Revision = 7;
+  Reply.Result.Value = Codec.renderHead(Head);
+  System.receive(Reply, at(54ms), Out);
+  CHECK(System.version() == (Trusted ? 3 : 0));
+}
+
+TEST_CASE("a node without a configuration refuses as not run", "[start]") {
+  NodeCoreSettings Settings;
+  Settings.Address = "10.0.0.1:1";
+  Settings.Run = Incarnation{1};
+  NodeCore Core(Settings);
+  Actions Out;
+  Core.handle(callerRequest(1), at(0ms), Out);
+  REQUIRE(all<ReplyToCaller>(Out).size() == 1);
+  CHECK(all<ReplyToCaller>(Out)[0].Result == Outcome::NotRun);
+  CHECK(all<ReplyToCaller>(Out)[0].Reason == OutcomeReason::NoConfig);
+}
+
+TEST_CASE("members that left lately are contacted until they are back",
+          "[start]") {
+  // A node that restarts while the store is away knows nobody; its peers know
+  // its address.
+  MemberRecord Self;
+  Self.Id = nodeRun(1);
+  Self.Address = "10.0.0.1:1";
+  SeededRandomSource Random(1);
+  MembershipSystem System(Self, {}, Random, fastStart());
+  Actions Out;
+  MemberRecord Peer;
+  Peer.Address = "10.0.0.2:1";
+  Peer.Id = NodeRun{nodeIdOf(Peer.Address), Incarnation{1}};
+  System.receive(Peer.Id, Gossip{{Peer}}, at(0ms), Out);
+  System.linkUp(Peer.Id, at(0ms), Out);
+  Peer.State = MemberState::Leaving;
+  Peer.Update = 1;
+  System.receive(Peer.Id, Gossip{{Peer}}, at(10ms), Out);
+  System.linkDown(Peer.Id.Node, at(20ms), Out);
+  std::size_t Opened = 0;
+  for (Duration Now = 100ms; Now < 3s; Now += 100ms) {
+    Out.clear();
+    System.tick(at(Now), Out);
+    for (const OpenLink &Each : all<OpenLink>(Out)) {
+      Opened += Each.Peer == Peer.Id.Node ? 1 : 0;
+      System.linkDown(Peer.Id.Node, at(Now), Out);
+    }
+  }
+  CHECK(Opened >= 2);
+}
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,285 @@
+/// @file
+/// @brief Tests of what the platform's words are decoded to.
+#include "announcements.hpp"
+#include "config_document.hpp"
+#include "edge_policy.hpp"
+#include "settings.hpp"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace hyssopford;
+using namespace hyssopford::platform;
+using nlohmann::json;
+
+namespace {
+
+json goodSettings() {
+  return json::parse(R"({"node":"n-1","failure_domain":"a","region":"r",
+    "service":"s","upstream_address":"10.0.0.1:8","caller_address":"10.0.0.1:1",
+    "announcement_address":"10.0.0.1:2","ready_address":"10.0.0.1:3",
+    "ip":"10.0.0.1","ports":[7600,7615],"store_address":"10.9.9.9:1",
+    "announcement_period_s":1.5,
+    "bounds":{"graceS":6,"retryBudgetRatio":0.2,"retrySlack":62}})");
+}
+
+json goodReport() {
+  return json::parse(R"({"service":"s","address":"10.0.0.1:8","zone":"a",
+    "version":"v1","capacity":9,"state":"ready","coldRemainingS":0,
+    "sequence":4,"born":1700000000000})");
+}
+
+json goodConfig() {
+  return json::parse(R"({"version":12,"routes":[
+    {"name":"read","host":"h.example","prefix":"/p/","kind":"safe",
+     "timeoutS":1.0,"targetLatencyS":0.4,"priority":2,"service":"a",
+     "maxAttempts":2},
+    {"name":"pay","host":"h.example","prefix":"/p/pay/","kind":"unsafe",
+     "timeoutS":0.6,"targetLatencyS":0.25,"priority":0,"maxAttempts":1,
+     "trafficSplit":[{"service":"a","weight":95},{"service":"b","weight":5}]}],
+    "services":[{"name":"a","healthPath":"/health","maxConnections":260}],
+    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutS":3,
+    "idleTimeoutS":15}})");
+}
+
+std::optional<Announcement> decode(const std::string &Body, Error &Fault,
+                                   const std::string &Method = "PUT") {
+  return PlatformAnnouncements("10.0.0.1:8", 1'500ms)
+      .decode(Method, "/hyssopford/instances/i-1", Body, Fault);
+}
+
+Poco::Net::HTTPResponse response(int Status) {
+  return Poco::Net::HTTPResponse(
+      static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
+}
+
+} // namespace
+
+TEST_CASE("settings", "[platform]") {
+  Error Fault;
+  SECTION("addresses, bounds and periods are read") {
+    const auto Read = parseSettings(goodSettings().dump(), Fault);
+    REQUIRE(Read.has_value());
+    CHECK(Read->PeerAddress == "10.0.0.1:7600");
+    CHECK(Read->Grace == 6s);
+    CHECK(Read->RetrySlack == 62.0);
+    const NodeRuntimeSettings Runtime = runtimeSettings(*Read);
+    CHECK(Runtime.DrainDeadline < Read->Grace);
+    CHECK(Runtime.UpstreamHost == "10.0.0.1");
+    CHECK_FALSE(Runtime.Keys.Enabled);
+  }
+  SECTION("unknown fields are ignored") {
+    json Settings = goodSettings();
+    Settings["new"] = {{"x", 1}};
+    CHECK(parseSettings(Settings.dump(), Fault).has_value());
+  }
+  SECTION("each missing field is a fault with a reason") {
+    for (const char *Field :
+         {"node", "service", "upstream_address", "caller_address", "ip",
+          "ports", "store_address", "ready_address"}) {
+      json Settings = goodSettings();
+      Settings.erase(Field);
+      INFO(Field);
+      CHECK_FALSE(parseSettings(Settings.dump(), Fault).has_value());
+      CHECK(Fault.Reason.find(Field) != std::string::npos);
+    }
+    CHECK_FALSE(parseSettings("no JSON", Fault).has_value());
+  }
+}
+
+TEST_CASE("status reports", "[platform]") {
+  Error Fault;
+  SECTION("a report names instance, state and order") {
+    const auto Read = decode(goodReport().dump(), Fault);
+    REQUIRE(Read.has_value());
+    CHECK(Read->Instance == "i-1");
+    CHECK(Read->State == UpstreamState::Serving);
+    CHECK(Read->Slots == 9);
+    CHECK(Read->Start == 1'700'000'000'000U);
+    CHECK(Read->Sequence == 4);
+  }
+  SECTION("the time after a start counts as cold") {
+    json Report = goodReport();
+    Report["coldRemainingS"] = 1.5;
+    CHECK(decode(Report.dump(), Fault)->State == UpstreamState::Cold);
+  }
+  SECTION("both manners of leaving are told apart from being gone") {
+    json Report = goodReport();
+    Report["state"] = "draining";
+    CHECK(decode(Report.dump(), Fault)->State == UpstreamState::Draining);
+    CHECK(decode("", Fault, "DELETE")->Kind == AnnouncementKind::Departure);
+  }
+  SECTION("reports of another writer name no upstream") {
+    for (const char *Field :
+         {"service", "address", "capacity", "state", "sequence", "born"}) {
+      json Report = goodReport();
+      Report.erase(Field);
+      INFO(Field);
+      CHECK_FALSE(decode(Report.dump(), Fault).has_value());
+      Report[Field] = json::array();
+      CHECK_FALSE(decode(Report.dump(), Fault).has_value());
+    }
+    json Report = goodReport();
+    Report["state"] = "resting";
+    CHECK_FALSE(decode(Report.dump(), Fault).has_value());
+    Report = goodReport();
+    Report["address"] = "10.0.0.2:8";
+    CHECK_FALSE(decode(Report.dump(), Fault).has_value());
+    CHECK_FALSE(decode("\xff\xfe", Fault).has_value());
+    CHECK_FALSE(Fault.Reason.empty());
+  }
+}
+
+TEST_CASE("configuration documents", "[platform]") {
+  const ConfigDocument Codec;
+  std::vector<Error> Errors;
+  Error Fault;
+  SECTION("routes, splits, services and limits are read") {
+    const std::string Text = goodConfig().dump();
+    REQUIRE(Codec.parseHead(Text, Fault).has_value());
+    CHECK(Codec.parseHead(Text, Fault)->Version == 12);
+    const auto Config = Codec.parseConfig(Text, 12, Errors);
+    REQUIRE(Config.has_value());
+    REQUIRE(Config->Routes.size() == 2);
+    CHECK(Config->Routes[0].Idempotent == true);
+    CHECK(Config->Routes[0].Deadline == 1s);
+    CHECK(Config->Routes[0].TargetLatency == 400ms);
+    CHECK(Config->Routes[0].TryLimit == 2);
+    CHECK(Config->Routes[1].Idempotent == false);
+    CHECK(Config->Routes[1].Split.size() == 2);
+    CHECK(Config->Routes[1].Class < Config->Routes[0].Class);
+    // The most urgent class is kept for calls of running requests.
+    CHECK(Config->Routes[1].Class > Priority::High);
+    CHECK(Config->Services[0].HealthPath == "/health");
+    CHECK(Config->Callers->IdleTimeout == 15s);
+    CHECK(Config->Routes[0].BodyLimit == 1'000);
+    CHECK(findRoute(*Config, "h.example", "/p/pay/x", "POST")->Name == "pay");
+  }
+  SECTION("what cannot be read is refused with a reason") {
+    CHECK_FALSE(Codec.parseHead("{", Fault).has_value());
+    for (const char *Field : {"routes", "services", "limits"}) {
+      json Config = goodConfig();
+      Config[Field] = 7;
+      CHECK_FALSE(Codec.parseConfig(Config.dump(), 12, Errors).has_value());
+    }
+    json Config = goodConfig();
+    Config["routes"][0].erase("timeoutS");
+    CHECK_FALSE(Codec.parseConfig(Config.dump(), 12, Errors).has_value());
+    CHECK(Errors.size() == 4);
+    CHECK_FALSE(Codec.applyPatch("{}", "[]", Fault).has_value());
+  }
+}
+
+TEST_CASE("answers of instances", "[platform]") {
+  const PlatformEdgePolicy Edge("s");
+  const auto Judge = [&](const Poco::Net::HTTPResponse &Head) {
+    return Edge.judge(Head, "t1");
+  };
+  auto Good = response(200);
+  Good.set("X-Attempt-Id", "t1");
+  Good.set("X-Server-Signature", "x");
+  CHECK(Judge(Good) == AnswerKind::Answer);
+
+  SECTION("a success without signature or identifier is none") {
+    auto Head = Good;
+    Head.erase("X-Server-Signature");
+    CHECK(Judge(Head) == AnswerKind::Invalid);
+    Head = Good;
+    Head.erase("X-Attempt-Id");
+    CHECK(Judge(Head) == AnswerKind::Invalid);
+    Head = Good;
+    Head.set("Content-Encoding", "gzip");
+    CHECK(Judge(Head) == AnswerKind::Invalid);
+  }
+  SECTION("the answer to another request is told by its identifier") {
+    auto Head = Good;
+    Head.set("X-Attempt-Id", "t2");
+    CHECK(Judge(Head) == AnswerKind::Foreign);
+  }
+  SECTION("only the stated refusals count as not run") {
+    CHECK(Judge(response(421)) == AnswerKind::NotRun);
+    CHECK(Judge(response(503)) == AnswerKind::Answer);
+    auto Head = response(503);
+    Head.set("X-Not-Executed", "1");
+    CHECK(Judge(Head) == AnswerKind::NotRun);
+  }
+  SECTION("a failure of the instance is its answer") {
+    auto Head = response(500);
+    Head.set("X-Attempt-Id", "t1");
+    CHECK(Judge(Head) == AnswerKind::Answer);
+  }
+  SECTION("the speed is the fourth figure of the load, if there is one") {
+    auto Head = response(200);
+    CHECK(Edge.speedOf(Head) == 0);
+    Head.set("X-Server-Load", "3,0,8");
+    CHECK(Edge.speedOf(Head) == 0);
+    Head.set("X-Server-Load", "3,0,8,500");
+    CHECK(Edge.speedOf(Head) == 500);
+    Head.set("X-Server-Load", "3,0,8,x");
+    CHECK(Edge.speedOf(Head) == 0);
+  }
+}
+
+TEST_CASE("answers of the node", "[platform]") {
+  const PlatformEdgePolicy Edge("s");
+  const auto Refuse = [&](Outcome Result, OutcomeReason Reason) {
+    EdgeRefusal Refused;
+    Refused.Result = Result;
+    Refused.Code = Reason;
+    Refused.RetryAfter = 120ms;
+    return std::string(Edge.refusal(Refused).bytes());
+  };
+  SECTION("what did not run is a 503 that says when to come back") {
+    const std::string Answer =
+        Refuse(Outcome::NotRun, OutcomeReason::QueueFull);
+    CHECK(Answer.starts_with("HTTP/1.1 503"));
+    CHECK(Answer.find("Retry-After: 0.120\r\n") != std::string::npos);
+  }
+  SECTION("a node without configuration does not say that a route is missing") {
+    CHECK(Refuse(Outcome::NotRun, OutcomeReason::NoConfig)
+              .starts_with("HTTP/1.1 503"));
+    CHECK(Refuse(Outcome::NotRun, OutcomeReason::NoRoute)
+              .starts_with("HTTP/1.1 404"));
+  }
+  SECTION("what may have run gets a status that promises nothing") {
+    for (const OutcomeReason Reason :
+         {OutcomeReason::UpstreamClosed, OutcomeReason::LinkLost,
+          OutcomeReason::DeadlineExceeded, OutcomeReason::UpstreamTimeout}) {
+      const std::string Answer = Refuse(Outcome::Unknown, Reason);
+      const bool PromisesNothing = Answer.starts_with("HTTP/1.1 502") ||
+                                   Answer.starts_with("HTTP/1.1 504");
+      CHECK(PromisesNothing);
+      CHECK(Answer.find("Retry-After") == std::string::npos);
+    }
+  }
+}
+
+TEST_CASE("requests for instances", "[platform]") {
+  const PlatformEdgePolicy Edge("s");
+  Poco::Net::HTTPRequest Head("POST", "/p/x?q=1", "HTTP/1.1");
+  Head.set("Host", "h.example");
+  Head.set("X-Attempt-Id", "t1");
+  Head.set("x-caller-service", "forged");
+  Head.set("X-Expected-Instance", "forged");
+  Head.set("X-Deadline-Ms", "700");
+  Head.set("X-Other", "kept");
+  HttpHeadFacts Facts;
+  Facts.Framing = BodyFraming::Chunked;
+  CHECK(Edge.readHop(Head, false).Deadline == 700ms);
+  const Payload Request =
+      Edge.forwardedRequest({Head, Facts, "body", "10.0.0.9:1"}, false);
+  const std::string Text(Request.bytes());
+  CHECK(Text.starts_with("POST /p/x?q=1 HTTP/1.1\r\nHost: h.example\r\n"));
+  CHECK(Text.find("forged") == std::string::npos);
+  CHECK(Text.find("X-Caller-Service: s\r\n") != std::string::npos);
+  CHECK(Text.find("X-Other: kept\r\n") != std::string::npos);
+  CHECK(Text.find("X-Deadline-Ms") == std::string::npos);
+  CHECK(Text.ends_with("Content-Length: 4\r\n\r\nbody"));
+  CHECK(Edge.echoOf(Text) == "t1");
+  ForwardToUpstream Attempt;
+  Attempt.Remaining = 650ms;
+  CHECK(Edge.attemptFields(Attempt, "i-1") ==
+        "X-Deadline-Ms: 650\r\nX-Expected-Instance: i-1\r\n");
+}
