Ask a running instance again once its health path is known

Ruled out: a failing health endpoint (it was never asked).

Change: the registry asks as soon as the path is known. A test in platform_tests restarts a node beside its instance.

--- a/include/hyssopford/node/upstream_registry.hpp
+++ b/include/hyssopford/node/upstream_registry.hpp
@@ -79,6 +79,10 @@
   /// @return false if it was overtaken by a later one, and is ignored
   bool announce(const Announcement &New);
 
+  /// @brief Probes an upstream that this node found running and has not asked
+  /// yet, e.g. once the path of its health endpoint is known.
+  void verify();
+
   /// @brief Takes the result of a probe of an upstream that this node found
   /// running.
   /// @param TakesRequests whether the upstream says that it is well
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -200,6 +200,7 @@
   for (const ServiceSettings &Each : Config.Services) {
     if (Each.Name == Settings.Service) {
       Upstream->setHealthPath(Each.HealthPath);
+      Registry->verify();
     }
   }
   Callers->setLimits(Limits.HeadBytes, Limits.HeadTimeout, Limits.IdleTimeout);
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -144,7 +144,7 @@
     Current->State = UpstreamState::Draining;
   }
   if (Unverified && Current->State != UpstreamState::Draining) {
-    Client.probe(ProbeUpstream{ArrivalTimeout, ProbePurpose::Arrival});
+    verify();
     return true;
   }
   if (!Old || OtherStart || Old->Service != New.Service ||
@@ -177,6 +177,12 @@
   return New.Instance == Latest->Instance && New.Sequence <= Latest->Sequence;
 }
 
+void UpstreamRegistry::verify() {
+  if (Unverified && Current) {
+    Client.probe(ProbeUpstream{ArrivalTimeout, ProbePurpose::Arrival});
+  }
+}
+
 void UpstreamRegistry::verified(bool TakesRequests) {
   if (!Unverified || !Current) {
     return;
--- a/tests/platform/deployment_test.cpp
+++ b/tests/platform/deployment_test.cpp
@@ -329,6 +329,16 @@
     REQUIRE(First.serves("r1"));
     CHECK(Site.call([&] { return Near.runs().size(); }) == Before);
   }
+  SECTION(
+      "a restarted node takes its running instance before its next report") {
+    // The first report after the restart finds the health path unknown.
+    REQUIRE(Second.serves("r0"));
+    First.stop();
+    First.start();
+    REQUIRE(eventually(
+        [&] { return First.Lines.contains("event=upstream_announced"); }));
+    CHECK(First.serves("r3"));
+  }
   SECTION("a node that restarts while the store is away is found by its peer") {
     Site.call([&] {
       Site.Store->setTrouble(StoreTrouble::Silent);
