Take over a directory slot whose contacts are all gone

The lease of the slot lasts 30 s.

Ruled out: the store (it answered), gossip (no link ever came up), the order of incarnations (no address conflict in the log).

Change: a node that is still alone after three looks replaces the slot under the revision that it read; the others learn the new value from their conflict.

Figures: the new core test fails without the change.

Conclusion: a site re-forms whatever the directory holds.

--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -166,8 +166,9 @@
   Duration DirectoryInterval = 200ms;
   /// Slots of the directory that are read in one look.
   std::uint32_t DirectoryReads = 8;
-  /// First time between two looks; doubles up to 16 s.
+  /// First and longest time between two looks.
   Duration DirectoryBackoff = 1s;
+  Duration DirectoryBackoffMax = 16s;
   /// Longest delay of the first write of a slot, drawn at random so that nodes
   /// whose tables change together do not write together.
   Duration DirectorySpread = 2s;
--- a/include/hyssopford/core/directory_system.hpp
+++ b/include/hyssopford/core/directory_system.hpp
@@ -28,8 +28,6 @@
   static constexpr Duration LeaseMargin = 5s;
   /// Time between two changes of a slot's value.
   static constexpr Duration RewritePeriod = 30s;
-  /// Longest time between two rounds through the slots.
-  static constexpr Duration LastBackoff = 16s;
   /// Time after which a store call counts as lost.
   static constexpr Duration CallTime = 5s;
 
@@ -111,6 +109,8 @@
   Duration Backoff = 1s;
   std::uint32_t FirstSlot = 0;
   std::uint32_t SlotsRead = 0;
+  /// Looks in a row that found contacts of which none could be reached.
+  std::uint32_t FruitlessLooks = 0;
   std::vector<std::string> Found;
   /// @}
 };
--- a/src/core/directory_system.cpp
+++ b/src/core/directory_system.cpp
@@ -10,6 +10,9 @@
 // A slot that another node holds is tried again after half its lease.
 constexpr Duration HeldPeriod = 15s;
 
+// Looks that found contacts after which these count as gone.
+constexpr std::uint32_t FruitlessLimit = 2;
+
 std::string slotKey(std::uint32_t Slot) {
   return "hyssopford/directory/" + std::to_string(Slot);
 }
@@ -45,6 +48,7 @@
   }
   Alone = Value;
   if (!Alone) {
+    FruitlessLooks = 0;
     NextRead.reset();
   }
 }
@@ -137,16 +141,27 @@
   }
   const bool Failed = Result.Status == StoreStatus::Refused ||
                       Result.Status == StoreStatus::NoAnswer;
+  const std::uint32_t Read = (FirstSlot + SlotsRead - 1) % Slots;
+  bool TakesOver = false;
   if (Result.Status == StoreStatus::Done) {
     addContacts(Result.Value);
+    TakesOver = ++FruitlessLooks > FruitlessLimit && Slot == Read;
   } else if (!Failed && SlotsRead < Settings.DirectoryReads) {
     NextRead = Now + Settings.DirectoryInterval;
     return;
   }
-  FoundNone = Result.Status == StoreStatus::Missing;
+  FoundNone = Result.Status == StoreStatus::Missing || TakesOver;
+  if (TakesOver) {
+    // The contacts of the slot cannot be reached. Of the nodes that have read
+    // it, the one whose write succeeds becomes the contact of the others.
+    FruitlessLooks = 0;
+    Revision = Result.Revision;
+    Written.clear();
+    NextWrite = Now;
+  }
   SlotsRead = 0;
   NextRead = Now + Backoff + Duration(Random.below(Backoff.count()));
-  Backoff = std::min(Backoff * 2, LastBackoff);
+  Backoff = std::min(Backoff * 2, Settings.DirectoryBackoffMax);
 }
 
 void DirectorySystem::finishWrite(const StoreResult &Result, TimePoint Now) {
--- a/tests/core/start_test.cpp
+++ b/tests/core/start_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// @brief Starts and restarts: how soon a node has a configuration and peers.
 #include "hyssopford/core/config_system.hpp"
+#include "hyssopford/core/directory_system.hpp"
 #include "hyssopford/core/membership_system.hpp"
 #include "hyssopford/core/node_core.hpp"
 
@@ -20,6 +21,8 @@
   Settings.TrustStore = true;
   Settings.MissingPeriod = 250ms;
   Settings.DirectoryDelay = 50ms;
+  Settings.DirectoryReads = 2;
+  Settings.DirectoryBackoff = 150ms;
   Settings.RejoinWindow = 20s;
   return Settings;
 }
@@ -116,3 +119,36 @@
   }
   CHECK(Opened >= 2);
 }
+
+TEST_CASE("a directory that names only dead nodes is taken over", "[start]") {
+  // All nodes of a site were killed while a slot held the address of a node
+  // that had been removed; each one tried that address until the lease of the
+  // slot lapsed, and the site did not recover for 15 s.
+  SeededRandomSource Random(1);
+  DirectorySystem System("10.0.0.1:1", Random, fastStart());
+  System.setDuty(0, {"10.0.0.1:1"}, at(0ms));
+  System.setAlone(true, at(0ms));
+  std::optional<StoreWrite> Takeover;
+  for (Duration Now = 0ms; Now < 5s && !Takeover; Now += 10ms) {
+    Actions Out;
+    System.tick(at(Now), Out);
+    for (const StoreCall &Each : all<StoreCall>(Out)) {
+      StoreReplied Reply{Each.Call, {}};
+      Reply.Result.Status = StoreStatus::Done;
+      if (std::holds_alternative<StoreRead>(Each.Operation)) {
+        Reply.Result.Value = "10.0.0.9:1\n";
+        Reply.Result.Revision = 42;
+      } else if (std::holds_alternative<StoreLease>(Each.Operation)) {
+        Reply.Result.Lease = 5;
+      } else if (const auto *Write = std::get_if<StoreWrite>(&Each.Operation)) {
+        Takeover = *Write;
+      }
+      System.receive(Reply, at(Now));
+    }
+  }
+  REQUIRE(Takeover.has_value());
+  // Only one of many can replace the value that all have read.
+  CHECK(Takeover->ExpectedRevision == 42);
+  CHECK(Takeover->Value.starts_with("10.0.0.1:1\n"));
+  CHECK(System.takeContacts().front() == "10.0.0.9:1");
+}
