--- a/scripts/test-install.sh
+++ b/scripts/test-install.sh
@@ -19,7 +19,7 @@
 "$PREFIX/usr/bin/hyssopctl" --help | grep -q 'usage: hyssopctl'
 "$PREFIX/usr/bin/hyssopford" --help | grep -q -- '--settings'
 test -f "$SHARE/schema/routing.schema.json"
-test -f "$PREFIX/usr/share/doc/hyssopford/operations.md"
+test -f "$PREFIX/usr/share/doc/hyssopford/OPERATIONS.md"
 if grep -rIl "$PWD" "$PREFIX/usr/lib" "$PREFIX/usr/share" | grep -v '\.a$'; then
   echo "the files above name the source folder" >&2
   exit 1
--- a/src/net/http_forward.cpp
+++ b/src/net/http_forward.cpp
@@ -1,10 +1,10 @@
 #include "hyssopford/net/http_forward.hpp"
 
+#include "hyssopford/net/parse_number.hpp"
 #include "hyssopford/telemetry/trace_parent.hpp"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <fmt/format.h>
 #include <iterator>
 #include <vector>
@@ -114,13 +114,6 @@
               Via.empty() ? "1.1 hyssopford" : Via + ", 1.1 hyssopford");
 }
 
-template <typename Number>
-bool parseNumber(std::string_view Text, Number &Value, int Base = 10) {
-  const char *const End = Text.data() + Text.size();
-  const auto Parsed = std::from_chars(Text.data(), End, Value, Base);
-  return !Text.empty() && Parsed.ec == std::errc() && Parsed.ptr == End;
-}
-
 } // namespace
 
 HopFields readHopFields(const Poco::Net::HTTPRequest &Head, bool Trusted) {
