Call a look at the speed a probe

Cause: reading the diff as a newcomer, 'look' stood for two things: a probe of the upstream's speed and a read of the directory. Ruled out: new names for the gate and the hand-back, which docs/glossary.md explains. Change: names and comments only; no behaviour. Conclusion: one term for each.

--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -105,10 +105,10 @@
   double SlowFactor = 1.0;
   /// Age up to which a report of the speed is relied on.
   Duration SpeedFresh = 8ms;
-  /// Time between two looks at the speed while attempts wait for it.
+  /// Time between two probes of the speed while attempts wait for it.
   Duration SpeedRecheck = 15ms;
-  /// Longest look at the speed. An upstream that does not answer by then is
-  /// given work as if it ran as usual.
+  /// Timeout of a probe of the speed. An upstream that does not answer by then
+  /// is given work as if it ran as usual.
   Duration SpeedTimeout = 30ms;
   /// Window over which the usual speed is the best one reported.
   Duration SpeedWindow = 3s;
@@ -164,9 +164,9 @@
   Duration DirectoryDelay = 1s;
   /// Time between reads of two slots of the directory.
   Duration DirectoryInterval = 200ms;
-  /// Slots of the directory that are read in one look.
+  /// Slots of the directory that are read in one round.
   std::uint32_t DirectoryReads = 8;
-  /// First and longest time between two looks.
+  /// First and longest time between two rounds.
   Duration DirectoryBackoff = 1s;
   Duration DirectoryBackoffMax = 16s;
   /// Longest delay of the first write of a slot, drawn at random so that nodes
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -64,8 +64,9 @@
   /// after a crash running ones are unknown.
   void withdraw(const UpstreamGone &Gone, TimePoint Now, Actions &Out);
 
-  /// @brief Takes the result of a look at the upstream's speed.
-  void finishLook(const ProbeFinished &Result, TimePoint Now, Actions &Out);
+  /// @brief Takes the result of a probe of the upstream's speed.
+  void finishSpeedProbe(const ProbeFinished &Result, TimePoint Now,
+                        Actions &Out);
 
   /// @brief Takes the verdict of the probes and of observed failures.
   void suspect(bool Suspected, TimePoint Now, Actions &Out);
@@ -108,7 +109,8 @@
   /// as it exceeds that of recent answers.
   double expectedService() const;
   void startQueued(TimePoint Now, Actions &Out);
-  /// Looks at the speed and hands back what may not wait for it.
+  /// Probes the speed if it is unknown; in a slow spell, hands back the
+  /// attempts that other upstreams may take.
   /// @return whether an attempt may start now
   bool passGate(TimePoint Now, Actions &Out);
   void handBackQueued(TimePoint Now, Actions &Out);
@@ -141,11 +143,11 @@
   /// Smoothed service time of each route in µs.
   std::unordered_map<std::string, double> RouteTimes;
   SpeedGate Speed;
-  bool Looking = false;
-  /// When attempts that wait for a usual speed look again.
-  std::optional<TimePoint> NextLook;
-  /// Until when a look that failed counts as a usual speed.
-  TimePoint TrustUntil;
+  bool SpeedProbeRunning = false;
+  /// When the speed is probed again for attempts that wait for it.
+  std::optional<TimePoint> NextSpeedProbe;
+  /// Until when the speed counts as usual after a failed probe.
+  TimePoint AssumeUsualUntil;
   ConcurrencyLimit Limit;
   AdmissionQueue Queue;
   std::unordered_map<AttemptId, AdmittedAttempt> Running;
--- a/src/core/directory_system.cpp
+++ b/src/core/directory_system.cpp
@@ -10,7 +10,7 @@
 // A slot that another node holds is tried again after half its lease.
 constexpr Duration HeldPeriod = 15s;
 
-// Looks that found contacts after which these count as gone.
+// Rounds that found contacts after which these count as gone.
 constexpr std::uint32_t FruitlessLimit = 2;
 
 std::string slotKey(std::uint32_t Slot) {
@@ -48,7 +48,7 @@
   }
   Alone = Value;
   if (!Alone) {
-    FruitlessLooks = 0;
+    FruitlessRounds = 0;
     NextRead.reset();
   }
 }
@@ -145,7 +145,7 @@
   bool TakesOver = false;
   if (Result.Status == StoreStatus::Done) {
     addContacts(Result.Value);
-    TakesOver = ++FruitlessLooks > FruitlessLimit && Slot == Read;
+    TakesOver = ++FruitlessRounds > FruitlessLimit && Slot == Read;
   } else if (!Failed && SlotsRead < Settings.DirectoryReads) {
     NextRead = Now + Settings.DirectoryInterval;
     return;
@@ -154,7 +154,7 @@
   if (TakesOver) {
     // The contacts of the slot cannot be reached. Of the nodes that have read
     // it, the one whose write succeeds becomes the contact of the others.
-    FruitlessLooks = 0;
+    FruitlessRounds = 0;
     Revision = Result.Revision;
     Written.clear();
     NextWrite = Now;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -205,7 +205,7 @@
 
 void NodeCore::on(const ProbeFinished &Input, TimePoint Now, Actions &Out) {
   if (Input.Purpose == ProbePurpose::Speed) {
-    Owner.finishLook(Input, Now, Out);
+    Owner.finishSpeedProbe(Input, Now, Out);
     return;
   }
   Probes.finish(Input, Now, Out);
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -13,8 +13,8 @@
 constexpr double OutlierFactor = 3.0;
 /// Factor by which slow spells of a quarter of the time lengthen a wait.
 constexpr double SpellStretch = 1.33;
-/// How long a failed look at the speed counts as a usual speed.
-constexpr Duration LookPause = 1s;
+/// How long the speed counts as usual after a failed probe.
+constexpr Duration FailedProbePause = 1s;
 /// The running attempts have stalled when they have run, all together, longer
 /// than this many service times each, and one more. The mean of a running
 /// attempt is below one service time unless the times spread very widely.
@@ -222,7 +222,7 @@
   ServiceTime = 0.0;
   RouteTimes.clear();
   Speed.reset();
-  NextLook.reset();
+  NextSpeedProbe.reset();
   while (const std::optional<AdmittedAttempt> Row = Queue.pop()) {
     endQueued(*Row, OutcomeReason::NoUpstream, Now, Out);
   }
@@ -268,8 +268,8 @@
   if (Next && (Limit.ramping(Latest) || stalled())) {
     Next = std::min(*Next, Latest + RampStep);
   }
-  if (Next && NextLook) {
-    Next = std::min(*Next, *NextLook);
+  if (Next && NextSpeedProbe) {
+    Next = std::min(*Next, *NextSpeedProbe);
   }
   return Next;
 }
@@ -391,34 +391,34 @@
   return Found == RouteTimes.end() ? ServiceTime : Found->second;
 }
 
-void OwnerSystem::finishLook(const ProbeFinished &Result, TimePoint Now,
-                             Actions &Out) {
-  Looking = false;
+void OwnerSystem::finishSpeedProbe(const ProbeFinished &Result, TimePoint Now,
+                                   Actions &Out) {
+  SpeedProbeRunning = false;
   if (Result.Succeeded || Result.SpeedPercent != 0) {
     Speed.observe(Result.SpeedPercent, Now);
   }
   if (Result.SpeedPercent == 0) {
-    TrustUntil = Now + LookPause;
+    AssumeUsualUntil = Now + FailedProbePause;
   }
   startQueued(Now, Out);
 }
 
 bool OwnerSystem::passGate(TimePoint Now, Actions &Out) {
   const SpeedState State = Speed.state(Now);
-  if (State == SpeedState::Usual || Now < TrustUntil) {
-    NextLook.reset();
+  if (State == SpeedState::Usual || Now < AssumeUsualUntil) {
+    NextSpeedProbe.reset();
     return true;
   }
   if (State == SpeedState::Unknown) {
-    if (!Looking) {
-      Looking = true;
+    if (!SpeedProbeRunning) {
+      SpeedProbeRunning = true;
       Out.emplace_back(
           ProbeUpstream{Settings.SpeedTimeout, ProbePurpose::Speed});
     }
     return false;
   }
   handBackQueued(Now, Out);
-  NextLook = Now + Settings.SpeedRecheck;
+  NextSpeedProbe = Now + Settings.SpeedRecheck;
   return false;
 }
 
--- a/tests/core/slow_spell_test.cpp
+++ b/tests/core/slow_spell_test.cpp
@@ -48,7 +48,7 @@
   }
   void look(Duration Now, std::uint32_t Percent, bool Succeeded = true) {
     Out.clear();
-    Owner.finishLook(
+    Owner.finishSpeedProbe(
         ProbeFinished{Succeeded, 1ms, ProbePurpose::Speed, Percent}, at(Now),
         Out);
   }
--- a/tests/platform/deployment_test.cpp
+++ b/tests/platform/deployment_test.cpp
@@ -297,7 +297,7 @@
       CHECK(First.send("POST", "/write/x", fmt::format("s{}", Index))
                 .starts_with("HTTP/1.1 200"));
     }
-    // A look and the start that it allows are moments apart.
+    // A probe and the start that it allows are moments apart.
     CHECK(Site.call([&] { return Near.slowStarts(); }) - Before <= 1);
   }
   SECTION("an instance that leaves gets nothing new from any node") {
