Serve the metrics on an address of the settings

A taken port leaves the node serving, with a log line. Its test found that a second server could bind a port in use: POCO's bind shares the port when it is told to reuse the address, so each of two servers got a part of the connections. Servers and peer links now take the port for themselves.

The address under which peers reach a node can differ from the one that it listens on (public_peer_address), as the soak's proxies need it.

--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -24,6 +24,7 @@
 
 namespace hyssopford {
 
+class MetricsService;
 class ReadinessService;
 
 /// @brief The parts of a node that a deployment replaces. Objects that are
@@ -56,6 +57,8 @@
   /// Port of the upstream on this VM; must be a loopback address.
   std::string LocalAddress = "127.0.0.1:0";
   std::string PeerAddress = "127.0.0.1:0";
+  /// Address that peers use; empty for PeerAddress.
+  std::string PublicPeerAddress;
   /// Empty for none.
   std::string OperatorAddress = "127.0.0.1:0";
   /// Service of the upstream on this VM, if it is known before its first
@@ -69,6 +72,9 @@
   std::string UpstreamHost;
   /// Address that says whether the node takes callers; empty for none.
   std::string ReadyAddress;
+  /// Address that serves the metrics without a token; empty for none. The node
+  /// runs without them if it cannot be bound.
+  std::string MetricsAddress;
   std::vector<std::string> Seeds;
   /// Address of the platform's key-value service; empty for none.
   std::string StoreAddress;
@@ -141,6 +147,9 @@
   std::string readyAddress() const {
     return Ready ? Ready->address() : std::string();
   }
+  std::string metricsAddress() const {
+    return Metrics ? Metrics->address() : std::string();
+  }
   const std::string &peerAddress() const { return Links->address(); }
   const NodeCore &core() const { return Driver->core(); }
 
@@ -181,6 +190,7 @@
   void makeStore();
   void noteStore(const StoreResult &Result);
   void makeServers();
+  void makeMetrics();
   void flushTelemetry();
   void beginShutdown();
   void closePorts();
@@ -206,10 +216,12 @@
   std::unique_ptr<LocalService> LocalRequests;
   std::unique_ptr<OperatorService> OperatorRequests;
   std::unique_ptr<ReadinessService> ReadyRequests;
+  std::unique_ptr<MetricsService> MetricsRequests;
   std::unique_ptr<HttpServer> Callers;
   std::unique_ptr<HttpServer> Local;
   std::unique_ptr<HttpServer> Operators;
   std::unique_ptr<HttpServer> Ready;
+  std::unique_ptr<HttpServer> Metrics;
   std::size_t RefusedLinks = 0;
   std::uint64_t LimitsVersion = 0;
   bool StoreReached = true;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -28,7 +28,8 @@
                        HttpServerSettings ServerSettings)
     : Loop(EventSource), Handler(Receiver),
       Settings(std::move(ServerSettings)) {
-  Socket.bind(Poco::Net::SocketAddress(Settings.Address), true);
+  // Without the port being shared: a second server on it is a fault.
+  Socket.bind(Poco::Net::SocketAddress(Settings.Address), true, false);
   Socket.listen(Backlog);
   Socket.setBlocking(false);
   Loop.add(Socket, Poco::Net::PollSet::POLL_READ, *this);
--- a/src/net/peer_links.cpp
+++ b/src/net/peer_links.cpp
@@ -19,7 +19,7 @@
 PeerLinks::PeerLinks(EventLoop &EventSource, PeerLinkHandler &Receiver,
                      PeerLinkSettings LinkSettings)
     : Loop(EventSource), Handler(Receiver), Settings(std::move(LinkSettings)) {
-  Socket.bind(Poco::Net::SocketAddress(Settings.ListenAddress), true);
+  Socket.bind(Poco::Net::SocketAddress(Settings.ListenAddress), true, false);
   Socket.listen(Backlog);
   Socket.setBlocking(false);
   if (Settings.PublicAddress.empty()) {
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -1,8 +1,10 @@
 #include "hyssopford/node/node_runtime.hpp"
 
 #include "local_service.hpp"
+#include "metrics_service.hpp"
 #include "readiness_service.hpp"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
 #include <chrono>
@@ -19,6 +21,7 @@
 constexpr std::uint8_t LocalNumber = 1;
 constexpr std::uint8_t OperatorNumber = 2;
 constexpr std::uint8_t ReadyNumber = 3;
+constexpr std::uint8_t MetricsNumber = 4;
 constexpr int NumberShift = 56;
 
 /// How often counts of suppressed log lines are written.
@@ -71,6 +74,7 @@
     : Settings(RuntimeSettings), Adapters(std::move(Replaced)) {
   PeerLinkSettings LinkSettings;
   LinkSettings.ListenAddress = Settings.PeerAddress;
+  LinkSettings.PublicAddress = Settings.PublicPeerAddress;
   LinkSettings.Site = Settings.Site;
   LinkSettings.Key = Settings.SiteKey;
   LinkSettings.Run = currentRun(Settings.LeastRun);
@@ -175,6 +179,9 @@
         serverSettings(Settings, Settings.ReadyAddress, ReadyNumber));
     ReadyRequests->attach(*Ready);
   }
+  if (!Settings.MetricsAddress.empty()) {
+    makeMetrics();
+  }
   CallerRequests->observe(*Telemetry);
   LocalRequests->observe(*Telemetry);
   CallerRequests->sample(TraceSampler(Settings.SamplingPpm));
@@ -182,6 +189,22 @@
   flushTelemetry();
 }
 
+void NodeRuntime::makeMetrics() {
+  MetricsRequests = std::make_unique<MetricsService>([this] {
+    return Telemetry->render(Driver->core(), Links->usable(), EventLoop::now());
+  });
+  try {
+    Metrics = std::make_unique<HttpServer>(
+        Loop, *MetricsRequests,
+        serverSettings(Settings, Settings.MetricsAddress, MetricsNumber));
+    MetricsRequests->attach(*Metrics);
+  } catch (const Poco::Exception &Fault) {
+    Telemetry->log(LogLevel::Error, "metrics_unavailable",
+                   {{"address", Settings.MetricsAddress},
+                    {"reason", Fault.displayText()}});
+  }
+}
+
 bool NodeRuntime::isReady() const {
   const bool HasPeers = !Driver->core().membership().linkedPeers().empty();
   return !ShuttingDown && Driver->core().config().Version != 0 &&
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -80,6 +80,18 @@
 
 } // namespace
 
+// Guards against two servers that share a port, of which each gets a part of
+// the connections.
+TEST_CASE("an address that is in use is refused", "[net][http]") {
+  EventLoop Loop;
+  EchoHandler Handler;
+  HttpServerSettings Settings;
+  Settings.Address = "127.0.0.1:0";
+  const HttpServer First(Loop, Handler, Settings);
+  Settings.Address = First.address();
+  CHECK_THROWS_AS(HttpServer(Loop, Handler, Settings), Poco::Exception);
+}
+
 TEST_CASE("HTTP server: answers", "[http]") {
   Fixture Site;
   RawClient Client(Site.address());
--- a/tests/platform/deployment_test.cpp
+++ b/tests/platform/deployment_test.cpp
@@ -120,6 +120,7 @@
     Given.CallerAddress = "127.0.0.1:0";
     Given.AnnouncementAddress = "127.0.0.1:0";
     Given.ReadyAddress = "127.0.0.1:0";
+    Given.MetricsAddress = MetricsAddress;
     Given.PeerAddress = PeerAddress.empty() ? "127.0.0.1:0" : PeerAddress;
     Given.UpstreamAddress = Site.call([&] { return Instance.address(); });
     Given.StoreAddress = Site.call([&] { return Site.Store->address(); });
@@ -168,6 +169,12 @@
       return false;
     }
   }
+  std::string metrics(const std::string &Path) const {
+    RawClient Client(Node->metricsAddress());
+    Client.send("GET " + Path +
+                " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    return Client.receiveAll();
+  }
   bool serves(const std::string &Tag) const {
     return eventually([&] {
       return send("GET", "/read/x", Tag).starts_with("HTTP/1.1 200");
@@ -175,6 +182,7 @@
   }
 
   KeptLines Lines;
+  std::string MetricsAddress = "127.0.0.1:0";
   std::unique_ptr<NodeRuntime> Node;
 
 private:
@@ -275,6 +283,28 @@
   }
 }
 
+// Guards against metrics that are kept but cannot be read, and against a taken
+// port that keeps a node from serving.
+TEST_CASE("a node serves its metrics", "[platform][deployment]") {
+  Platform Site;
+  InstanceStandin &Instance = Site.addInstance();
+  Site.put(3);
+  Machine First(Site, Instance);
+  REQUIRE(First.serves("t1"));
+  const std::string Page = First.metrics("/metrics");
+  CHECK(Page.starts_with("HTTP/1.1 200"));
+  CHECK(Page.find("hyssopford_config_version 3") != std::string::npos);
+  CHECK(Page.find("hyssopford_requests_total{") != std::string::npos);
+  CHECK(First.metrics("/other").starts_with("HTTP/1.1 404"));
+
+  First.stop();
+  First.MetricsAddress = Site.call([&] { return Site.Store->address(); });
+  First.start();
+  CHECK(First.serves("t2"));
+  CHECK(First.Node->metricsAddress().empty());
+  CHECK(First.Lines.contains("event=metrics_unavailable"));
+}
+
 TEST_CASE("nodes find each other through the store", "[platform][deployment]") {
   Platform Site;
   InstanceStandin &Near = Site.addInstance();
