--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -150,6 +150,17 @@
     CHECK_FALSE(Result.Reason.empty());
     CHECK(EventLoop::now() - Start < 2s);
   }
+  SECTION("a watch that the store has forgotten ends soon") {
+    // A version written 3 s after a disturbance must be in force 2.5 s later.
+    REQUIRE(Test.run(StoreWrite{"w", "x", 0, 0}).Status == StoreStatus::Done);
+    const StoreResult Now = Test.run(StoreRead{"w"});
+    Test.trouble(StoreTrouble::Silent);
+    const TimePoint Start = EventLoop::now();
+    const StoreResult Result =
+        Test.run(StoreWatch{"w", Now.Revision, Duration{30s}});
+    CHECK(Result.Status == StoreStatus::NoAnswer);
+    CHECK(EventLoop::now() - Start < 5s);
+  }
   SECTION("a store that is gone refuses") {
     Test.Thread.call([&] {
       Test.Store.reset();
