Soak real processes under random faults

It judges the promises by what callers and instances see: at most once, true refusals, right answers, answers in time, nothing lost by a node that ends, arrivals within the retry budget, versions that never fall and are in force in time, recovery.

The stand-in runs the store or one instance alone, takes commands on its standard input and keeps a file of its runs.

--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,184 @@
+#!/usr/bin/env python3
+"""Runs the nodes of the platform deployment on stand-ins under random faults
+and checks what callers and instances see. docs/soak.md describes it."""
+import argparse
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+import zlib
+
+from client import Connection
+from deployment import Deployment
+from faults import Faults
+from report import Report
+
+RECOVERY_S = 15.0
+READY_S = 10.0
+CONFIG_S = 2.5
+DEADLINE_S = 2.0
+
+
+async def send_requests(site, rng, report, number, until, pause):
+    """One client: keeps a connection to a node, sometimes to another one."""
+    machine, count, link = number % site.machines, 0, None
+    while time.monotonic() < until:
+        if link is None or rng.random() < 0.02:
+            if link:
+                link.drop()
+            machine = rng.randrange(site.machines)
+            link = Connection(site.ip(machine), site.port)
+        unsafe = rng.random() < 0.4
+        count += 1
+        leave = rng.uniform(0.005, 0.1) if rng.random() < 0.03 else None
+        out = await link.request(
+            machine, "POST" if unsafe else "GET",
+            "/order/1" if unsafe else f"/browse/{rng.randrange(5)}",
+            f"c{number:02}n{count:06}", b"x" * rng.randrange(1, 2000) if unsafe
+            else b"", DEADLINE_S, leave)
+        report.outcomes.append(out)
+        if out.reason:
+            link.drop()
+            link = None
+        await asyncio.sleep(rng.expovariate(1.0 / pause))
+    if link:
+        link.drop()
+
+
+async def watch_nodes(site, report, until):
+    """Follows the versions in force and unexpected ends of processes."""
+    while time.monotonic() < until:
+        for machine in range(site.machines):
+            run = site.nodes[machine].handle.pid
+            version = await site.config_version(machine)
+            if version is not None and run == site.nodes[machine].handle.pid:
+                report.version(machine, version)
+        for process in site.processes():
+            status = process.handle.poll()
+            if status is not None and not process.expected_end:
+                process.expected_end = True
+                report.wrong(f"{process.log.name} ended by itself: {status}")
+        await asyncio.sleep(0.2)
+
+
+async def until_true(check, limit):
+    end = time.monotonic() + limit
+    while time.monotonic() < end:
+        if await check():
+            return True
+        await asyncio.sleep(0.1)
+    return False
+
+
+async def all_ready(site):
+    return all([await site.is_ready(machine) for machine in range(site.machines)])
+
+
+async def recovered(site, report, attempt):
+    """Whether each node serves both routes again."""
+    for machine in range(site.machines):
+        for index, (method, path) in enumerate((("GET", "/browse/1"),
+                                                ("POST", "/order/1"))):
+            link = Connection(site.ip(machine), site.port)
+            attempt[0] += 1
+            out = await link.request(machine, method, path,
+                                     f"r{attempt[0]:06}", b"", DEADLINE_S)
+            link.drop()
+            report.outcomes.append(out)
+            if out.status != 200:
+                return False
+    return True
+
+
+async def play(options, folder):
+    rng, report = random.Random(options.seed), Report()
+    site = Deployment(options.build, folder, options.machines, options.port,
+                      random.Random(rng.random()))
+    try:
+        await site.start()
+        if not await until_true(lambda: all_ready(site), READY_S):
+            report.wrong("not all nodes became ready")
+        until = time.monotonic() + options.seconds
+        faults = Faults(site, random.Random(rng.random()), report)
+        clients = [asyncio.create_task(send_requests(
+            site, random.Random(rng.random()), report, number, until,
+            options.pause)) for number in range(options.clients)]
+        watcher = asyncio.create_task(
+            watch_nodes(site, report, until + RECOVERY_S))
+        await faults.run(options.seconds * 0.8, options.gap)
+        await asyncio.gather(*clients)
+        site.configure(80)
+        attempt = [0]
+        if not await until_true(lambda: recovered(site, report, attempt),
+                                RECOVERY_S):
+            report.wrong(f"not all nodes served {RECOVERY_S} s after the faults")
+
+        async def in_force():
+            versions = [await site.config_version(machine)
+                        for machine in range(site.machines)]
+            return all(version == site.version for version in versions)
+
+        if not await until_true(in_force, CONFIG_S):
+            report.wrong(f"version {site.version} is not in force everywhere")
+        watcher.cancel()
+        total = report.judge(site.arrivals())
+        print(f"seed {options.seed}: {len(report.outcomes)} requests, {total} "
+              f"arrivals, {len(report.events)} events; {report.summary()}")
+    finally:
+        await site.stop()
+    return report
+
+
+def seeds_of(options):
+    if options.file:
+        lines = pathlib.Path(options.file).read_text().splitlines()
+        return [int(line.split(":")[0]) for line in lines
+                if line and not line.startswith("#")]
+    first = options.seed
+    if first is None:
+        first = zlib.crc32(str(time.time()).encode()) % 1000000
+    return list(range(first, first + options.seeds))
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--seed", type=int, default=None)
+    parser.add_argument("--seeds", type=int, default=1, help="seeds to play")
+    parser.add_argument("--file", default=None,
+                        help="file whose lines begin with the seeds to play")
+    parser.add_argument("--machines", type=int, default=6)
+    parser.add_argument("--clients", type=int, default=24)
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--pause", type=float, default=0.1,
+                        help="mean seconds between a client's requests")
+    parser.add_argument("--gap", type=float, default=0.4,
+                        help="mean seconds between faults")
+    parser.add_argument("--port", type=int, default=19600)
+    parser.add_argument("--keep", default=None, help="directory for logs")
+    options = parser.parse_args()
+    failed, seeds = [], seeds_of(options)
+    for seed in seeds:
+        options.seed = seed
+        base = pathlib.Path(options.keep) if options.keep else None
+        folder = base / f"seed-{seed}" if base else pathlib.Path(
+            tempfile.mkdtemp(prefix="hyssopford-soak-"))
+        folder.mkdir(parents=True, exist_ok=True)
+        begun = time.monotonic()
+        report = asyncio.run(play(options, folder))
+        if report.faults:
+            failed.append(seed)
+            for when, text in report.events:
+                print(f"  {when - begun:7.2f} {text}")
+            print(f"  logs in {folder}")
+        sys.stdout.flush()
+    print(f"{len(seeds)} seeds, {len(failed)} failed: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    sys.exit(main())
