Use own field names in the test of compression

The check of names found words of the platform in a test outside tests/platform; the check made before the commit had not seen the file, as it was not yet tracked.

--- a/src/config/config_codec.cpp
+++ b/src/config/config_codec.cpp
@@ -1,7 +1,6 @@
 #include "hyssopford/config/config_codec.hpp"
 
 #include "hyssopford/config/packed_text.hpp"
-
 #include "hyssopford/config/routing_config_json.hpp"
 #include "hyssopford/core/error_codes.hpp"
 
--- a/tests/config/packed_text_test.cpp
+++ b/tests/config/packed_text_test.cpp
@@ -15,7 +15,7 @@
   for (int Index = 0; Index < 1'840; ++Index) {
     Text += fmt::format("{{\"name\":\"r-{0}\",\"host\":\"h{1}.example\","
                         "\"prefix\":\"/p{0}/\",\"service\":\"s{1}\","
-                        "\"timeoutS\":2.0,\"maxAttempts\":2}},",
+                        "\"deadline_ms\":2000,\"tries\":2}},",
                         Index * 7919 % 100'003, Index % 13);
   }
   const JsonConfigCodec Codec;
