Pass pipelined requests on without waiting for earlier answers

Cause: a connection of a caller handled one request at a time, so each pipelined request spent its deadline behind the answers before it.

Ruled out: a second server class for pipelining callers; the reader already keeps the bytes of following requests.

Change: a connection keeps its unanswered requests in order, passes each on at once and writes an answer when all earlier ones are written. The number of requests and the bytes held are bounded by settings; above them reading pauses. Nothing behind a closing request, or behind requests in flight during a stop, is passed on. A stop accepts the whole listen queue and reads what has arrived.

--- a/include/hyssopford/config/node_settings.hpp
+++ b/include/hyssopford/config/node_settings.hpp
@@ -54,6 +54,12 @@
   std::uint64_t AnswerBytes = 16'777'216;
   /// Most connections of callers at a time.
   std::uint64_t CallerConnections = 4'096;
+  /// Most requests of one connection that are passed on before the first of
+  /// them is answered.
+  std::uint64_t PipelinedRequests = 16;
+  /// Size of the bodies and answers held for one connection above which no
+  /// further request is read, in bytes.
+  std::uint64_t PipelinedBytes = 1'048'576;
   /// Most idle connections to the upstream that are kept for reuse.
   std::uint64_t UpstreamConnections = 250;
   /// Total size of the requests and answers held at a time, in bytes.
--- a/include/hyssopford/net/http_server.hpp
+++ b/include/hyssopford/net/http_server.hpp
@@ -36,6 +36,12 @@
   Duration BodyTimeout = 60s;
   /// How long a connection may wait for its next request.
   Duration IdleTimeout = 60s;
+  /// Most requests of one connection that are passed on before the first of
+  /// them is answered; 1 disables pipelining.
+  std::size_t PipelineDepth = 16;
+  /// Bytes of bodies and of answers held for one connection above which no
+  /// further request is read.
+  std::size_t PipelineBytes = 1'048'576;
 };
 
 /// @brief A complete request; the references are valid only during
@@ -80,8 +86,8 @@
   virtual Payload refusal(const HttpFault &Fault) = 0;
 };
 
-/// @brief HTTP server. Handles one request at a time on each connection, so
-/// pipelined requests are answered in order.
+/// @brief HTTP server. Passes pipelined requests on at once and answers them in
+/// the order in which they arrived.
 class HttpServer final : public SocketHandler {
 public:
   /// @name Construction
@@ -113,12 +119,13 @@
   /// @name Shutdown
   /// @{
 
-  /// @brief Closes each connection after its next answer; new connections are
-  /// still accepted.
+  /// @brief Closes each connection once the requests passed on are answered;
+  /// new connections are still accepted.
   void disableKeepAlive() { KeepAliveDisabled = true; }
 
-  /// @brief Stops listening, closes idle connections and closes the others
-  /// after their current answer.
+  /// @brief Accepts the connections in the backlog, stops listening, closes
+  /// idle connections and closes the others once the requests passed on are
+  /// answered.
   void drain();
 
   /// @return whether no request is being received or answered and all answers
@@ -151,6 +158,8 @@
   friend class Connection;
 
   void onReady(int Modes) override;
+  /// @return whether a connection was waiting
+  bool acceptNext();
   void stopListening();
   RequestId assignRequestId(Connection &Source);
   void removeRequest(RequestId Id) { InFlight.erase(Id); }
--- a/include/hyssopford/net/tcp_stream.hpp
+++ b/include/hyssopford/net/tcp_stream.hpp
@@ -73,6 +73,9 @@
   /// @brief Pauses or resumes reading.
   void setReadingPaused(bool Paused);
 
+  /// @brief Reads what has arrived without waiting for the loop.
+  void readArrived();
+
   /// @brief Closes immediately; no handler is called after this.
   void close();
 
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint64_t MaxHeaderBytes = 1'048'576;
 constexpr std::uint64_t MaxBodyBytes = 67'108'864;
 constexpr std::uint64_t MaxConnections = 65'536;
+constexpr std::uint64_t MaxPipelineDepth = 1'024;
 constexpr std::uint64_t MaxMemoryBytes = 8'589'934'592;
 constexpr std::uint64_t MaxTimeoutMs = 600'000;
 constexpr std::uint64_t MaxAnnouncementMs = 60'000;
@@ -58,6 +59,10 @@
                      Target.AnswerBytes);
   Reader.readInteger("caller_connections", 1, MaxConnections,
                      Target.CallerConnections);
+  Reader.readInteger("pipelined_requests", 1, MaxPipelineDepth,
+                     Target.PipelinedRequests);
+  Reader.readInteger("pipelined_bytes", MinBufferBytes, MaxBodyBytes,
+                     Target.PipelinedBytes);
   Reader.readInteger("upstream_connections", 1, MaxConnections,
                      Target.UpstreamConnections);
   Reader.readInteger("memory_bytes", MaxHeaderBytes, MaxMemoryBytes,
--- a/src/config/node_settings_render.cpp
+++ b/src/config/node_settings_render.cpp
@@ -25,6 +25,8 @@
           {"body_bytes", Limits.BodyBytes},
           {"answer_bytes", Limits.AnswerBytes},
           {"caller_connections", Limits.CallerConnections},
+          {"pipelined_requests", Limits.PipelinedRequests},
+          {"pipelined_bytes", Limits.PipelinedBytes},
           {"upstream_connections", Limits.UpstreamConnections},
           {"memory_bytes", Limits.MemoryBytes}};
 }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -37,27 +37,28 @@
   armTimer();
 }
 
-void HttpServer::Connection::reply(const Payload &Answer,
+void HttpServer::Connection::reply(RequestId Id, const Payload &Answer,
                                    const std::string &Fields) {
-  const bool Close =
-      Server.Draining || Server.KeepAliveDisabled || !Reader.facts().KeepAlive;
-  // send() may call onWritesFlushed() synchronously.
-  const bool WasProcessing = std::exchange(Processing, true);
-  InFlight = false;
-  send(IsHeadRequest ? withoutBody(Answer) : Answer, Fields, Close);
-  Processing = WasProcessing;
-  if (Close) {
+  const auto Found =
+      std::find_if(Pipeline.begin(), Pipeline.end(),
+                   [&](const Exchange &Each) { return Each.Id == Id; });
+  if (Found == Pipeline.end()) {
     return;
   }
-  Reader.next();
-  Started = EventLoop::now();
-  LastProgress = Started;
-  Stream.setReadingPaused(false);
+  Found->Answered = true;
+  Found->Answer = Answer;
+  Found->Fields = Fields;
+  PipelineBytes += Answer.size();
+  sendAnswers();
   process();
 }
 
 void HttpServer::Connection::drain() {
-  if (InFlight || Reader.inBody() || Closing) {
+  if (Pipeline.empty() && !Closing) {
+    // Otherwise a request that the caller has sent would be cut off.
+    Stream.readArrived();
+  }
+  if (!Stream.isOpen() || !Pipeline.empty() || Reader.inBody() || Closing) {
     return;
   }
   if (Reader.started()) {
@@ -69,22 +70,19 @@
 }
 
 bool HttpServer::Connection::isIdle() const {
-  return !InFlight && Stream.pending() == 0 && (Closing || !Reader.started());
+  return Pipeline.empty() && Stream.pending() == 0 &&
+         (Closing || !Reader.started());
 }
 
 void HttpServer::Connection::onData(std::string_view Bytes) {
-  if (Closing) {
+  if (Closing || LastRead) {
     return;
   }
   LastProgress = EventLoop::now();
-  if (!InFlight && !Reader.started()) {
+  if (!Reader.started()) {
     Started = LastProgress;
   }
   Reader.feed(Bytes);
-  if (InFlight) {
-    Stream.setReadingPaused(Reader.buffered() > ReadAheadLimit);
-    return;
-  }
   process();
 }
 
@@ -95,20 +93,36 @@
 
 void HttpServer::Connection::onWritesFlushed() {
   LastProgress = EventLoop::now();
-  if (!InFlight && !Closing && !Processing) {
-    process();
+  process();
+}
+
+bool HttpServer::Connection::mayReadNext() const {
+  if (!Stream.isOpen() || Closing || LastRead ||
+      Stream.pending() > UnsentLimit) {
+    return false;
   }
+  // A connection that is about to close reads no request behind another one:
+  // its caller sends it again elsewhere.
+  return Pipeline.empty() ||
+         (!Server.Draining && !Server.KeepAliveDisabled && !ContinueDue &&
+          Pipeline.size() < Server.Settings.PipelineDepth &&
+          PipelineBytes < Server.Settings.PipelineBytes);
 }
 
 void HttpServer::Connection::process() {
-  if (Processing) {
+  if (Processing || !Stream.isOpen()) {
     return;
   }
+  // The handler may answer from within onRequest().
   Processing = true;
-  while (Stream.isOpen() && !InFlight && !Closing &&
-         Stream.pending() <= UnsentLimit && advanceReader()) {
-  }
+  do {
+    if (Pipeline.empty() && std::exchange(ContinueDue, false)) {
+      Stream.write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  } while (mayReadNext() && advanceReader());
   Processing = false;
+  Stream.setReadingPaused(!Closing && !LastRead &&
+                          Reader.buffered() > ReadAheadLimit);
 }
 
 bool HttpServer::Connection::advanceReader() {
@@ -129,21 +143,19 @@
 }
 
 void HttpServer::Connection::handleHead() {
+  HeadRead = true;
   const HttpHeadFacts &Facts = Reader.facts();
-  IsHeadRequest = Reader.request().getMethod() == "HEAD";
   const HeadDecision Decision = Server.Handler.onHead(Reader.request(), Facts);
   const bool HasBody =
       Facts.Framing == BodyFraming::Chunked ||
       (Facts.Framing == BodyFraming::Length && Facts.ContentLength > 0);
   if (Decision.Refusal) {
-    const bool Close = Server.Draining || HasBody || !Facts.KeepAlive;
-    send(IsHeadRequest ? withoutBody(*Decision.Refusal) : *Decision.Refusal, {},
-         Close);
-    if (!Close) {
+    appendRefusal(*Decision.Refusal, HasBody);
+    if (!LastRead) {
       Reader.advance();
-      Reader.next();
-      Started = EventLoop::now();
+      startMessage();
     }
+    sendAnswers();
     return;
   }
   if (Facts.Framing == BodyFraming::Length &&
@@ -153,39 +165,89 @@
   }
   Reader.limitBody(Decision.BodyLimit);
   Started = EventLoop::now();
-  if (HasBody && Facts.ExpectContinue && Reader.buffered() == 0) {
-    Stream.write("HTTP/1.1 100 Continue\r\n\r\n");
-  }
+  ContinueDue = HasBody && Facts.ExpectContinue && Reader.buffered() == 0;
 }
 
 void HttpServer::Connection::handleRequest() {
-  InFlight = true;
-  Current = Server.assignRequestId(*this);
+  Exchange &Added = appendExchange();
+  const RequestId Id = Server.assignRequestId(*this);
+  Added.Id = Id;
+  std::string Body = Reader.takeBody();
+  Added.BodySize = Body.size();
+  PipelineBytes += Body.size();
+  LastRead = !Added.KeepAlive;
   Server.Handler.onRequest(
-      Current,
-      HttpRequest{Reader.request(), Reader.facts(), Reader.takeBody(), Peer});
+      Id, HttpRequest{Reader.request(), Reader.facts(), std::move(Body), Peer});
+  if (!LastRead) {
+    startMessage();
+  }
+}
+
+void HttpServer::Connection::startMessage() {
+  Reader.next();
+  HeadRead = false;
+  Started = EventLoop::now();
+  LastProgress = Started;
 }
 
 void HttpServer::Connection::refuse(const HttpFault &Fault) {
   Server.Handler.onRefused(Fault);
-  const Payload Answer = Server.Handler.refusal(Fault);
-  send(IsHeadRequest ? withoutBody(Answer) : Answer, {}, true);
+  appendRefusal(Server.Handler.refusal(Fault), true);
+  sendAnswers();
+}
+
+HttpServer::Connection::Exchange &HttpServer::Connection::appendExchange() {
+  Exchange Added;
+  if (HeadRead) {
+    Added.IsHead = Reader.request().getMethod() == "HEAD";
+    Added.KeepAlive = Reader.facts().KeepAlive;
+    Added.IsHttp10 = Reader.request().getVersion() == "HTTP/1.0";
+  }
+  Pipeline.push_back(std::move(Added));
+  return Pipeline.back();
+}
+
+void HttpServer::Connection::appendRefusal(const Payload &Answer, bool Close) {
+  Exchange &Added = appendExchange();
+  Added.Answered = true;
+  Added.Answer = Answer;
+  Added.KeepAlive = Added.KeepAlive && !Close;
+  PipelineBytes += Answer.size();
+  LastRead = !Added.KeepAlive;
 }
 
-void HttpServer::Connection::send(const Payload &Answer,
-                                  const std::string &Fields, bool Close) {
+void HttpServer::Connection::sendAnswers() {
+  while (Stream.isOpen() && !Closing && !Pipeline.empty() &&
+         Pipeline.front().Answered) {
+    const Exchange Next = std::move(Pipeline.front());
+    Pipeline.pop_front();
+    PipelineBytes -= Next.BodySize + Next.Answer.size();
+    const bool IsLast = Pipeline.empty();
+    const bool Close =
+        !Next.KeepAlive ||
+        (IsLast && (Server.Draining || Server.KeepAliveDisabled));
+    if (IsLast) {
+      Started = EventLoop::now();
+      LastProgress = Started;
+    }
+    send(Next, Close);
+  }
+}
+
+void HttpServer::Connection::send(const Exchange &Each, bool Close) {
+  const Payload Answer = Each.IsHead ? withoutBody(Each.Answer) : Each.Answer;
   const std::string_view Bytes = Answer.bytes();
   const std::size_t LineEnd = Bytes.find("\r\n") + 2;
   std::string Head(Bytes.substr(0, LineEnd));
-  Head += Fields;
+  Head += Each.Fields;
   if (Close) {
+    Closing = true;
     Head += "Connection: close\r\n";
-  } else if (Reader.request().getVersion() == "HTTP/1.0") {
+  } else if (Each.IsHttp10) {
     Head += "Connection: keep-alive\r\n";
   }
   Stream.write(std::move(Head), Answer, LineEnd);
   if (Close) {
-    Closing = true;
     Stream.closeAfterWrite();
   }
 }
@@ -223,7 +285,7 @@
   }
   // Requests in flight have no limit here, as the decision core ends them;
   // check again later.
-  if (InFlight || Closing) {
+  if (!Pipeline.empty() || Closing) {
     return EventLoop::now() + std::min(Limits.HeadTimeout, Duration{1s});
   }
   if (Reader.inBody()) {
@@ -240,10 +302,11 @@
 }
 
 void HttpServer::Connection::reportClosed() {
-  if (InFlight) {
-    InFlight = false;
-    Server.removeRequest(Current);
-    Server.Handler.onDisconnected(Current);
+  for (const Exchange &Each : std::exchange(Pipeline, {})) {
+    if (!Each.Answered) {
+      Server.removeRequest(Each.Id);
+      Server.Handler.onDisconnected(Each.Id);
+    }
   }
   Server.removeConnection(*this);
 }
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -6,13 +6,16 @@
 #include "hyssopford/net/http_server.hpp"
 #include "hyssopford/net/tcp_stream.hpp"
 
+#include <cstddef>
+#include <deque>
 #include <string>
 #include <string_view>
 
 namespace hyssopford {
 
-/// @brief Reads the requests of a connection one by one and writes their
-/// answers.
+/// @brief Reads the requests of a connection, passes them on without waiting
+/// for the answers before them, and writes the answers in the order of the
+/// requests (RFC 9112, section 9.3.2).
 class HttpServer::Connection final : public TcpStreamHandler {
 public:
   explicit Connection(HttpServer &Parent);
@@ -23,17 +26,33 @@
   /// @brief Serves an accepted socket.
   void start(const Poco::Net::StreamSocket &Accepted);
 
-  /// @brief Writes the answer of the request in flight.
-  void reply(const Payload &Answer, const std::string &Fields);
+  /// @brief Answers a request. The answer is written once those of all earlier
+  /// requests are.
+  void reply(RequestId Id, const Payload &Answer, const std::string &Fields);
 
-  /// @brief Closes an idle connection and refuses a request whose head is
-  /// incomplete; a request being received or answered is completed.
+  /// @brief Reads what has arrived, closes an idle connection and refuses a
+  /// request whose head is incomplete. Requests that were passed on are
+  /// answered; one that is being received is completed if none is before it.
   void drain();
 
   /// @return whether nothing is being received, answered or sent
   bool isIdle() const;
 
 private:
+  /// A request that was read and is not yet answered, or a refusal that waits
+  /// for the answers before it.
+  struct Exchange {
+    /// Not set for a refusal.
+    RequestId Id;
+    bool IsHead = false;
+    bool KeepAlive = true;
+    bool IsHttp10 = false;
+    std::size_t BodySize = 0;
+    bool Answered = false;
+    Payload Answer;
+    std::string Fields;
+  };
+
   void onData(std::string_view Bytes) override;
   void onClosed(bool Orderly, std::string_view Reason) override;
   void onWritesFlushed() override;
@@ -43,7 +62,16 @@
   void handleHead();
   void handleRequest();
   void refuse(const HttpFault &Fault);
-  void send(const Payload &Answer, const std::string &Fields, bool Close);
+  /// Appends the current request of the reader.
+  Exchange &appendExchange();
+  void appendRefusal(const Payload &Answer, bool Close);
+  /// Writes the answers that no earlier request holds back.
+  void sendAnswers();
+  void send(const Exchange &Each, bool Close);
+  /// @return whether a further request may be read and passed on
+  bool mayReadNext() const;
+  /// Starts the wait for the next message.
+  void startMessage();
   void checkTimers();
   void armTimer();
   TimePoint deadline() const;
@@ -55,11 +83,19 @@
   TcpStream Stream;
   HttpReader Reader;
   std::string Peer;
-  RequestId Current;
-  bool InFlight = false;
+  std::deque<Exchange> Pipeline;
+  /// Sum of the bodies of the requests, and of the answers, in Pipeline.
+  std::size_t PipelineBytes = 0;
   bool Processing = false;
+  /// No request is read any more, because the connection closes after the last
+  /// answer in Pipeline.
+  bool LastRead = false;
   bool Closing = false;
-  bool IsHeadRequest = false;
+  /// The head of the current message was read, so the reader's request is
+  /// valid.
+  bool HeadRead = false;
+  /// A caller waits for an interim answer before it sends the body.
+  bool ContinueDue = false;
   /// When the current message, or the wait for it, started.
   TimePoint Started;
   TimePoint LastProgress;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -50,7 +50,7 @@
   }
   Connection &Target = *Found->second;
   InFlight.erase(Found);
-  Target.reply(Answer, Fields);
+  Target.reply(Id, Answer, Fields);
 }
 
 void HttpServer::drain() {
@@ -58,7 +58,13 @@
     return;
   }
   // Closing the socket would reset connections that are still in the backlog.
-  onReady(Poco::Net::PollSet::POLL_READ);
+  try {
+    while (acceptNext()) {
+    }
+  } catch (const Poco::Exception &) {
+    // Connections that cannot be accepted, e.g. for lack of file descriptors,
+    // are reset; no request of them has been read.
+  }
   Draining = true;
   stopListening();
   std::vector<std::shared_ptr<Connection>> Current;
@@ -77,17 +83,7 @@
 
 void HttpServer::onReady(int /*Modes*/) {
   try {
-    for (int Count = 0; Count < AcceptBatch; ++Count) {
-      if (!Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-        return;
-      }
-      const Poco::Net::StreamSocket Accepted = Socket.acceptConnection();
-      if (Connections.size() >= Settings.MaximumConnections) {
-        continue;
-      }
-      auto New = std::make_shared<Connection>(*this);
-      Connections.emplace(New.get(), New);
-      New->start(Accepted);
+    for (int Count = 0; Count < AcceptBatch && acceptNext(); ++Count) {
     }
   } catch (const Poco::Exception &) {
     Loop.remove(Socket);
@@ -99,6 +95,19 @@
   }
 }
 
+bool HttpServer::acceptNext() {
+  if (!Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+    return false;
+  }
+  const Poco::Net::StreamSocket Accepted = Socket.acceptConnection();
+  if (Connections.size() < Settings.MaximumConnections) {
+    auto New = std::make_shared<Connection>(*this);
+    Connections.emplace(New.get(), New);
+    New->start(Accepted);
+  }
+  return true;
+}
+
 void HttpServer::stopListening() {
   if (Listening) {
     Listening = false;
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -89,6 +89,12 @@
   }
 }
 
+void TcpStream::readArrived() {
+  if (Open && !Connecting && !Paused && !looksIdle()) {
+    readAvailable();
+  }
+}
+
 void TcpStream::close() {
   if (!Open) {
     return;
--- a/tools/node/runtime_settings.cpp
+++ b/tools/node/runtime_settings.cpp
@@ -9,6 +9,8 @@
   Result.Http.Limits.Head = Settings.Limits.HeaderBytes;
   Result.Http.Limits.Body = Settings.Limits.BodyBytes;
   Result.Http.MaximumConnections = Settings.Limits.CallerConnections;
+  Result.Http.PipelineDepth = Settings.Limits.PipelinedRequests;
+  Result.Http.PipelineBytes = Settings.Limits.PipelinedBytes;
   Result.Upstream.AnswerLimits.Body = Settings.Limits.AnswerBytes;
   Result.Upstream.PoolSize = Settings.Limits.UpstreamConnections;
 }
