Bound senders whose bytes never end

Cause, by reading: interim answers (1xx) in a row recursed in the reader once for each, without a limit; answers to other requests in a row were skipped until the deadline; empty lines before a request line were consumed without a limit, while the buffer that held them grew; a connection that closes discarded input for 500 ms at any rate, more than 64 MB over loopback.

Ruled out: heads, chunk sizes and extensions, trailers, bodies of a stated, chunked or open length, which had limits already.

Change: at most 8 interim answers, 4 skipped answers, 8 empty lines and 1 MiB discarded on closing.

--- a/include/hyssopford/net/http_reader.hpp
+++ b/include/hyssopford/net/http_reader.hpp
@@ -112,6 +112,10 @@
   Stage State = Stage::Head;
   std::string Buffer;
   std::size_t Position = 0;
+  /// Empty lines before the current request line.
+  std::uint32_t EmptyLines = 0;
+  /// Interim answers (1xx) before the current one.
+  std::uint32_t InterimAnswers = 0;
   /// Offset in Buffer up to which the end of the head was searched.
   std::size_t HeadScanOffset = 0;
   /// Bytes of the current body or chunk that are still to be read.
--- a/include/hyssopford/net/tcp_stream.hpp
+++ b/include/hyssopford/net/tcp_stream.hpp
@@ -125,6 +125,8 @@
   bool Paused = false;
   bool Closing = false;
   bool Lingering = false;
+  /// Bytes read since the stream began to close.
+  std::size_t DiscardedBytes = 0;
   int Modes = 0;
   EventLoop::TimerId LingerTimer = 0;
 };
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -17,6 +17,12 @@
 /// alone cannot use up memory.
 constexpr std::uint64_t ReserveLimit = 65'536;
 
+/// Most empty lines before a request line.
+constexpr std::uint32_t EmptyLinesMax = 8;
+/// Most interim answers (1xx) before an answer; more would keep the reader busy
+/// without end.
+constexpr std::uint32_t InterimAnswersMax = 8;
+
 } // namespace
 
 HttpReader::HttpReader(Kind Messages, const HttpLimits &MessageLimits)
@@ -48,6 +54,7 @@
   Buffer.erase(0, Position);
   Position = 0;
   HeadScanOffset = 0;
+  EmptyLines = 0;
   State = Stage::Head;
   Body.clear();
   Facts = HttpHeadFacts();
@@ -58,6 +65,9 @@
   if (MessageKind == Kind::Request) {
     while (Buffer.compare(Position, 2, "\r\n") == 0) {
       Position += 2;
+      if (++EmptyLines > EmptyLinesMax) {
+        return refuse(400, "too many empty lines");
+      }
     }
     HeadScanOffset = std::max(HeadScanOffset, Position);
   }
@@ -97,9 +107,13 @@
     if (Facts.Status == 101) {
       return refuse(502, "unexpected upgrade");
     }
-    next();
+    if (++InterimAnswers > InterimAnswersMax) {
+      return refuse(502, "too many interim answers");
+    }
+    State = Stage::Head;
     return readHead();
   }
+  InterimAnswers = 0;
   return Progress::HeadReady;
 }
 
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -20,6 +20,8 @@
 /// input would send a reset, which discards the last answer in the peer's
 /// receive buffer.
 constexpr Duration LingerTime = 500ms;
+/// Most bytes that a stream that is closing reads and discards.
+constexpr std::size_t DiscardedBytesMax = 1'048'576;
 
 constexpr int PollRead = Poco::Net::PollSet::POLL_READ;
 constexpr int PollWrite = Poco::Net::PollSet::POLL_WRITE;
@@ -178,7 +180,12 @@
   }
   if (Received == 0) {
     fail("closed by peer", true);
-  } else if (Received > 0 && !Closing) {
+  } else if (Received > 0 && Closing) {
+    DiscardedBytes += static_cast<std::size_t>(Received);
+    if (DiscardedBytes > DiscardedBytesMax) {
+      fail("closed");
+    }
+  } else if (Received > 0) {
     Handler.onData(
         std::string_view(Buffer.data(), static_cast<std::size_t>(Received)));
   }
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -8,6 +8,13 @@
 
 namespace hyssopford {
 
+namespace {
+
+/// Most answers to other requests that are skipped before the own one.
+constexpr std::uint32_t MismatchedAnswersMax = 4;
+
+} // namespace
+
 UpstreamClient::Exchange::Exchange(UpstreamClient &Parent)
     : Client(Parent), Loop(Parent.Loop), Stream(Parent.Loop, *this),
       Reader(HttpReader::Kind::Response, Parent.Settings.AnswerLimits) {}
@@ -85,6 +92,7 @@
 void UpstreamClient::Exchange::begin(Duration Timeout) {
   Busy = true;
   Sent = false;
+  MismatchedAnswers = 0;
   Started = EventLoop::now();
   Timer = Loop.after(std::max(Timeout, Duration{0}), [this] {
     Timer = 0;
@@ -129,6 +137,11 @@
       if (Kind == AnswerKind::Mismatched) {
         // A late answer to an earlier request; the answer to this one may
         // follow.
+        if (++MismatchedAnswers > MismatchedAnswersMax) {
+          Stream.close();
+          fail(OutcomeReason::UpstreamClosed);
+          return;
+        }
         Reader.next();
         continue;
       }
--- a/src/net/upstream_exchange.hpp
+++ b/src/net/upstream_exchange.hpp
@@ -69,6 +69,8 @@
   ProbePurpose Purpose = ProbePurpose::Health;
   bool Connected = false;
   bool Sent = false;
+  /// Answers to other requests that were skipped for this attempt.
+  std::uint32_t MismatchedAnswers = 0;
   /// True if the connection was used before.
   bool IsReused = false;
 };
