--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds everything with a sanitizer and runs all tests:
+# Builds everything, or only the targets named in TARGETS, with a sanitizer and
+# runs all tests, or those that the ctest arguments select:
 # scripts/sanitize.sh address|undefined|address,undefined|thread [ctest
 # argument...]
 set -euo pipefail
@@ -16,7 +17,8 @@
 BUILD="build-$SANITIZER"
 cmake -S . -B "$BUILD" -G Ninja -DHYSSOPFORD_SANITIZE="$SANITIZER" \
   -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
-cmake --build "$BUILD" -j "${JOBS:-4}"
+read -ra BUILD_TARGETS <<<"${TARGETS:-all}"
+cmake --build "$BUILD" -j "${JOBS:-4}" --target "${BUILD_TARGETS[@]}"
 # A report of the sanitizer ends the program, so that the test fails.
 export ASAN_OPTIONS=halt_on_error=1:detect_leaks=1
 export UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
