Let the budget of comparisons hold a joining site of 1,060 nodes

Cause: with a burst of 128 KiB, which each node spends on records that its requesters partly know, 1,060 nodes that start together had answered all they may before the tables were whole: the node that knew least knew 663 members after 10 s, where the test asks for 954.

Ruled out: the number of links (at most 42 after 10 s) and the store, whose calls stay below three a node.

Change: the burst is 256 KiB; the rate stays at 1 kB/s.

Measured: core_tests "[thousand]" passes in 88 s of real time; it is run by hand.

--- a/include/hyssopford/core/table_sync.hpp
+++ b/include/hyssopford/core/table_sync.hpp
@@ -38,7 +38,7 @@
   /// Rate and burst of the records sent. A joining node asks different peers,
   /// so the load of a restarting rack is spread over the site.
   static constexpr std::int64_t BytesPerSecond = 1'024;
-  static constexpr std::int64_t BurstBytes = 131'072;
+  static constexpr std::int64_t BurstBytes = 262'144;
 
   /// @param Members the member table
   /// @param Connections usable links
