Tell calls of an upstream from requests of callers on its VM

So every request had the class High, routes' priorities never applied, and no request added to the budget of retries and hedges. Besides, a node of a site with more than 60 nodes holds less than two tokens (1.65 at 195), and hedges needed more than that (1.83); and one latency quantile served routes of 60 and 340 ms.

Change: (1) a route counts as a caller's once two of its requests, and at least one in 64, have arrived while the upstream was idle; (2) hedges leave half of what the bucket holds beyond one token; (3) hedges wait for the quantile of their route.

--- a/include/hyssopford/core/candidate_table.hpp
+++ b/include/hyssopford/core/candidate_table.hpp
@@ -26,7 +26,8 @@
 public:
   /// @param Settings settings of routing
   explicit ServicePool(const RoutingSettings &Settings)
-      : Budget(Settings), HedgeDelay(Settings.HedgeQuantile) {}
+      : Budget(Settings), HedgeQuantile(Settings.HedgeQuantile),
+        HedgeDelay(Settings.HedgeQuantile) {}
 
   /// @return the candidates that may be chosen now: linked, not ejected and
   /// accepting new attempts
@@ -37,16 +38,30 @@
   /// @return the number of candidates with or without a usable link
   std::size_t size() const { return Views.size(); }
 
+  /// @brief Records the latency of an attempt.
+  /// @param Route name of the route of the request
+  void recordLatency(const std::string &Route, Duration Latency);
+
+  /// @return the time after which an attempt of a route is hedged: the latency
+  /// quantile of the route, or that of the service while the route has few
+  /// answers; 0 before the first answer
+  Duration hedgeDelay(const std::string &Route) const;
+
   /// Budget of retries and hedges.
   RetryBudget Budget;
-  /// Latency quantile after which a request is hedged.
-  QuantileTracker HedgeDelay;
   ServiceMean Mean;
   TimePoint LastUse;
 
 private:
   friend class CandidateTable;
 
+  struct RouteLatency {
+    explicit RouteLatency(double Chosen) : Quantile(Chosen) {}
+
+    QuantileTracker Quantile;
+    std::uint32_t Answers = 0;
+  };
+
   /// State of a candidate that is not passed to selection policies.
   struct History {
     bool Linked = false;
@@ -62,6 +77,12 @@
     std::map<std::uint64_t, TimePoint> OpenAttempts;
   };
 
+  double HedgeQuantile;
+  /// Latency quantile of all requests of the service.
+  QuantileTracker HedgeDelay;
+  /// Latency quantiles by route: requests of one service may differ in length
+  /// by a factor of 10 or more.
+  std::unordered_map<std::string, RouteLatency> RouteLatencies;
   /// The first UsableCount views are usable; Histories has the same order.
   std::vector<CandidateView> Views;
   std::vector<History> Histories;
--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -41,8 +41,11 @@
   std::uint64_t BodySize = 0;
   /// True if the request is a retry or a hedge of an earlier hop.
   bool IsExtra = false;
+  /// True if the sender has the address of the upstream on this VM: it is the
+  /// upstream or a caller on the same VM.
+  bool FromUpstreamAddress = false;
   /// True if the upstream on this VM makes the request while it runs another
-  /// one.
+  /// one. Set by the core.
   bool IsNestedCall = false;
   /// True if the request is served although the node is shutting down: it
   /// began to arrive before the shutdown, or the upstream on this VM makes it
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -10,6 +10,7 @@
 #include "hyssopford/core/ingress_system.hpp"
 #include "hyssopford/core/key_system.hpp"
 #include "hyssopford/core/membership_system.hpp"
+#include "hyssopford/core/nested_call_detector.hpp"
 #include "hyssopford/core/owner_system.hpp"
 #include "hyssopford/core/probe_system.hpp"
 #include "hyssopford/core/quarantine_system.hpp"
@@ -167,6 +168,8 @@
                Actions &Out);
 
   /// Refuses dispatches of peers for a while if the process was paused.
+  void startRequest(const CallerRequest &Input, const Route &Matched,
+                    TimePoint Now, Actions &Out);
   void detectPause(TimePoint Now);
   /// Passes the produced actions on to Out; messages to this node itself are
   /// handled at once.
@@ -183,6 +186,7 @@
   SeededRandomSource Random;
   RoutingConfig Config;
   TrafficSplit Splits;
+  NestedCallDetector NestedCalls;
   MembershipSystem Membership;
   DirectorySystem Directory;
   std::optional<ConfigSystem> Configs;
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -97,6 +97,9 @@
   /// @return the number of attempts queued or running
   std::size_t inFlight() const { return Queue.size() + Running.size(); }
 
+  /// @return whether the upstream runs no attempt
+  bool idle() const { return Running.empty(); }
+
   /// @return the announced service; empty if there is no upstream
   const std::string &service() const { return Upstream.Service; }
   /// @}
--- a/include/hyssopford/core/retry_budget.hpp
+++ b/include/hyssopford/core/retry_budget.hpp
@@ -39,9 +39,12 @@
   /// @return false if no token is left
   bool takeRetry() { return take(PerToken); }
 
-  /// @return whether a hedge may be sent. Half of the capacity is reserved for
-  /// retries, as requests fail without them.
-  bool allowsHedge() const { return Level >= PerToken + Capacity / 2; }
+  /// @return whether a hedge may be sent. Half of the capacity beyond one token
+  /// is reserved for retries, as requests fail without them. A node of a large
+  /// site holds less than two tokens.
+  bool allowsHedge() const {
+    return Level >= PerToken + (Capacity - PerToken) / 2;
+  }
 
   /// @brief Takes one token for a hedge.
   /// @return false if no hedge may be sent
--- a/src/core/candidate_table.cpp
+++ b/src/core/candidate_table.cpp
@@ -25,8 +25,33 @@
 /// outstanding.
 constexpr std::size_t RecentSendsMax = 256;
 
+/// Answers of a route after which its own latency quantile is used.
+constexpr std::uint32_t RouteAnswersMin = 20;
+/// Most routes of a service with latency quantiles of their own.
+constexpr std::size_t RoutesMax = 256;
+
 } // namespace
 
+void ServicePool::recordLatency(const std::string &Route, Duration Latency) {
+  HedgeDelay.add(Latency);
+  auto Found = RouteLatencies.find(Route);
+  if (Found == RouteLatencies.end()) {
+    if (RouteLatencies.size() >= RoutesMax) {
+      return;
+    }
+    Found = RouteLatencies.emplace(Route, RouteLatency(HedgeQuantile)).first;
+  }
+  Found->second.Quantile.add(Latency);
+  ++Found->second.Answers;
+}
+
+Duration ServicePool::hedgeDelay(const std::string &Route) const {
+  const auto Found = RouteLatencies.find(Route);
+  const bool HasOwn =
+      Found != RouteLatencies.end() && Found->second.Answers >= RouteAnswersMin;
+  return HasOwn ? Found->second.Quantile.value() : HedgeDelay.value();
+}
+
 CandidateTable::CandidateTable(NodeRun Run, std::string OwnRegion,
                                const RoutingSettings &Chosen,
                                std::string OwnDomain)
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -412,10 +412,10 @@
     Message.Target = std::max(Row.Started + Row.Target - Now, Duration{1});
   }
   Out.emplace_back(SendToPeer{Owner.Node, std::move(Message)});
-  const Duration HedgeDelay =
-      std::max(Pool.HedgeDelay.value(), Settings.HedgeFloor);
+  const Duration Quantile = Pool.hedgeDelay(Row.Route);
+  const Duration HedgeDelay = std::max(Quantile, Settings.HedgeFloor);
   if (Row.Attempts == 1 && !IsExtra && Row.AttemptLimit > 1 &&
-      Settings.HedgeQuantile < 1.0 && Pool.HedgeDelay.value() > Duration{0} &&
+      Settings.HedgeQuantile < 1.0 && Quantile > Duration{0} &&
       Now + HedgeDelay < Row.Deadline) {
     if (Row.HedgeAt) {
       // Still set from an attempt that was handed back.
@@ -439,7 +439,7 @@
     Table.recordOutcome(Owner, Reply.Status < FirstServerError, Now, Out);
     if (ServicePool *Pool = Table.findPool(Row.Service)) {
       if (Attempt.IsExtra == Row.Request.IsExtra) {
-        Pool->HedgeDelay.add(Elapsed);
+        Pool->recordLatency(Row.Route, Elapsed);
       }
       smooth(Pool->Mean.Latency, static_cast<double>(Elapsed.count()),
              LatencyWeight);
@@ -533,7 +533,7 @@
   for (const std::uint64_t Sequence : Row.OpenAttempts) {
     const AttemptRow &Overtaken = Attempts.at(Sequence);
     if (Pool != nullptr && Overtaken.IsExtra == Row.Request.IsExtra) {
-      Pool->HedgeDelay.add(Now - Overtaken.Sent);
+      Pool->recordLatency(Row.Route, Now - Overtaken.Sent);
     }
   }
   cancelOpenAttempts(Row, Now, Out);
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -137,8 +137,22 @@
   if (Quarantine.isSuspect(Fingerprint, Now)) {
     Limited.AttemptLimit = 1;
   }
-  if (!Keys.beginClaim(Input, Limited, Now, Out)) {
-    Ingress.start(Input, Limited, Now, Out);
+  if (Input.FromUpstreamAddress &&
+      NestedCalls.observe(Limited.Name, !Owner.idle())) {
+    // Refusing a call of a running request would waste the work done for it.
+    CallerRequest Call = Input;
+    Call.IsNestedCall = true;
+    Call.Class = Priority::High;
+    startRequest(Call, Limited, Now, Out);
+    return;
+  }
+  startRequest(Input, Limited, Now, Out);
+}
+
+void NodeCore::startRequest(const CallerRequest &Input, const Route &Matched,
+                            TimePoint Now, Actions &Out) {
+  if (!Keys.beginClaim(Input, Matched, Now, Out)) {
+    Ingress.start(Input, Matched, Now, Out);
   }
 }
 
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -85,12 +85,8 @@
   Input.Deadline = Hop.Deadline;
   Input.Class = Hop.Class;
   const std::size_t HostEnd = Request.Peer.rfind(':');
-  if (!UpstreamIp.empty() && Request.Peer.substr(0, HostEnd) == UpstreamIp) {
-    // The upstream calls another service on behalf of a request in progress;
-    // refusing this call would waste the work done so far.
-    Input.IsNestedCall = true;
-    Input.Class = Priority::High;
-  }
+  Input.FromUpstreamAddress =
+      !UpstreamIp.empty() && Request.Peer.substr(0, HostEnd) == UpstreamIp;
   Input.Key = Request.Head.get("Idempotency-Key", "");
   Input.BodyHash = hashBytes(Request.Body);
   Input.BodySize = Request.Body.size();
--- a/tests/core/ingress_system_test.cpp
+++ b/tests/core/ingress_system_test.cpp
@@ -128,6 +128,39 @@
   }
 }
 
+TEST_CASE("short requests beside long ones are hedged after their own latency",
+          "[ingress]") {
+  // Guards against one latency quantile for all routes of a service: calls of
+  // 60 ms with a deadline of 800 ms were hedged after the 700 ms of others.
+  LinkedIngress Test;
+  Route Long = seatsRoute();
+  Long.Name = "long";
+  Route Short = seatsRoute();
+  Short.Name = "short";
+  const auto Run = [&](std::uint64_t Id, const Route &Matched, Duration Begin,
+                       Duration Length) {
+    Test.Out.clear();
+    Test.Ingress.start(callerRequest(Id), Matched, at(Begin), Test.Out);
+    const auto Sent = messages<Dispatch>(Test.Out).at(0);
+    Test.end(Sent, Outcome::Answered, OutcomeReason::None, Begin + Length);
+  };
+  for (std::uint64_t Id = 1; Id <= 400; Id += 2) {
+    Run(Id, Long, Id * 10ms, 600ms);
+    Run(Id + 1, Short, Id * 10ms, 60ms);
+  }
+  const TimePoint Begin = at(100s);
+  const auto HedgeDelay = [&](std::uint64_t Id, const Route &Matched) {
+    Test.Out.clear();
+    Test.Ingress.start(callerRequest(Id), Matched, Begin, Test.Out);
+    const Duration Delay = *Test.Ingress.nextWakeup() - Begin;
+    Test.end(messages<Dispatch>(Test.Out).at(0), Outcome::Answered,
+             OutcomeReason::None, 101s);
+    return Delay;
+  };
+  CHECK(HedgeDelay(1'000, Short) <= 120ms);
+  CHECK(HedgeDelay(1'001, Long) >= 500ms);
+}
+
 TEST_CASE("lost links", "[ingress]") {
   LinkedIngress Test;
   const auto Sent = Test.start(callerRequest(1, "POST"));
--- a/tests/core/overload_test.cpp
+++ b/tests/core/overload_test.cpp
@@ -168,6 +168,30 @@
   }
 }
 
+TEST_CASE("hedges stay possible when hundreds of nodes share the burst",
+          "[overload]") {
+  // Guards against a reserve for retries that no node can fill: with less than
+  // two tokens each, no idempotent request on a silent upstream was hedged on
+  // sites of more than 60 nodes.
+  RoutingSettings Settings;
+  Settings.SiteBurst = 322.0;
+  Settings.ExtraPerThousand = 150;
+  for (const std::size_t Nodes : {std::size_t{13}, std::size_t{60},
+                                  std::size_t{195}, std::size_t{1'060}}) {
+    RetryBudget Budget(Settings);
+    Budget.limitBurst(Nodes);
+    INFO(Nodes);
+    std::size_t Hedges = 0;
+    for (int Request = 0; Request < 1'000; ++Request) {
+      Budget.creditRequest();
+      Hedges += Budget.takeHedge() ? 1 : 0;
+    }
+    // The rate of the budget bounds them, not the number of nodes.
+    CHECK(Hedges >= 100);
+    CHECK(Hedges <= 150 + Settings.ExtraInitial);
+  }
+}
+
 TEST_CASE("a traffic split keeps its weights after any number of requests",
           "[overload]") {
   Route Split = seatsRoute();
