Prefer upstreams of the own failure domain in subsets

Change: LocalSubsetSize takes 5 of the 8 from the node's own domain; candidates of either kind fill up when the other has few.

--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -67,6 +67,9 @@
   /// Upstreams of one service in the node's own region that the node links to;
   /// 0 disables subsets.
   std::size_t SubsetSize = 8;
+  /// Upstreams of the subset in the node's own failure domain, if the service
+  /// has as many there; 0 takes the failure domains in turn.
+  std::size_t LocalSubsetSize = 0;
   /// Upstreams of one service in all other regions that the node links to.
   std::size_t RemoteSubsetSize = 4;
   /// Failure share at which an upstream is ejected.
--- a/src/core/candidate_table.cpp
+++ b/src/core/candidate_table.cpp
@@ -288,7 +288,7 @@
     return;
   }
   for (const Candidate &Each :
-       chooseSubset(All->second, Self.Node, Region, Settings)) {
+       chooseSubset(All->second, Self.Node, Region, FailureDomain, Settings)) {
     CandidateView View;
     ServicePool::History Past;
     const auto Kept = Old.find(Each.Owner.Node);
--- a/src/core/subset.cpp
+++ b/src/core/subset.cpp
@@ -46,17 +46,31 @@
 
 std::vector<Candidate> chooseSubset(std::vector<Candidate> All, NodeId Self,
                                     const std::string &Region,
+                                    const std::string &FailureDomain,
                                     const RoutingSettings &Settings) {
   if (Settings.SubsetSize == 0 || All.size() <= Settings.SubsetSize) {
     return All;
   }
+  std::vector<Candidate> Local;
   std::vector<Candidate> Near;
   std::vector<Candidate> Remote;
   for (Candidate &Each : All) {
-    (Each.Region == Region ? Near : Remote).push_back(std::move(Each));
+    const bool IsLocal =
+        Settings.LocalSubsetSize > 0 && Each.FailureDomain == FailureDomain;
+    (IsLocal                 ? Local
+     : Each.Region == Region ? Near
+                             : Remote)
+        .push_back(std::move(Each));
   }
   std::vector<Candidate> Chosen;
-  takeInTurn(std::move(Near), Self, Settings.SubsetSize, Chosen);
+  // Local candidates fill the subset if there are few others.
+  const std::size_t Others = std::min(Near.size(), Settings.SubsetSize);
+  const std::size_t LocalSize =
+      std::max(std::min(Settings.LocalSubsetSize, Settings.SubsetSize),
+               Settings.SubsetSize - Others);
+  takeInTurn(std::move(Local), Self, LocalSize, Chosen);
+  takeInTurn(std::move(Near), Self, Settings.SubsetSize - Chosen.size(),
+             Chosen);
   // If the own region has fewer upstreams than the subset size, others fill it.
   const std::size_t RemoteSize =
       std::max(Settings.RemoteSubsetSize, Settings.SubsetSize - Chosen.size());
--- a/tests/core/selection_test.cpp
+++ b/tests/core/selection_test.cpp
@@ -111,7 +111,8 @@
     const std::string Domain = "d" + std::to_string(Node % 4);
     All.push_back(candidate(Node, Domain, Node % 4 < 2 ? "r1" : "r2"));
   }
-  const auto Chosen = chooseSubset(All, NodeId{5000}, "r1", RoutingSettings{});
+  const auto Chosen =
+      chooseSubset(All, NodeId{5000}, "r1", "d0", RoutingSettings{});
   std::map<std::string, int> PerDomain;
   for (const Candidate &Each : Chosen) {
     ++PerDomain[Each.FailureDomain];
@@ -120,6 +121,35 @@
     REQUIRE(PerDomain == std::map<std::string, int>{
                              {"d0", 4}, {"d1", 4}, {"d2", 2}, {"d3", 2}});
   }
+  SECTION("prefer the own failure domain where that is set") {
+    // Guards against paid traffic between domains: with subsets spread over
+    // five domains, four in five requests left their domain on a calm day.
+    RoutingSettings Settings;
+    Settings.LocalSubsetSize = 5;
+    std::map<std::string, int> Counts;
+    for (const Candidate &Each :
+         chooseSubset(All, NodeId{5000}, "r1", "d0", Settings)) {
+      ++Counts[Each.FailureDomain];
+    }
+    REQUIRE(Counts == std::map<std::string, int>{
+                          {"d0", 5}, {"d1", 3}, {"d2", 2}, {"d3", 2}});
+  }
+  SECTION("fill up from the own failure domain") {
+    RoutingSettings Settings;
+    Settings.LocalSubsetSize = 5;
+    std::vector<Candidate> Local;
+    std::copy_if(
+        All.begin(), All.end(), std::back_inserter(Local),
+        [](const Candidate &Each) { return Each.FailureDomain == "d0"; });
+    REQUIRE(chooseSubset(Local, NodeId{5000}, "r1", "d0", Settings).size() ==
+            Settings.SubsetSize);
+  }
+  SECTION("fill up from other failure domains") {
+    RoutingSettings Settings;
+    Settings.LocalSubsetSize = 5;
+    REQUIRE(chooseSubset(All, NodeId{5000}, "r1", "none", Settings).size() ==
+            Settings.SubsetSize + Settings.RemoteSubsetSize);
+  }
   SECTION("keep their members when another candidate is lost") {
     std::vector<Candidate> Fewer;
     for (const Candidate &Each : All) {
@@ -129,7 +159,7 @@
     }
     std::size_t Kept = 0;
     for (const Candidate &Each :
-         chooseSubset(Fewer, NodeId{5000}, "r1", RoutingSettings{})) {
+         chooseSubset(Fewer, NodeId{5000}, "r1", "d0", RoutingSettings{})) {
       Kept += static_cast<std::size_t>(
           std::count(Chosen.begin(), Chosen.end(), Each));
     }
@@ -139,7 +169,7 @@
     std::map<NodeId, int> Uses;
     for (std::uint64_t Node = 1; Node <= 1100; ++Node) {
       for (const Candidate &Each :
-           chooseSubset(All, NodeId{Node}, "r1", RoutingSettings{})) {
+           chooseSubset(All, NodeId{Node}, "r1", "d0", RoutingSettings{})) {
         ++Uses[Each.Owner.Node];
       }
     }
