--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -125,7 +125,8 @@
   /// Starts of more urgent attempts after which an attempt of a waiting class
   /// is started.
   std::uint32_t HighBurst = 4;
-  /// Time over which the limit of a cold upstream grows to its slots.
+  /// Time over which the limit of a cold upstream grows to its slots; 0 for
+  /// upstreams that are slow at first but bear their usual concurrency.
   Duration ColdRamp = 2s;
   /// Answers averaged into one latency measurement. With fewer, the limit
   /// follows the noise of the service time.
--- a/tests/core/overload_test.cpp
+++ b/tests/core/overload_test.cpp
@@ -147,6 +147,23 @@
   }
 }
 
+TEST_CASE("upstreams that bear their slots while cold get them at once",
+          "[overload]") {
+  // Guards against a slow recovery after a restart of the whole site: all
+  // upstreams are cold, and limits that grow over 2 s refused half of the
+  // requests that the slots could have served.
+  AdmissionSettings Settings;
+  Settings.ColdRamp = GENERATE(Duration{0}, Duration{2s});
+  OwnerSystem Owner(nodeRun(1), Settings);
+  Actions Out;
+  Owner.upstreamAnnounced({"seats", 5, UpstreamState::Cold}, at(0ms), Out);
+  for (std::uint64_t Sequence = 1; Sequence <= 5; ++Sequence) {
+    Owner.admit(NodeId{9}, dispatchOf(Sequence), at(1ms), Out);
+  }
+  CHECK(all<ForwardToUpstream>(Out).size() ==
+        (Settings.ColdRamp == Duration{0} ? 5 : 1));
+}
+
 TEST_CASE("the burst of retries is shared by all nodes", "[overload]") {
   RoutingSettings Settings;
   Settings.SiteBurst = 60.0;
