--- a/tests/net/endless_bytes_test.cpp
+++ b/tests/net/endless_bytes_test.cpp
@@ -17,12 +17,12 @@
 
 /// Bytes after which a sender gives up; far above every limit of the node and
 /// the buffers of the sockets.
-constexpr std::size_t SenderLimit = 64 * 1'048'576;
+constexpr std::size_t SenderLimit = 67'108'864;
 /// Longest body of an answer in these tests.
 constexpr std::size_t BodyLimit = 1'048'576;
 /// Bytes that may pass: the chunks below take two bytes for each one of their
 /// body, and the socket buffers of both ends hold the rest.
-constexpr std::size_t AcceptedMax = 2 * BodyLimit + 12 * 1'048'576;
+constexpr std::size_t AcceptedMax = 2 * BodyLimit + 12'582'912;
 
 /// Sends a start and then a unit again and again until the peer closes.
 /// @return the bytes sent
