--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -167,9 +167,9 @@
   void receive(NodeRun From, const Message &Received, TimePoint Now,
                Actions &Out);
 
-  /// Refuses dispatches of peers for a while if the process was paused.
   void startRequest(const CallerRequest &Input, const Route &Matched,
                     TimePoint Now, Actions &Out);
+  /// Refuses dispatches of peers for a while if the process was paused.
   void detectPause(TimePoint Now);
   /// Passes the produced actions on to Out; messages to this node itself are
   /// handled at once.
