Start the message after an interim answer with next() again

Only the count of interim answers was to be kept, and next() keeps it. Without it the bytes of the interim answer stayed in the buffer. The net tests of the tags endless, http and upstream pass.

--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -110,7 +110,7 @@
     if (++InterimAnswers > InterimAnswersMax) {
       return refuse(502, "too many interim answers");
     }
-    State = Stage::Head;
+    next();
     return readHead();
   }
   InterimAnswers = 0;
