--- a/tests/platform/soak/client.py
+++ b/tests/platform/soak/client.py
@@ -20,6 +20,11 @@
     reason: str = ""
     signature: str = ""
     body: bytes = b""
+    path: str = ""
+    # When its first byte was written; 0 if that did not happen.
+    sent: float = 0.0
+    # Whether its connection had carried an answer before.
+    kept: bool = False
 
 
 class Connection:
@@ -28,11 +33,13 @@
     def __init__(self, host, port):
         self.host, self.port = host, port
         self.reader = self.writer = None
+        self.answers = 0
 
     def disconnect(self):
         if self.writer:
             self.writer.transport.abort()
         self.reader = self.writer = None
+        self.answers = 0
 
     async def request(self, node, method, path, request_id, body, timeout,
                       leave_after=None):
@@ -52,20 +59,62 @@
             self.disconnect()
         return outcome
 
-    async def _exchange(self, outcome, method, path, body):
+    async def pipeline(self, node, requests, timeout):
+        """Sends rows of method, path, identifier, body and whether the body is
+        sent in chunks, at once, and reads the answers in this order."""
+        outcomes = [Outcome(request_id, node, method == "POST", time.monotonic(),
+                            0.0, timeout, path=path)
+                    for method, path, request_id, _, _ in requests]
+
+        async def exchange():
+            await self._connect(outcomes[0])
+            for outcome, (method, path, _, body, chunked) in zip(outcomes, requests):
+                self._write(outcome, method, path, body, chunked)
+            for outcome in outcomes:
+                await self._read(outcome)
+                outcome.ended = time.monotonic()
+
+        reason = ""
+        try:
+            await asyncio.wait_for(exchange(), timeout + 2.0)
+        except asyncio.TimeoutError:
+            reason = "no answer"
+        except (OSError, asyncio.IncompleteReadError, ValueError) as fault:
+            reason = outcomes[0].reason or f"connection ended: {fault!r}"
+        if reason:
+            self.disconnect()
+        for outcome in outcomes:
+            if not outcome.ended:
+                outcome.ended, outcome.reason = time.monotonic(), reason
+        return outcomes
+
+    async def _connect(self, outcome):
         if self.writer is None or self.writer.is_closing():
+            self.disconnect()
             try:
                 self.reader, self.writer = await asyncio.open_connection(
                     self.host, self.port)
             except OSError:
                 outcome.reason = "no connection"
                 raise
+
+    def _write(self, outcome, method, path, body, chunked=False):
+        outcome.sent, outcome.kept = time.monotonic(), self.answers > 0
+        length = ("Transfer-Encoding: chunked" if chunked
+                  else f"Content-Length: {len(body)}")
+        if chunked:
+            half = len(body) // 2
+            body = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in
+                            (body[:half], body[half:]) if part) + b"0\r\n\r\n"
         self.writer.write(
             f"{method} {path} HTTP/1.1\r\nHost: demo.example\r\n"
             f"X-Attempt-Id: {outcome.request_id}\r\nX-Deadline-Ms: "
-            f"{int(outcome.timeout * 1000)}\r\nContent-Length: {len(body)}\r\n\r\n"
+            f"{int(outcome.timeout * 1000)}\r\n{length}\r\n\r\n"
             .encode() + body)
-        await self.writer.drain()
+
+    async def _read(self, outcome):
+        if self.reader is None:
+            raise ConnectionResetError("closed after the answer before")
         head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         lines = head.split("\r\n")
         fields = {}
@@ -76,9 +125,16 @@
             int(fields.get("content-length", "0")))
         outcome.signature = fields.get("x-server-signature", "")
         outcome.status = int(lines[0].split()[1])
+        self.answers += 1
         if fields.get("connection", "").lower() == "close":
             self.disconnect()
 
+    async def _exchange(self, outcome, method, path, body):
+        await self._connect(outcome)
+        self._write(outcome, method, path, body)
+        await self.writer.drain()
+        await self._read(outcome)
+
 
 async def fetch(host, port, path):
     """Sends a GET on a new connection; returns status and body."""
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -56,6 +56,7 @@
                 f"node {machine} ended with status {status} after SIGTERM")
         await asyncio.sleep(downtime)
         node.start()
+        self.site.name_process(machine)
         self.report.node_starts(machine)
         self._release(part)
 
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -14,6 +14,7 @@
 from client import Connection
 from deployment import Deployment
 from faults import FaultInjector
+from operator_day import run_operator_day
 from report import Report
 
 # Time after the last fault until each node must serve all routes.
@@ -105,6 +106,7 @@
                       random.Random(rng.random()))
     try:
         await site.start()
+        site.write_config(90)
         if not await wait_until(lambda: all_ready(site), READY_S):
             report.record_violation("not all nodes became ready")
         until = time.monotonic() + options.seconds
@@ -166,6 +168,12 @@
                         help="mean seconds between a client's requests")
     parser.add_argument("--gap", type=float, default=0.4,
                         help="mean seconds between faults")
+    parser.add_argument("--operator-day", action="store_true",
+                        help="run a day of configuration changes")
+    parser.add_argument("--families", default=None,
+                        help="kinds of faults of such a day, separated by commas")
+    parser.add_argument("--rate", type=float, default=250.0,
+                        help="requests a second of such a day")
     parser.add_argument("--port", type=int, default=19600)
     parser.add_argument("--keep", default=None, help="directory for logs")
     options = parser.parse_args()
@@ -177,7 +185,8 @@
             tempfile.mkdtemp(prefix="hyssopford-soak-"))
         folder.mkdir(parents=True, exist_ok=True)
         begun = time.monotonic()
-        report = asyncio.run(run_seed(options, folder))
+        report = asyncio.run((run_operator_day if options.operator_day
+                              else run_seed)(options, folder))
         if report.violations:
             failed.append(seed)
             for when, text in report.events:
