Name the source, delay and failed calls of the configuration

config_in_force names source, peer, revision, age of the store's last answer and the time since the version was first named to the node. config_watch_started and config_watch_stopped, config_call_failed and config_fetch_failed are new, and timers_late tells that the process itself was late. request_ended names the version that chose the route, the attempt lines the one in force at the owner. Metrics: hyssopford_config_store_age_seconds, hyssopford_config_delay_seconds, hyssopford_timer_lateness_seconds.

--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -82,7 +82,7 @@
   void linkDown(NodeId Peer);
 
   /// @brief Sets whether this node is one of those that watch the store.
-  void setWatching(bool Value, TimePoint Now);
+  void setWatching(bool Value, TimePoint Now, Actions &Out);
 
   /// @brief Runs the timers.
   void tick(TimePoint Now, Actions &Out);
@@ -105,24 +105,46 @@
 
   /// @return whether the start is over
   bool started() const { return Started; }
+
+  /// @return when the store last answered a call of this system, if ever
+  std::optional<TimePoint> storeAnsweredAt() const { return StoreAnsweredAt; }
+
+  /// @return the time from the first message or answer that named the version
+  /// in force until it came into force
+  Duration applyDelay() const { return ApplyDelay; }
   /// @}
 
 private:
+  /// Where a version came from, for the log.
+  struct Origin {
+    const char *Source = "";
+    /// The peer that sent it, if any.
+    std::optional<NodeId> Peer;
+    /// Revision in the store; 0 if a peer sent it.
+    std::uint64_t Revision = 0;
+  };
+
   struct Candidate {
     std::uint64_t Version = 0;
     Payload Document;
+    Origin From;
   };
 
-  void considerVersion(std::uint64_t Offered, const Payload &Text,
-                       TimePoint Now, Actions &Out);
-  void putInForce(const Candidate &Next, Actions &Out);
+  /// Takes over a version that a submission found in or wrote to the store.
+  void takeStored(TimePoint Now, Actions &Out);
+  void considerVersion(Candidate Offered, TimePoint Now, Actions &Out);
+  void putInForce(const Candidate &Next, TimePoint Now, Actions &Out);
+  void reportInForce(const Origin &From, TimePoint Now, Actions &Out);
+  /// Records when a version higher than the one in force was first named.
+  void noteVersion(std::uint64_t Named, TimePoint Now);
   void endStartIfReady(TimePoint Now, Actions &Out);
   std::uint64_t highestPeerVersion() const;
   void fetchFromPeer(TimePoint Now, Actions &Out);
-  void callStore(StoreOperation Operation, TimePoint End, Actions &Out);
+  void callStore(StoreOperation Operation, TimePoint Now, TimePoint End,
+                 Actions &Out);
   void readStore(TimePoint Now, Actions &Out);
   void receiveHead(const StoreResult &Result, TimePoint Now, Actions &Out);
-  void storeFailed(TimePoint Now);
+  void storeFailed(const std::string &Reason, TimePoint Now, Actions &Out);
   void finishHistory(const StoreResult &Result, std::uint64_t Call,
                      Actions &Out);
 
@@ -142,6 +164,13 @@
   std::uint64_t UnreadableVersion = 0;
   /// @}
 
+  /// @name Delay of a version
+  /// @{
+  /// When each version above the one in force was first named to this node.
+  std::map<std::uint64_t, TimePoint> NamedAt;
+  Duration ApplyDelay{0};
+  /// @}
+
   /// @name Start
   /// @{
   bool Started = false;
@@ -157,6 +186,7 @@
   std::map<NodeId, std::uint64_t> PeerVersions;
   std::optional<NodeId> FetchPeer;
   TimePoint FetchDeadline;
+  TimePoint FetchStart;
   /// @}
 
   /// @name Store
@@ -168,6 +198,9 @@
   std::uint64_t LastCall = 0;
   std::uint64_t OpenCall = 0;
   TimePoint CallDeadline;
+  TimePoint CallStart;
+  bool CallIsWatch = false;
+  std::optional<TimePoint> StoreAnsweredAt;
   TimePoint LastTick;
   std::uint64_t Revision = 0;
   Duration Backoff = MinBackoff;
--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -51,6 +51,8 @@
   /// began to arrive before the shutdown, or the upstream on this VM makes it
   /// for a request that it is still running.
   bool ServeInShutdown = false;
+  /// Version of the configuration that chose the route. Set by the core.
+  std::uint64_t ConfigVersion = 0;
   TraceContext Trace;
   /// The request in the form that is sent to the upstream.
   Payload Request;
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -180,7 +180,7 @@
   /// Passes changes between the systems after each input.
   void syncSystems(TimePoint Now, Actions &Out);
   void updateCandidates();
-  void updateDuties(TimePoint Now);
+  void updateDuties(TimePoint Now, Actions &Out);
 
   NodeRun Self;
   SeededRandomSource Random;
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -75,6 +75,9 @@
   /// ProbeSystem::suspected.
   void setSuspected(bool Suspected, TimePoint Now, Actions &Out);
 
+  /// @brief Sets the version of the configuration that log lines name.
+  void setConfigVersion(std::uint64_t Version) { ConfigVersion = Version; }
+
   /// @brief Refuses new attempts from now on. Admitted ones still run.
   void drain() { Draining = true; }
 
@@ -143,6 +146,7 @@
   AdmissionSettings Settings;
   UpstreamAnnounced Upstream;
   bool Draining = false;
+  std::uint64_t ConfigVersion = 0;
   std::uint64_t ReportSequence = 0;
   /// Time of the latest call.
   TimePoint LastInput;
--- a/include/hyssopford/net/event_loop.hpp
+++ b/include/hyssopford/net/event_loop.hpp
@@ -91,6 +91,12 @@
 
   /// @return the current monotonic time
   static TimePoint now();
+
+  /// @return by how much a timer was late at most since the last call; an idle
+  /// loop is late by its resolution of 1 ms
+  Duration takeTimerLateness() {
+    return std::exchange(TimerLateness, Duration{0});
+  }
   /// @}
 
 private:
@@ -110,6 +116,7 @@
   std::unordered_map<TimerId, decltype(Timers)::iterator> TimerIndex;
   std::vector<Callback> Deferred;
   TimerId LastTimer = 0;
+  Duration TimerLateness{0};
   std::atomic<bool> Stopping = false;
   std::mutex PostedMutex;
   std::vector<Callback> Posted;
--- a/include/hyssopford/node/node_telemetry.hpp
+++ b/include/hyssopford/node/node_telemetry.hpp
@@ -74,6 +74,13 @@
   /// @brief Counts the end of a call to the store.
   void storeCallEnded(std::uint64_t Call, StoreStatus Status);
 
+  /// @brief Records by how much timers of the event loop were late at most.
+  void recordTimerLateness(Duration Late, TimePoint Now);
+
+  /// @brief Records the delay of a version of the configuration; see
+  /// ConfigSystem::applyDelay.
+  void recordConfigDelay(Duration Delay, TimePoint Now);
+
   /// @brief Counts the result of a patch.
   void recordPatch(const PatchResult &Result);
 
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -11,6 +11,10 @@
 // Time for the answer after the end of a watch.
 constexpr Duration CallMargin = 5s;
 constexpr Duration ReadTimeout = 5s;
+// Bounds the times kept of versions that never arrive.
+constexpr std::size_t NamedVersionLimit = 64;
+
+std::string milliseconds(Duration Value) { return std::to_string(Value / 1ms); }
 
 } // namespace
 
@@ -42,6 +46,7 @@
     FirstPeerVersionAt = Now;
   }
   PeerVersions[From.Node] = Message.Version;
+  noteVersion(Message.Version, Now);
   fetchFromPeer(Now, Out);
   endStartIfReady(Now, Out);
 }
@@ -70,7 +75,9 @@
   }
   if (Message.Version > Version) {
     if (auto Text = Codec.decompressDocument(Message.Document.bytes())) {
-      considerVersion(Message.Version, Payload(std::move(*Text)), Now, Out);
+      considerVersion(Candidate{Message.Version, Payload(std::move(*Text)),
+                                Origin{"peer", From.Node, 0}},
+                      Now, Out);
     } else {
       Out.emplace_back(Notice{"config_unreadable",
                               {{"version", std::to_string(Message.Version)},
@@ -86,9 +93,7 @@
                            Actions &Out) {
   if (isCallOf(StoreUser::Patch, Reply.Call)) {
     Writer.receive(Reply, Now, Out);
-    if (const auto Stored = Writer.takeStored()) {
-      considerVersion(Stored->Version, Payload(Stored->Document), Now, Out);
-    }
+    takeStored(Now, Out);
   } else if (isCallOf(StoreUser::History, Reply.Call)) {
     finishHistory(Reply.Result, Reply.Call, Out);
   } else if (Reply.Call == OpenCall && OpenCall != 0) {
@@ -110,10 +115,15 @@
   }
 }
 
-void ConfigSystem::setWatching(bool Value, TimePoint Now) {
+void ConfigSystem::setWatching(bool Value, TimePoint Now, Actions &Out) {
   if (Value && !Watching) {
     NextStoreCall = std::min(NextStoreCall, Now);
   }
+  if (Value != Watching) {
+    Out.emplace_back(
+        Notice{Value ? "config_watch_started" : "config_watch_stopped",
+               {{"version", std::to_string(Version)}}});
+  }
   Watching = Value;
 }
 
@@ -124,14 +134,12 @@
     NextStoreCall = Now + Settings.PeerConfigWait;
   }
   Writer.tick(Now, Out);
-  if (const auto Stored = Writer.takeStored()) {
-    considerVersion(Stored->Version, Payload(Stored->Document), Now, Out);
-  }
+  takeStored(Now, Out);
   endStartIfReady(Now, Out);
   fetchFromPeer(Now, Out);
   if (OpenCall != 0 && CallDeadline <= Now) {
     OpenCall = 0;
-    storeFailed(Now);
+    storeFailed("no answer before the deadline of the call", Now, Out);
   }
   if (OpenCall == 0 && NextStoreCall <= Now) {
     readStore(Now, Out);
@@ -175,22 +183,38 @@
   return std::exchange(Adopted, std::nullopt);
 }
 
-void ConfigSystem::considerVersion(std::uint64_t Offered, const Payload &Text,
-                                   TimePoint Now, Actions &Out) {
+void ConfigSystem::takeStored(TimePoint Now, Actions &Out) {
+  if (const auto Stored = Writer.takeStored()) {
+    considerVersion(Candidate{Stored->Version, Payload(Stored->Document),
+                              Origin{"store-write", std::nullopt, 0}},
+                    Now, Out);
+  }
+}
+
+void ConfigSystem::noteVersion(std::uint64_t Named, TimePoint Now) {
+  if (Named > Version && NamedAt.size() < NamedVersionLimit) {
+    NamedAt.try_emplace(Named, Now);
+  }
+}
+
+void ConfigSystem::considerVersion(Candidate Offered, TimePoint Now,
+                                   Actions &Out) {
+  noteVersion(Offered.Version, Now);
   const std::uint64_t Best =
       std::max({Version, UnreadableVersion, Pending ? Pending->Version : 0});
-  if (Offered <= Best) {
+  if (Offered.Version <= Best) {
     return;
   }
   if (Started) {
-    putInForce(Candidate{Offered, Text}, Out);
+    putInForce(Offered, Now, Out);
     return;
   }
-  Pending = Candidate{Offered, Text};
+  Pending = std::move(Offered);
   endStartIfReady(Now, Out);
 }
 
-void ConfigSystem::putInForce(const Candidate &Next, Actions &Out) {
+void ConfigSystem::putInForce(const Candidate &Next, TimePoint Now,
+                              Actions &Out) {
   std::vector<Error> Errors;
   std::optional<RoutingConfig> Config =
       Codec.parseConfig(Next.Document.bytes(), Next.Version, Errors);
@@ -208,8 +232,7 @@
   CompressedDocument = Payload();
   Adopted = std::move(Config);
   Writer.setVersion(Version);
-  Out.emplace_back(
-      Notice{"config_in_force", {{"version", std::to_string(Version)}}});
+  reportInForce(Next.From, Now, Out);
   for (const auto &[Peer, Up] : Links) {
     const auto Known = PeerVersions.find(Peer);
     if (Known == PeerVersions.end() || Known->second < Version) {
@@ -218,6 +241,22 @@
   }
 }
 
+void ConfigSystem::reportInForce(const Origin &From, TimePoint Now,
+                                 Actions &Out) {
+  const auto Named = NamedAt.find(Version);
+  ApplyDelay = Named == NamedAt.end() ? Duration{0} : Now - Named->second;
+  NamedAt.erase(NamedAt.begin(), NamedAt.upper_bound(Version));
+  Out.emplace_back(
+      Notice{"config_in_force",
+             {{"version", std::to_string(Version)},
+              {"source", From.Source},
+              {"peer", From.Peer ? toString(*From.Peer) : "-"},
+              {"revision", std::to_string(From.Revision)},
+              {"store_age_ms",
+               StoreAnsweredAt ? milliseconds(Now - *StoreAnsweredAt) : "-"},
+              {"delay_ms", milliseconds(ApplyDelay)}}});
+}
+
 void ConfigSystem::endStartIfReady(TimePoint Now, Actions &Out) {
   if (Started || !StartBegin) {
     return;
@@ -231,7 +270,7 @@
   if ((Complete && (Settled || Waited)) || *StartBegin + StartTimeout <= Now) {
     Started = true;
     if (Pending) {
-      putInForce(*std::exchange(Pending, std::nullopt), Out);
+      putInForce(*std::exchange(Pending, std::nullopt), Now, Out);
     }
   }
 }
@@ -250,6 +289,13 @@
   if (FetchPeer && FetchDeadline > Now) {
     return;
   }
+  if (FetchPeer && highestPeerVersion() > Held) {
+    Out.emplace_back(Notice{"config_fetch_failed",
+                            {{"peer", toString(*FetchPeer)},
+                             {"version", std::to_string(highestPeerVersion())},
+                             {"reason", "no answer before the deadline"},
+                             {"elapsed_ms", milliseconds(Now - FetchStart)}}});
+  }
   std::vector<NodeId> Sources;
   for (const auto &[Peer, Offered] : PeerVersions) {
     // A peer that failed to answer is asked again only if no other has more.
@@ -266,21 +312,24 @@
     return;
   }
   FetchPeer = Sources[Random.below(Sources.size())];
+  FetchStart = Now;
   FetchDeadline = Now + FetchTimeout;
   Out.emplace_back(SendToPeer{*FetchPeer, ConfigRequest{Held}});
 }
 
-void ConfigSystem::callStore(StoreOperation Operation, TimePoint End,
-                             Actions &Out) {
+void ConfigSystem::callStore(StoreOperation Operation, TimePoint Now,
+                             TimePoint End, Actions &Out) {
   OpenCall = storeCallNumber(StoreUser::Config, ++LastCall);
+  CallStart = Now;
   CallDeadline = End;
+  CallIsWatch = std::holds_alternative<StoreWatch>(Operation);
   NextStoreCall = TimePoint::max();
   Out.emplace_back(StoreCall{OpenCall, std::move(Operation)});
 }
 
 void ConfigSystem::readStore(TimePoint Now, Actions &Out) {
   if (Watching && Revision != 0) {
-    callStore(StoreWatch{ConfigHeadKey, Revision, WatchTimeout},
+    callStore(StoreWatch{ConfigHeadKey, Revision, WatchTimeout}, Now,
               Now + WatchTimeout + CallMargin, Out);
     return;
   }
@@ -293,17 +342,18 @@
     NextStoreCall = TimePoint::max();
     return;
   }
-  callStore(StoreRead{ConfigHeadKey}, Now + ReadTimeout, Out);
+  callStore(StoreRead{ConfigHeadKey}, Now, Now + ReadTimeout, Out);
 }
 
 void ConfigSystem::receiveHead(const StoreResult &Result, TimePoint Now,
                                Actions &Out) {
   if (Result.Status == StoreStatus::Refused ||
       Result.Status == StoreStatus::NoAnswer) {
-    storeFailed(Now);
+    storeFailed(Result.Reason, Now, Out);
     return;
   }
   StoreTried = true;
+  StoreAnsweredAt = Now;
   Backoff = MinBackoff;
   NextStoreCall = Watching ? Now : TimePoint::max();
   if (Result.Status == StoreStatus::Missing) {
@@ -331,18 +381,27 @@
     return;
   }
   Revision = std::max(Revision, Result.Revision);
-  considerVersion(Head->Version, Payload(Head->Document), Now, Out);
+  considerVersion(Candidate{Head->Version, Payload(Head->Document),
+                            Origin{CallIsWatch ? "store-watch" : "store-read",
+                                   std::nullopt, Result.Revision}},
+                  Now, Out);
   if (Settings.StoreIsAuthoritative && !Started && Pending) {
     Started = true;
-    putInForce(*std::exchange(Pending, std::nullopt), Out);
+    putInForce(*std::exchange(Pending, std::nullopt), Now, Out);
   }
 }
 
-void ConfigSystem::storeFailed(TimePoint Now) {
+void ConfigSystem::storeFailed(const std::string &Reason, TimePoint Now,
+                               Actions &Out) {
   NextStoreCall = Now + Backoff + Duration(Random.below(Backoff.count()));
   // There are many nodes that do not watch, so they wait longer.
   Backoff = std::min(Backoff * 2, Watching ? MaxBackoff : MaxBackoff * 8);
   StoreTried = !Watching && !Links.empty();
+  Out.emplace_back(Notice{"config_call_failed",
+                          {{"kind", CallIsWatch ? "watch" : "read"},
+                           {"reason", Reason},
+                           {"elapsed_ms", milliseconds(Now - CallStart)},
+                           {"next_ms", milliseconds(NextStoreCall - Now)}}});
 }
 
 void ConfigSystem::finishHistory(const StoreResult &Result, std::uint64_t Call,
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -91,6 +91,7 @@
   Quarantine.adopt(Config);
   Splits.adopt(Config);
   Membership.setConfigVersion(Config.Version);
+  Owner.setConfigVersion(Config.Version);
   CandidateRevision = 0;
   updateCandidates();
   return true;
@@ -137,16 +138,15 @@
   if (Quarantine.isSuspect(Fingerprint, Now)) {
     Limited.AttemptLimit = 1;
   }
+  CallerRequest Call = Input;
+  Call.ConfigVersion = Config.Version;
   if (Input.FromUpstreamAddress &&
       NestedCalls.observe(Limited.Name, !Owner.idle())) {
     // Refusing a call of a running request would waste the work done for it.
-    CallerRequest Call = Input;
     Call.IsNestedCall = true;
     Call.Class = Priority::High;
-    startRequest(Call, Limited, Now, Out);
-    return;
   }
-  startRequest(Input, Limited, Now, Out);
+  startRequest(Call, Limited, Now, Out);
 }
 
 void NodeCore::startRequest(const CallerRequest &Input, const Route &Matched,
@@ -383,7 +383,7 @@
   }
   Membership.addContacts(Directory.takeContacts());
   Directory.setIsolated(Membership.linkedPeers().empty(), Now);
-  updateDuties(Now);
+  updateDuties(Now, Out);
   updateCandidates();
   if (NeededRevision != Ingress.neededRevision()) {
     NeededRevision = Ingress.neededRevision();
@@ -396,7 +396,7 @@
   }
 }
 
-void NodeCore::updateDuties(TimePoint Now) {
+void NodeCore::updateDuties(TimePoint Now, Actions &Out) {
   // A table that still grows gives duties to nearly every node. A node without
   // links keeps its duties, because it may be the only one.
   const bool Known = Membership.settled() || Membership.linkedPeers().empty();
@@ -408,7 +408,7 @@
   if (!Known) {
     Directory.setDirectorySlot(std::nullopt, {}, Now);
     if (Configs) {
-      Configs->setWatching(false, Now);
+      Configs->setWatching(false, Now, Out);
     }
     return;
   }
@@ -417,7 +417,7 @@
   Directory.setDirectorySlot(Duties.DirectorySlot, std::move(Duties.Contacts),
                              Now);
   if (Configs) {
-    Configs->setWatching(Duties.WatchesConfig, Now);
+    Configs->setWatching(Duties.WatchesConfig, Now, Out);
   }
 }
 
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -102,6 +102,7 @@
 void EventLoop::runTimers() {
   const TimePoint Now = now();
   while (!Timers.empty() && Timers.begin()->first <= Now) {
+    TimerLateness = std::max(TimerLateness, Now - Timers.begin()->first);
     auto Due = std::move(Timers.begin()->second);
     TimerIndex.erase(Due.first);
     Timers.erase(Timers.begin());
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -26,6 +26,8 @@
 
 /// Interval for gauges of connections and counts of suppressed log lines.
 constexpr Duration FlushPeriod = 1s;
+/// Lateness of timers that is logged.
+constexpr Duration LateTimerLimit = 100ms;
 
 Duration timeOfDay() {
   return std::chrono::duration_cast<Duration>(
@@ -234,6 +236,9 @@
     return;
   }
   AppliedVersion = Config.Version;
+  if (const ConfigSystem *Configs = Driver->core().configSystem()) {
+    Telemetry->recordConfigDelay(Configs->applyDelay(), EventLoop::now());
+  }
   const CallerLimits Limits = Config.Callers.value_or(
       CallerLimits{Settings.Http.Limits.Head, Settings.Http.HeadTimeout,
                    Settings.Http.IdleTimeout});
@@ -251,6 +256,12 @@
   Telemetry->set(MetricId::UpstreamConnections,
                  Upstream->active() + Upstream->idle());
   Telemetry->set(MetricId::RefusedRequests, CallerRequests->refusedRequests());
+  const Duration Late = Loop.takeTimerLateness();
+  Telemetry->recordTimerLateness(Late, EventLoop::now());
+  if (Late >= LateTimerLimit) {
+    Telemetry->log(LogLevel::Warning, "timers_late",
+                   {{"late_ms", std::to_string(Late / 1ms)}});
+  }
   Telemetry->flush();
   Loop.after(FlushPeriod, [this] { flushTelemetry(); });
 }
--- a/src/node/node_telemetry.cpp
+++ b/src/node/node_telemetry.cpp
@@ -106,6 +106,14 @@
   StoreCalls.erase(Found);
 }
 
+void NodeTelemetry::recordTimerLateness(Duration Late, TimePoint Now) {
+  Metrics.observe(MetricId::TimerLateness, {}, seconds(Late), Now);
+}
+
+void NodeTelemetry::recordConfigDelay(Duration Delay, TimePoint Now) {
+  Metrics.observe(MetricId::ConfigDelay, {}, seconds(Delay), Now);
+}
+
 void NodeTelemetry::recordPatch(const PatchResult &Result) {
   const std::string Label = Result.Errors.empty()
                                 ? "accepted"
@@ -127,6 +135,11 @@
                                   TimePoint Now) {
   collectCoreMetrics(Core, Metrics);
   collectProcessMetrics(Metrics);
+  if (Core.configSystem() != nullptr &&
+      Core.configSystem()->storeAnsweredAt().has_value()) {
+    Metrics.set(MetricId::ConfigStoreAge, {},
+                seconds(Now - *Core.configSystem()->storeAnsweredAt()));
+  }
   set(MetricId::Quarantined, Core.quarantine().list(Now).size());
   Metrics.set(MetricId::PeerLinks, {}, static_cast<double>(Links));
   Metrics.set(MetricId::SpansExported, {},
--- a/tests/core/config_system_test.cpp
+++ b/tests/core/config_system_test.cpp
@@ -333,3 +333,44 @@
     REQUIRE((!Next || *Next > Now));
   }
 }
+
+// Guards against a record that cannot tell how a node learned of a version.
+TEST_CASE("the log names the source and the delay of a version", "[config]") {
+  RunningSite Site(13);
+  Site.run(30s); // All watching nodes have found the key.
+  REQUIRE(Site.patch(4, "p2", 1, "set two").Version == 2);
+  REQUIRE(Site.inForceWithin(2, 3s));
+  std::map<std::string, std::size_t> Sources;
+  for (std::size_t Each = 0; Each < Site.size(); ++Each) {
+    const auto &All = Site.node(Each).Notices;
+    const auto Found =
+        std::find_if(All.rbegin(), All.rend(), [](const Notice &Entry) {
+          return Entry.Event == "config_in_force";
+        });
+    REQUIRE(Found != All.rend());
+    const std::map<std::string, std::string> Fields(Found->Fields.begin(),
+                                                    Found->Fields.end());
+    CHECK(Fields.at("version") == "2");
+    CHECK((Fields.at("source") == "peer") == (Fields.at("peer") != "-"));
+    CHECK(std::stoul(Fields.at("delay_ms")) < 1'000);
+    ++Sources[Fields.at("source")];
+  }
+  CHECK(Sources["store-write"] == 1);
+  CHECK(Sources["store-watch"] + Sources["peer"] == 12);
+  CHECK(Sources["store-watch"] > 0);
+}
+
+// Guards against failed calls of the configuration that leave no trace.
+TEST_CASE("the log names each failed call of the configuration", "[config]") {
+  RunningSite Site(13);
+  Site.store().faults().Down = true;
+  Site.run(10s);
+  std::size_t Failed = 0;
+  for (std::size_t Each = 0; Each < Site.size(); ++Each) {
+    Failed += Site.hasNotice(Each, "config_watch_started") &&
+                      Site.hasNotice(Each, "config_call_failed")
+                  ? 1U
+                  : 0U;
+  }
+  CHECK(Failed >= 6);
+}
