Show that changes come into force late after store troubles

The simulated store can now be silent (calls pending at the start of the silence or sent in it never get an answer), refuse some nodes, end a watch beyond a change that it did not report and give answers that are too large for the client. Calls are given up as platform/store_client.cpp does.

--- a/tests/core/site_fake.cpp
+++ b/tests/core/site_fake.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 constexpr Duration StoreLatency = 2ms;
-constexpr Duration StoreTimeout = 2s;
+/// Limits of the client of the store, see platform/store_client.cpp.
+constexpr Duration ClientTimeout = 1'500ms;
+constexpr Duration LongestWatch = 2s;
 constexpr Duration HandshakeTime = 2s;
 constexpr Duration CheckPeriod = 50ms;
 
@@ -341,49 +343,114 @@
   });
 }
 
+void SiteFake::silenceStore(bool Silent) {
+  StoreSilences += Silent && !StoreSilent ? 1 : 0;
+  StoreSilent = Silent;
+}
+
+std::uint64_t SiteFake::writeVersion(const std::string &Document) {
+  const StoreResult Stored = Store.call(StoreRead{ConfigHeadKey}, Now);
+  Error LastError;
+  ConfigHead Head =
+      Codec.parseHead(Stored.Value, LastError).value_or(ConfigHead{});
+  ++Head.Version;
+  Head.Document = Document;
+  Store.call(
+      StoreWrite{ConfigHeadKey, Codec.renderHead(Head), Stored.Revision, 0},
+      Now);
+  checkWatches();
+  return Head.Version;
+}
+
 void SiteFake::callStore(std::size_t Index, const StoreCall &Call) {
   ++StoreCalls;
-  const StoreResult Result = Store.call(Call.Operation, Now);
-  if (Result.Status == StoreStatus::Unchanged) {
-    const auto &Operation = std::get<StoreWatch>(Call.Operation);
-    Watches.push_back({Index, node(Index).Core.get(), Call.Call, Operation,
-                       Now + Operation.Timeout});
+  const auto Pending = std::make_shared<PendingCall>();
+  *Pending = {Index, node(Index).Core.get(), Call.Call, StoreSilences, false};
+  const auto *IsWatch = std::get_if<StoreWatch>(&Call.Operation);
+  const Duration Wait =
+      IsWatch != nullptr ? std::min(IsWatch->Timeout, LongestWatch) : 0s;
+  at(Now + Wait + ClientTimeout, [this, Pending] {
+    StoreResult TimedOut;
+    TimedOut.Reason = "timed out waiting for the response";
+    endCall(*Pending, TimedOut);
+  });
+  const StoreAccess Access = AccessOf(Index);
+  if (StoreSilent || Access == StoreAccess::Silent) {
     return;
   }
-  Duration Delay = StoreLatency + Store.faults().Delay;
-  StoreResult Answer = Result;
-  if (Delay > StoreTimeout) {
-    Answer = StoreResult{};
-    Delay = StoreTimeout;
+  if (Access == StoreAccess::Refused) {
+    StoreResult Refused;
+    Refused.Status = StoreStatus::Refused;
+    Refused.Reason = "HTTP status 503";
+    answerStore(Pending, Refused, StoreLatency);
+    return;
+  }
+  StoreOperation Operation = Call.Operation;
+  if (auto *Changed = std::get_if<StoreWatch>(&Operation)) {
+    Changed->AfterRevision =
+        std::max(Changed->AfterRevision, KnownRevisions[Index]);
+  }
+  StoreResult Result = Store.call(Operation, Now);
+  if (auto *Changed = std::get_if<StoreWatch>(&Operation)) {
+    if (Result.Status != StoreStatus::NoAnswer &&
+        Result.Status != StoreStatus::Refused) {
+      Watches.push_back({Pending, *Changed, Now + Wait});
+      checkWatches();
+      return;
+    }
   }
-  answerStore(Index, &node(Index), Call.Call, Answer, Delay);
+  answerStore(Pending, Result, StoreLatency + Store.faults().Delay);
   checkWatches();
 }
 
-void SiteFake::answerStore(std::size_t Index, const Node *Caller,
-                           std::uint64_t Call, const StoreResult &Result,
-                           Duration Delay) {
-  at(Now + Delay, [=, this, Core = Caller->Core.get()] {
-    if (node(Index).Core.get() == Core) {
-      input(Index, StoreReplied{Call, Result});
+void SiteFake::answerStore(const std::shared_ptr<PendingCall> &Pending,
+                           const StoreResult &Result, Duration Delay) {
+  at(Now + Delay, [=, this] {
+    if (!StoreSilent && Pending->Silences == StoreSilences) {
+      endCall(*Pending, Result);
     }
   });
 }
 
+void SiteFake::endCall(PendingCall &Pending, const StoreResult &Result) {
+  if (!Pending.Ended && node(Pending.Index).Core.get() == Pending.Caller) {
+    input(Pending.Index, StoreReplied{Pending.Call, Result});
+  }
+  Pending.Ended = true;
+}
+
+std::optional<StoreResult> SiteFake::resultOfWatch(const Watch &Each) {
+  std::optional<StoreResult> Result = Store.changed(Each.Operation, Now);
+  if (Result && HideChanges) {
+    Result.reset();
+  }
+  if (Result && TooLargeSince != 0 &&
+      Result->Revision >= Each.Operation.AfterRevision + TooLargeSince) {
+    *Result = StoreResult();
+    Result->Reason = "malformed response: body too large";
+  }
+  if (!Result && Each.End <= Now) {
+    Result.emplace();
+    Result->Status = StoreStatus::Unchanged;
+    if (HideChanges) {
+      KnownRevisions[Each.Pending->Index] =
+          Store.call(StoreRead{Each.Operation.Key}, Now).Revision;
+    }
+  }
+  return Result;
+}
+
 void SiteFake::checkWatches() {
   std::vector<Watch> Waiting = std::exchange(Watches, {});
   for (const Watch &Each : Waiting) {
-    if (node(Each.Index).Core.get() != Each.Caller) {
+    const PendingCall &Pending = *Each.Pending;
+    // Calls that a silence has caught get no answer even after its end.
+    if (Pending.Ended || node(Pending.Index).Core.get() != Pending.Caller ||
+        Pending.Silences != StoreSilences) {
       continue;
     }
-    std::optional<StoreResult> Result = Store.changed(Each.Operation, Now);
-    if (!Result && Each.End <= Now) {
-      Result.emplace();
-      Result->Status = StoreStatus::Unchanged;
-    }
-    if (Result) {
-      answerStore(Each.Index, &node(Each.Index), Each.Call, *Result,
-                  StoreLatency);
+    if (const auto Result = resultOfWatch(Each)) {
+      answerStore(Each.Pending, *Result, StoreLatency + Store.faults().Delay);
     } else {
       Watches.push_back(Each);
     }
--- a/tests/core/site_fake.hpp
+++ b/tests/core/site_fake.hpp
@@ -73,6 +73,23 @@
   void submit(std::size_t Index, std::uint64_t Request, const std::string &Id,
               std::uint64_t Base, const std::string &Patch,
               bool DryRun = false);
+  /// Ends the store's answers: calls that are pending or follow get none until
+  /// the end of the silence, and no later answer.
+  void silenceStore(bool Silent);
+  /// Writes the next version to the store without a node.
+  /// @return the version
+  std::uint64_t writeVersion(const std::string &Document);
+  /// How the store treats the calls of a node.
+  enum class StoreAccess : std::uint8_t { Served, Refused, Silent };
+  std::function<StoreAccess(std::size_t)> AccessOf = [](std::size_t) {
+    return StoreAccess::Served;
+  };
+  /// Versions since its revision from which on a watch has an answer that is
+  /// too large for the client; 0 means any number fits.
+  std::uint64_t TooLargeSince = 0;
+  /// Watches end without an event and with the current revision of the store,
+  /// although the key has changed.
+  bool HideChanges = false;
   /// Tells whether two nodes cannot reach each other.
   std::function<bool(std::size_t, std::size_t)> Blocked =
       [](std::size_t, std::size_t) { return false; };
@@ -118,19 +135,30 @@
   void dropLinks(std::size_t Index);
   void checkLinks();
   void deliver(std::size_t From, std::size_t To, const PeerMessage &Message);
-  void callStore(std::size_t Index, const StoreCall &Call);
-  void answerStore(std::size_t Index, const Node *Caller, std::uint64_t Call,
-                   const StoreResult &Result, Duration Delay);
-  void checkWatches();
+  /// A call that the client of a node waits for.
+  struct PendingCall {
+    std::size_t Index = 0;
+    const NodeCore *Caller = nullptr;
+    std::uint64_t Call = 0;
+    /// Silences of the store before the call.
+    std::uint64_t Silences = 0;
+    bool Ended = false;
+  };
 
   struct Watch {
-    std::size_t Index;
-    const NodeCore *Caller;
-    std::uint64_t Call;
+    std::shared_ptr<PendingCall> Pending;
     StoreWatch Operation;
     TimePoint End;
   };
 
+  void callStore(std::size_t Index, const StoreCall &Call);
+  void answerStore(const std::shared_ptr<PendingCall> &Pending,
+                   const StoreResult &Result, Duration Delay);
+  /// Ends a call at its caller, unless it has ended or its caller has.
+  void endCall(PendingCall &Pending, const StoreResult &Result);
+  std::optional<StoreResult> resultOfWatch(const Watch &Each);
+  void checkWatches();
+
   std::uint64_t Seed;
   FakeConfigCodec Codec;
   TimePoint Now = TimePoint(1s);
@@ -144,6 +172,10 @@
   std::vector<Watch> Watches;
   std::set<std::pair<TimePoint, std::size_t>> Wakeups;
   std::uint64_t StoreCalls = 0;
+  bool StoreSilent = false;
+  std::uint64_t StoreSilences = 0;
+  /// Store revision from which the watches of each node continue.
+  std::map<std::size_t, std::uint64_t> KnownRevisions;
 };
 
 } // namespace hyssopford
