Charge a late reply to the upstream that it came from

Seen by callers: an instance at an address that had another instance or run before gets no requests from some nodes. A refusal (draining, no upstream, wrong incarnation) of an attempt at the forerunner, when it arrived after the member table had the successor, closed the successor's candidate; its failures and load reports counted for the successor too.

Cause: the results of attempts were recorded by node alone, and a node outlives its runs and the services of its upstreams.

The result now counts only if the attempt is outstanding at the candidate that the node is at that time, which a row of another run or service never has, and a load report only for the run that sent it.

Also read for the same cause, without finding it: status replies, cancels and queries (by attempt and run), claims, rosters and the quarantine (by run), pings (by run), TriedOwners (one request only).

--- a/include/hyssopford/core/candidate_table.hpp
+++ b/include/hyssopford/core/candidate_table.hpp
@@ -159,8 +159,12 @@
   /// @brief Records that an attempt is no longer outstanding.
   void attemptEnded(NodeId Node, std::uint64_t Sequence);
 
-  /// @brief Records a load report received on the link to a node.
-  void recordLoad(NodeId Node, const LoadReport &Load, TimePoint Now);
+  /// @return whether an attempt is outstanding at the candidate that the node
+  /// is now; false if the node has another run or service since it was sent
+  bool isOutstanding(NodeId Node, std::uint64_t Sequence) const;
+
+  /// @brief Records a load report received on the link to a run of a node.
+  void recordLoad(NodeRun From, const LoadReport &Load, TimePoint Now);
 
   /// @brief Records a measured round trip to a node.
   void recordRoundTrip(NodeId Node, Duration Measured);
--- a/include/hyssopford/core/ingress_system.hpp
+++ b/include/hyssopford/core/ingress_system.hpp
@@ -81,11 +81,11 @@
 
   /// @brief Handles the end of an attempt. A reply to an attempt that already
   /// ended is counted and dropped after its load report was used.
-  /// @param From the node that sent the reply
+  /// @param From the run of the node that sent the reply
   /// @param Reply the reply
   /// @param Now the current time
   /// @param Out receives the actions
-  void finishAttempt(NodeId From, const DispatchReply &Reply, TimePoint Now,
+  void finishAttempt(NodeRun From, const DispatchReply &Reply, TimePoint Now,
                      Actions &Out);
 
   /// @brief Handles the reply to a status query.
--- a/src/core/candidate_table.cpp
+++ b/src/core/candidate_table.cpp
@@ -192,16 +192,23 @@
   }
 }
 
-void CandidateTable::recordLoad(NodeId Node, const LoadReport &Load,
-                                TimePoint Now) {
+bool CandidateTable::isOutstanding(NodeId Node, std::uint64_t Sequence) const {
   const auto Found = Locations.find(Node);
+  return Found != Locations.end() &&
+         Found->second.Pool->Histories[Found->second.Index]
+             .OpenAttempts.contains(Sequence);
+}
+
+void CandidateTable::recordLoad(NodeRun From, const LoadReport &Load,
+                                TimePoint Now) {
+  const auto Found = Locations.find(From.Node);
   if (Found == Locations.end()) {
     return;
   }
   ServicePool &Pool = *Found->second.Pool;
   CandidateView &View = Pool.Views[Found->second.Index];
-  const auto Link = Links.find(Node);
-  if (Link == Links.end() || Link->second != View.Owner.Run ||
+  const auto Link = Links.find(From.Node);
+  if (View.Owner != From || Link == Links.end() || Link->second != From.Run ||
       Load.Sequence <= View.Report.Sequence) {
     return;
   }
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -98,7 +98,7 @@
                OutcomeReason::CancelledByCaller, Now, Out);
 }
 
-void IngressSystem::finishAttempt(NodeId From, const DispatchReply &Reply,
+void IngressSystem::finishAttempt(NodeRun From, const DispatchReply &Reply,
                                   TimePoint Now, Actions &Out) {
   if (Reply.Load.Sequence != 0 &&
       Reply.Reason != OutcomeReason::WrongIncarnation) {
@@ -106,13 +106,15 @@
   }
   const auto Found = Attempts.find(Reply.Attempt.Sequence);
   if (Reply.Attempt.Ingress != Self || Found == Attempts.end() ||
-      Found->second.Owner.Node != From) {
+      Found->second.Owner.Node != From.Node) {
     ++Counters.LateReplies;
     return;
   }
   const AttemptRow Attempt = Found->second;
   RequestRow &Row = Requests.at(Attempt.Request);
-  recordResult(Attempt, Reply, Row, Now, Out);
+  if (Table.isOutstanding(From.Node, Reply.Attempt.Sequence)) {
+    recordResult(Attempt, Reply, Row, Now, Out);
+  }
   closeAttempt(Row, Reply.Attempt.Sequence, Reply.Result, Reply.Reason, Now,
                Out);
   if (Reply.Result == Outcome::Answered) {
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -286,7 +286,7 @@
 void NodeCore::receive(NodeRun From, const DispatchReply &Message,
                        TimePoint Now, Actions &Out) {
   Membership.touchLink(From.Node, Now);
-  Ingress.finishAttempt(From.Node, Message, Now, Out);
+  Ingress.finishAttempt(From, Message, Now, Out);
 }
 
 void NodeCore::receive(NodeRun /*From*/, const Cancel &Message, TimePoint Now,
--- a/tests/core/selection_policy_mock_test.cpp
+++ b/tests/core/selection_policy_mock_test.cpp
@@ -59,7 +59,8 @@
   Refusal.Attempt = First[0].Message.Attempt;
   Refusal.Result = Outcome::NotRun;
   Refusal.Reason = OutcomeReason::QueueFull;
-  Case.System.finishAttempt(First[0].To, Refusal, at(2ms), Out);
+  Case.System.finishAttempt(NodeRun{First[0].To, First[0].Message.Owner},
+                            Refusal, at(2ms), Out);
   REQUIRE(messages<Dispatch>(Out).size() == 2);
 }
 
--- a/tests/core/selection_test.cpp
+++ b/tests/core/selection_test.cpp
@@ -186,11 +186,11 @@
   REQUIRE(Pool.usable().empty());
   Table.linkUp(nodeRun(1));
   REQUIRE(Pool.usable().size() == 1);
-  Table.recordLoad(NodeId{1}, {5, 3, 1, 4, 10ms, 0ms}, at(1ms));
+  Table.recordLoad(nodeRun(1), {5, 3, 1, 4, 10ms, 0ms}, at(1ms));
   const auto View = [&] { return Pool.usable()[0]; };
 
   SECTION("an older report never replaces a newer one") {
-    Table.recordLoad(NodeId{1}, {4, 0, 0, 4, 10ms, 0ms}, at(2ms));
+    Table.recordLoad(nodeRun(1), {4, 0, 0, 4, 10ms, 0ms}, at(2ms));
     REQUIRE(View().Report.InFlight == 3);
   }
   SECTION("a new run of the owner starts its own sequence") {
@@ -200,14 +200,14 @@
     REQUIRE(Pool.usable().empty());
     Table.linkUp(nodeRun(1, 2));
     REQUIRE(View().Report.Sequence == 0);
-    Table.recordLoad(NodeId{1}, {1, 2, 0, 4, 10ms, 0ms}, at(2ms));
+    Table.recordLoad(nodeRun(1, 2), {1, 2, 0, 4, 10ms, 0ms}, at(2ms));
     REQUIRE(View().Report.InFlight == 2);
   }
   SECTION("attempts sent within the last round trip are added to the report") {
     Table.attemptSent(NodeId{1}, 1, at(2ms));
     Table.attemptSent(NodeId{1}, 2, at(9500us));
     REQUIRE(View().SentSince == 2);
-    Table.recordLoad(NodeId{1}, {6, 3, 1, 4, 10ms, 0ms}, at(10ms));
+    Table.recordLoad(nodeRun(1), {6, 3, 1, 4, 10ms, 0ms}, at(10ms));
     REQUIRE(View().SentSince == 1);
     Table.attemptEnded(NodeId{1}, 2);
     Table.attemptEnded(NodeId{1}, 1);
--- a/tests/support/linked_ingress.hpp
+++ b/tests/support/linked_ingress.hpp
@@ -37,7 +37,8 @@
     Reply.Result = Result;
     Reply.Reason = Reason;
     Reply.Status = Result == Outcome::Answered ? Status : 0;
-    Ingress.finishAttempt(Sent.To, Reply, at(Now), Out);
+    Ingress.finishAttempt(NodeRun{Sent.To, Sent.Message.Owner}, Reply, at(Now),
+                          Out);
   }
 
   ReplyToCaller reply() const { return all<ReplyToCaller>(Out).at(0); }
