Let an invalid version not bar the later ones

Cause: the highest version that could not be parsed counted as known, so lower valid versions were ignored. Ruled out: the watch, which reported each of them. Change: only versions that were parsed count as held; the last unreadable one is remembered to skip it alone.

--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -132,6 +132,7 @@
 
   /// Takes over a version that a submission found in or wrote to the store.
   void takeStored(TimePoint Now, Actions &Out);
+  std::uint64_t heldVersion() const;
   void considerVersion(Candidate Offered, TimePoint Now, Actions &Out);
   void putInForce(const Candidate &Next, TimePoint Now, Actions &Out);
   void reportInForce(const Origin &From, TimePoint Now, Actions &Out);
@@ -160,7 +161,7 @@
   /// The compressed document for peers; empty until one requests it.
   Payload CompressedDocument;
   std::optional<RoutingConfig> Adopted;
-  /// Highest version whose document this node cannot parse.
+  /// Last version whose document this node could not parse; 0 for none.
   std::uint64_t UnreadableVersion = 0;
   /// @}
 
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -197,12 +197,15 @@
   }
 }
 
+std::uint64_t ConfigSystem::heldVersion() const {
+  return std::max(Version, Pending ? Pending->Version : 0);
+}
+
 void ConfigSystem::considerVersion(Candidate Offered, TimePoint Now,
                                    Actions &Out) {
   noteVersion(Offered.Version, Now);
-  const std::uint64_t Best =
-      std::max({Version, UnreadableVersion, Pending ? Pending->Version : 0});
-  if (Offered.Version <= Best) {
+  if (Offered.Version <= heldVersion() ||
+      Offered.Version == UnreadableVersion) {
     return;
   }
   if (Started) {
@@ -219,8 +222,9 @@
   std::optional<RoutingConfig> Config =
       Codec.parseConfig(Next.Document.bytes(), Next.Version, Errors);
   if (!Config) {
-    // Written by a node of another release. The current version stays in force.
-    UnreadableVersion = std::max(UnreadableVersion, Next.Version);
+    // Written by a node of another release, or invalid. The current version
+    // stays in force, and lower versions than this one may still follow.
+    UnreadableVersion = Next.Version;
     Out.emplace_back(
         Notice{"config_unreadable",
                {{"version", std::to_string(Next.Version)},
@@ -284,8 +288,7 @@
 }
 
 void ConfigSystem::fetchFromPeer(TimePoint Now, Actions &Out) {
-  const std::uint64_t Held =
-      std::max({Version, UnreadableVersion, Pending ? Pending->Version : 0});
+  const std::uint64_t Held = heldVersion();
   if (FetchPeer && FetchDeadline > Now) {
     return;
   }
@@ -299,12 +302,13 @@
   std::vector<NodeId> Sources;
   for (const auto &[Peer, Offered] : PeerVersions) {
     // A peer that failed to answer is asked again only if no other has more.
-    if (Offered > Held && Peer != FetchPeer) {
+    if (Offered > Held && Offered != UnreadableVersion && Peer != FetchPeer) {
       Sources.push_back(Peer);
     }
   }
   if (Sources.empty() && FetchPeer && PeerVersions.contains(*FetchPeer) &&
-      PeerVersions.at(*FetchPeer) > Held) {
+      PeerVersions.at(*FetchPeer) > Held &&
+      PeerVersions.at(*FetchPeer) != UnreadableVersion) {
     Sources.push_back(*FetchPeer);
   }
   FetchPeer.reset();
@@ -367,8 +371,7 @@
   Error LastError;
   const std::optional<ConfigHead> Head =
       Codec.parseHead(Result.Value, LastError);
-  const std::uint64_t Known = std::max(Version, UnreadableVersion);
-  if (!Head || Head->Version < Known) {
+  if (!Head || Head->Version < Version) {
     NextStoreCall = Watching ? Now + 1s : TimePoint::max();
     if (!NextOlderNotice || *NextOlderNotice <= Now) {
       NextOlderNotice = Now + OlderNoticePeriod;
--- a/tests/core/config_system_test.cpp
+++ b/tests/core/config_system_test.cpp
@@ -374,3 +374,40 @@
   }
   CHECK(Failed >= 6);
 }
+
+// Guards against an invalid value whose version number bars all later versions.
+TEST_CASE("an invalid version with a high number does not bar later ones",
+          "[config]") {
+  RunningSite Site(13);
+  FakeConfigCodec Codec;
+  ConfigHead Invalid;
+  Invalid.Version = 1'000;
+  Invalid.Document = "invalid";
+  const auto Write = [&](const ConfigHead &Head) {
+    const StoreResult Stored =
+        Site.store().call(StoreRead{ConfigHeadKey}, Site.now());
+    Site.store().call(
+        StoreWrite{ConfigHeadKey, Codec.renderHead(Head), Stored.Revision, 0},
+        Site.now());
+  };
+  Write(Invalid);
+  Site.run(5s);
+  CHECK(Site.lowestVersion() == 1);
+
+  ConfigHead Valid;
+  Valid.Version = 2;
+  Valid.Document = "two";
+  Write(Valid);
+  CHECK(Site.inForceWithin(2, 3s));
+
+  SECTION("nor on nodes that start while it is stored") {
+    Write(Invalid);
+    Site.crash(3);
+    Site.run(1s);
+    Site.start(3);
+    CHECK(Site.inForceWithin(2, 5s));
+    Valid.Version = 3;
+    Write(Valid);
+    CHECK(Site.inForceWithin(3, 3s));
+  }
+}
