Take only proven answers from an upstream's connection

Callers of a route that may run once got another instance's answer after the first instance had begun the request, or were told that it had not run although it had: additional bytes behind an answer (a refusal or an error without an identifier, whole or split, which arrive when the next request is already written) were taken for the answer of that request. The same held for a refusal that was repeated when the same request was sent to the instance once more, with its identifier too, and for probes, which took any answer for the state of the instance.

Cause: an answer counted as another request's only if it carried another identifier; one without any was believed on every connection.

Now: - An error answer without an identifier counts on a new connection only, where no earlier request can have caused it. On a kept one it is skipped; a refusal of an idempotent request still lets it go to another instance, but its caller is not told that it did not run. - A request that may run once waits for its own answer after such a refusal and ends as unknown without one. For 10 s after a refusal without an identifier, these requests use new connections, so that an upstream that refuses so costs one request in doubt instead of all. - A connection that showed an answer of no request closes after the own answer; one on which a request that may run once was refused carries idempotent requests only. - Nothing is sent on a new connection that is closed or readable before the request; the attempt ends as not run, as nothing was sent. - 408, 429 and 503 without identifier and without X-Not-Executed are passed on to no caller: to callers they are a promise. A success with X-Not-Executed is invalid instead of "not run". - A probe takes answers of the health endpoint (X-Instance-Id) and, on a new connection, error answers; otherwise it is repeated on a new connection.

Ruled out: answers that end early.

A check of codec_test that took a 503 without identifier for the answer is replaced by checks with and without identifier, on new and kept connections. The sender of endless_bytes_test waits for the request before it sends: its bytes arrived before the request at times, so that nothing was sent, while the test is about requests that may have run.

--- a/include/hyssopford/net/edge_policy.hpp
+++ b/include/hyssopford/net/edge_policy.hpp
@@ -21,7 +21,9 @@
   Answer,
   /// The upstream states that it did not run the request.
   NotRun,
-  /// A late answer to an earlier request on the connection.
+  /// States the same, but may belong to an earlier request on the connection.
+  UnprovenNotRun,
+  /// An answer to an earlier request on the connection, or to none.
   Mismatched,
   /// Not a valid answer of the upstream; the attempt fails.
   Invalid
@@ -95,9 +97,19 @@
   /// @brief Classifies a response.
   /// @param Head the response
   /// @param CorrelationId identifier from correlationIdOf(); empty for none
-  virtual AnswerKind
-  classifyResponse(const Poco::Net::HTTPResponse &Head,
-                   const std::string &CorrelationId) const = 0;
+  /// @param IsFirst whether the connection has carried no earlier request and
+  /// no other answer, so that an answer without identifier belongs to this one
+  virtual AnswerKind classifyResponse(const Poco::Net::HTTPResponse &Head,
+                                      const std::string &CorrelationId,
+                                      bool IsFirst) const = 0;
+
+  /// @brief Classifies a response to a probe.
+  /// @param Head the response
+  /// @param IsFirst as for classifyResponse()
+  /// @return Answer, Mismatched or, if the probe has to be repeated on a new
+  /// connection, Invalid
+  virtual AnswerKind classifyProbeResponse(const Poco::Net::HTTPResponse &Head,
+                                           bool IsFirst) const = 0;
 
   /// @brief Reads the upstream's current service time relative to the usual
   /// one.
@@ -124,7 +136,10 @@
                             const std::string &Instance) const override;
   std::string correlationIdOf(std::string_view Request) const override;
   AnswerKind classifyResponse(const Poco::Net::HTTPResponse &Head,
-                              const std::string &CorrelationId) const override;
+                              const std::string &CorrelationId,
+                              bool IsFirst) const override;
+  AnswerKind classifyProbeResponse(const Poco::Net::HTTPResponse &Head,
+                                   bool IsFirst) const override;
   std::uint32_t
   slownessPercentOf(const Poco::Net::HTTPResponse &Head) const override;
 };
--- a/include/hyssopford/net/upstream_client.hpp
+++ b/include/hyssopford/net/upstream_client.hpp
@@ -48,6 +48,10 @@
   /// Idle time up to which a connection may carry a non-idempotent request.
   /// Servers rarely close connections that were idle for so short a time.
   Duration NonIdempotentReuseLimit = 1s;
+  /// How long non-idempotent requests avoid connections in use before after a
+  /// refusal that did not identify its request: on a new connection it can only
+  /// belong to the request there.
+  Duration UnidentifiedRefusalMemory = 10s;
 };
 
 /// @brief Sends attempts and probes. Each running one has its own connection;
@@ -113,6 +117,7 @@
   friend class Exchange;
 
   std::shared_ptr<Exchange> takeIdle(bool Idempotent);
+  void noteUnidentifiedRefusal();
   std::shared_ptr<Exchange> openConnection();
   void returnToPool(Exchange &Finished);
   void discard(Exchange &Finished);
@@ -132,6 +137,8 @@
   std::uint64_t Opened = 0;
   std::uint64_t Reused = 0;
   EventLoop::TimerId IdleCheckTimer = 0;
+  /// Until then, non-idempotent requests use new connections.
+  TimePoint NewConnectionsUntil;
 };
 
 } // namespace hyssopford
--- a/src/net/default_edge_policy.cpp
+++ b/src/net/default_edge_policy.cpp
@@ -74,9 +74,15 @@
   return {};
 }
 
-AnswerKind DefaultEdgePolicy::classifyResponse(
-    const Poco::Net::HTTPResponse & /*Head*/,
-    const std::string & /*CorrelationId*/) const {
+AnswerKind
+DefaultEdgePolicy::classifyResponse(const Poco::Net::HTTPResponse & /*Head*/,
+                                    const std::string & /*CorrelationId*/,
+                                    bool /*IsFirst*/) const {
+  return AnswerKind::Answer;
+}
+
+AnswerKind DefaultEdgePolicy::classifyProbeResponse(
+    const Poco::Net::HTTPResponse & /*Head*/, bool /*IsFirst*/) const {
   return AnswerKind::Answer;
 }
 
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -34,6 +34,7 @@
     return;
   }
   Address = NewAddress;
+  NewConnectionsUntil = TimePoint();
   std::vector<std::shared_ptr<Exchange>> Old;
   Old.swap(Idle);
   for (const auto &Each : Old) {
@@ -90,15 +91,21 @@
 std::shared_ptr<UpstreamClient::Exchange>
 UpstreamClient::takeIdle(bool Idempotent) {
   const TimePoint Now = EventLoop::now();
-  while (!Idle.empty()) {
-    std::shared_ptr<Exchange> Newest = Idle.back();
+  if (!Idempotent && Now < NewConnectionsUntil) {
+    return nullptr;
+  }
+  for (std::size_t At = Idle.size(); At > 0; --At) {
+    std::shared_ptr<Exchange> Newest = Idle[At - 1];
     const Duration Age = Now - Newest->idleSince();
     // The newest has the shortest idle time; if that is too long for this
     // request, so are all others.
     if (!Idempotent && Age > Settings.NonIdempotentReuseLimit) {
       return nullptr;
     }
-    Idle.pop_back();
+    if (!Idempotent && Newest->isForIdempotentOnly()) {
+      continue;
+    }
+    Idle.erase(Idle.begin() + static_cast<std::ptrdiff_t>(At - 1));
     if (Age > Settings.IdleTimeout || !Newest->isReusable()) {
       Newest->abandon();
       Loop.defer([Newest] {});
@@ -121,6 +128,10 @@
   return New;
 }
 
+void UpstreamClient::noteUnidentifiedRefusal() {
+  NewConnectionsUntil = EventLoop::now() + Settings.UnidentifiedRefusalMemory;
+}
+
 void UpstreamClient::returnToPool(Exchange &Finished) {
   const auto Found = Active.find(&Finished);
   if (Found == Active.end()) {
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -36,6 +36,7 @@
   CorrelationId.clear();
   Attempt = ForwardToUpstream();
   Attempt.Idempotent = true;
+  Attempt.Remaining = NewProbe.Timeout;
   Attempt.Request = Payload(
       fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", Path, Client.Address));
   Reader.expectHeadResponse(false);
@@ -105,6 +106,12 @@
 }
 
 void UpstreamClient::Exchange::send() {
+  if (!IsReused && !Stream.looksIdle()) {
+    // The upstream closed the connection, or sent bytes before any request.
+    Stream.close();
+    fail(OutcomeReason::UpstreamClosed);
+    return;
+  }
   Sent = true;
   const std::string_view Bytes = Attempt.Request.bytes();
   const std::size_t LineEnd =
@@ -124,10 +131,13 @@
     case HttpReader::Progress::NeedMore:
       return;
     case HttpReader::Progress::HeadReady:
-      Kind = Probe ? AnswerKind::Answer
-                   : Client.Edge.classifyResponse(Reader.response(),
-                                                  CorrelationId);
+      Kind = classify();
       if (Kind == AnswerKind::Invalid) {
+        const Duration Left = Attempt.Remaining - (EventLoop::now() - Started);
+        if (Probe && IsReused && Left > Duration{0}) {
+          restartOnNewConnection(Left);
+          return;
+        }
         Stream.close();
         fail(OutcomeReason::UpstreamClosed);
         return;
@@ -135,8 +145,7 @@
       continue;
     case HttpReader::Progress::Complete:
       if (Kind == AnswerKind::Mismatched) {
-        // A late answer to an earlier request; the answer to this one may
-        // follow.
+        // The answer to this request may follow.
         if (++MismatchedAnswers > MismatchedAnswersMax) {
           Stream.close();
           fail(OutcomeReason::UpstreamClosed);
@@ -157,6 +166,28 @@
   }
 }
 
+AnswerKind UpstreamClient::Exchange::classify() {
+  const bool IsFirst = !IsReused && MismatchedAnswers == 0;
+  if (Probe) {
+    return Client.Edge.classifyProbeResponse(Reader.response(), IsFirst);
+  }
+  const auto KindIf = [this](bool First) {
+    return Client.Edge.classifyResponse(Reader.response(), CorrelationId,
+                                        First);
+  };
+  const AnswerKind Found = KindIf(IsFirst);
+  if (Found == AnswerKind::UnprovenNotRun ||
+      (Found == AnswerKind::NotRun &&
+       KindIf(false) == AnswerKind::UnprovenNotRun)) {
+    Client.noteUnidentifiedRefusal();
+  }
+  // While the upstream may be running it, a request that may run only once
+  // waits for its own answer.
+  return Found == AnswerKind::UnprovenNotRun && !Attempt.Idempotent
+             ? AnswerKind::Mismatched
+             : Found;
+}
+
 void UpstreamClient::Exchange::succeed() {
   Loop.cancel(Timer);
   Timer = 0;
@@ -171,16 +202,21 @@
       Reader.response().has("Retry-After");
   Answer.SlownessPercent = Client.Edge.slownessPercentOf(Reader.response());
   const bool WasProbe = Probe;
-  const bool Ran = Kind != AnswerKind::NotRun;
+  const bool Ran = Kind == AnswerKind::Answer;
+  const bool MayRun = Kind == AnswerKind::UnprovenNotRun;
+  // The refusal of a request may come again when the same request is sent once
+  // more.
+  IdempotentOnly = IdempotentOnly || MayRun || (!Ran && !Attempt.Idempotent);
   if (!WasProbe && Ran) {
     Answer.Answer =
         buildForwardedAnswer(Reader.response(), Reader.body(),
                              Attempt.Request.bytes().starts_with("HEAD "));
   }
   // Not reusable if the answer came before the request was sent completely, or
-  // if further bytes followed the answer.
+  // if bytes that belong to no request came before or behind the answer.
   const bool Reusable = Stream.isOpen() && Reader.facts().KeepAlive &&
-                        Stream.pending() == 0 && Reader.buffered() == 0;
+                        Stream.pending() == 0 && Reader.buffered() == 0 &&
+                        MismatchedAnswers == 0;
   const Duration Elapsed = EventLoop::now() - Started;
   Attempt = ForwardToUpstream();
   Attempt.Attempt = Answer.Attempt;
@@ -201,7 +237,7 @@
     Receiver.onAnswered(std::move(Answer));
   } else {
     Receiver.onFailed(
-        UpstreamFailed{Answer.Attempt, OutcomeReason::UpstreamRefused, false});
+        UpstreamFailed{Answer.Attempt, OutcomeReason::UpstreamRefused, MayRun});
   }
 }
 
@@ -231,6 +267,12 @@
   if (Left <= Duration{0}) {
     return false;
   }
+  restartOnNewConnection(Left);
+  return true;
+}
+
+void UpstreamClient::Exchange::restartOnNewConnection(Duration Left) {
+  Stream.close();
   Loop.cancel(Timer);
   Timer = 0;
   Busy = false;
@@ -248,7 +290,7 @@
       Parent.Handler.onFailed(
           UpstreamFailed{Retried.Attempt, OutcomeReason::UpstreamClosed, true});
     }
-    return true;
+    return;
   }
   if (WasProbe) {
     NewExchange->startProbe(Parent.HealthPath, ProbeUpstream{Left, ProbedFor});
@@ -256,7 +298,6 @@
     Parent.ByAttempt.insert_or_assign(Retried.Attempt, NewExchange.get());
     NewExchange->start(Retried);
   }
-  return true;
 }
 
 } // namespace hyssopford
--- a/src/net/upstream_exchange.hpp
+++ b/src/net/upstream_exchange.hpp
@@ -33,6 +33,10 @@
   /// @brief Closes the connection without reporting a result.
   void abandon();
 
+  /// @return whether only idempotent requests may use the connection, since an
+  /// answer to an earlier request could be taken for the next one's
+  bool isForIdempotentOnly() const { return IdempotentOnly; }
+
   /// @return whether this idle connection is still open and without input
   bool isReusable() { return Stream.looksIdle(); }
 
@@ -49,9 +53,11 @@
   void begin(Duration Timeout);
   void send();
   void advance();
+  AnswerKind classify();
   void succeed();
   void fail(OutcomeReason Reason);
   bool retryOnNewConnection();
+  void restartOnNewConnection(Duration Left);
 
   UpstreamClient &Client;
   EventLoop &Loop;
@@ -69,6 +75,7 @@
   ProbePurpose Purpose = ProbePurpose::Health;
   bool Connected = false;
   bool Sent = false;
+  bool IdempotentOnly = false;
   /// Answers to other requests that were skipped for this attempt.
   std::uint32_t MismatchedAnswers = 0;
   /// True if the connection was used before.
--- a/tests/net/endless_bytes_test.cpp
+++ b/tests/net/endless_bytes_test.cpp
@@ -5,6 +5,7 @@
 #include "hyssopford/net/upstream_client.hpp"
 
 #include <Poco/Net/ServerSocket.h>
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -60,6 +61,9 @@
           }
           Poco::Net::StreamSocket Peer = Listener.acceptConnection();
           Peer.setSendTimeout(Poco::Timespan(5, 0));
+          // Bytes before the request would keep it from being sent.
+          std::array<char, 4'096> Request{};
+          Peer.receiveBytes(Request.data(), Request.size());
           Sent = sendWithoutEnd(Peer, Start, Unit, Pause);
           Ended = true;
         }) {}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -175,8 +175,9 @@
 
 TEST_CASE("answers of instances", "[platform]") {
   const PlatformEdgePolicy Edge("s");
-  const auto Classify = [&](const Poco::Net::HTTPResponse &Head) {
-    return Edge.classifyResponse(Head, "t1");
+  const auto Classify = [&](const Poco::Net::HTTPResponse &Head,
+                            bool IsFirst = true) {
+    return Edge.classifyResponse(Head, "t1", IsFirst);
   };
   auto Good = response(200);
   Good.set("X-Attempt-Id", "t1");
@@ -201,10 +202,43 @@
   }
   SECTION("only 421 and X-Not-Executed count as not run") {
     CHECK(Classify(response(421)) == AnswerKind::NotRun);
-    CHECK(Classify(response(503)) == AnswerKind::Answer);
+    auto Plain = response(503);
+    Plain.set("X-Attempt-Id", "t1");
+    CHECK(Classify(Plain) == AnswerKind::Answer);
+    CHECK(Classify(Plain, false) == AnswerKind::Answer);
     auto Head = response(503);
     Head.set("X-Not-Executed", "1");
     CHECK(Classify(Head) == AnswerKind::NotRun);
+    Head.set("X-Attempt-Id", "t1");
+    CHECK(Classify(Head, false) == AnswerKind::NotRun);
+    Good.set("X-Not-Executed", "1");
+    CHECK(Classify(Good) == AnswerKind::Invalid);
+  }
+  SECTION("without identifier, an answer counts on a new connection only") {
+    CHECK(Classify(response(421), false) == AnswerKind::UnprovenNotRun);
+    auto Head = response(503);
+    Head.set("X-Not-Executed", "1");
+    CHECK(Classify(Head, false) == AnswerKind::UnprovenNotRun);
+    for (const int Status : {302, 404, 429, 500, 503}) {
+      CHECK(Classify(response(Status), false) == AnswerKind::Mismatched);
+    }
+    CHECK(Classify(response(500)) == AnswerKind::Answer);
+    // Callers would take these as a promise that the instance has not given.
+    for (const int Status : {408, 429, 503}) {
+      CHECK(Classify(response(Status)) == AnswerKind::Invalid);
+    }
+  }
+  SECTION("a probe is answered by the health endpoint only") {
+    auto Head = response(200);
+    CHECK(Edge.classifyProbeResponse(Head, true) == AnswerKind::Invalid);
+    Head.set("X-Instance-Id", "i-1");
+    CHECK(Edge.classifyProbeResponse(Head, false) == AnswerKind::Answer);
+    Head.set("X-Attempt-Id", "t1");
+    CHECK(Edge.classifyProbeResponse(Head, true) == AnswerKind::Mismatched);
+    CHECK(Edge.classifyProbeResponse(response(503), true) ==
+          AnswerKind::Answer);
+    CHECK(Edge.classifyProbeResponse(response(503), false) ==
+          AnswerKind::Invalid);
   }
   SECTION("an error status of the instance counts as its answer") {
     auto Head = response(500);
