Close a connection of HttpClient that gets bytes while it is idle

A call to the platform's store got bytes that had arrived on its idle connection as a part of its answer: an answer in part behind the one of the call before, followed by the own one, ended as 200 with a mixed body; other bytes made the call fail. The event loop fed them to the reader, so that the check of the socket before reuse no longer saw them.

Bytes on an idle connection now close it. A connection whose answer came before its request was sent completely is not used again either.

Not covered: an answer of no call that arrives after the next call was written. The protocol names such answers of instances, not of the store, and its answers carry no identifier.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -48,6 +48,12 @@
   }
 
   void onData(std::string_view Bytes) override {
+    if (!Done) {
+      // Bytes on an idle connection belong to no call.
+      Stream.close();
+      fail("unexpected bytes");
+      return;
+    }
     Reader.feed(Bytes);
     while (true) {
       switch (Reader.advance()) {
@@ -83,8 +89,8 @@
 
   void succeed() {
     HttpCallResult Result{Reader.facts().Status, Reader.takeBody(), true, ""};
-    const bool Reusable =
-        Stream.isOpen() && Reader.facts().KeepAlive && Reader.buffered() == 0;
+    const bool Reusable = Stream.isOpen() && Reader.facts().KeepAlive &&
+                          Stream.pending() == 0 && Reader.buffered() == 0;
     if (Reusable) {
       Reader.next();
       IdleSince = EventLoop::now();
