Reconnect the store client before a call if bytes are waiting

A call of the store client got the bytes behind the answer of the call before as its own answer: POCO's session keeps them in its buffer or on the socket and reads the next answer from there. A value, a lost compare-and-swap or a lease of another call would have been taken, and each later call got the answer of the one before.

The session now reconnects if bytes are buffered or the socket is readable before a call, which also covers a connection that the store has closed.

Measured: net_tests "a store call is never answered by bytes behind an earlier answer" failed before ("foreign" == "2", then "2" == "3"); now net_tests pass (35 cases).

--- a/src/net/store_client.cpp
+++ b/src/net/store_client.cpp
@@ -170,11 +170,21 @@
   struct ConnectableSession final : Poco::Net::HTTPClientSession {
     using HTTPClientSession::HTTPClientSession;
     void open() {
-      if (!connected() || mustReconnect()) {
+      if (!connected() || mustReconnect() || hasInput()) {
         close();
         connect(Poco::Net::SocketAddress(getHost(), getPort()));
       }
     }
+
+  private:
+    /// Returns whether the connection has ended or holds bytes, which belong
+    /// to no call.
+    bool hasInput() {
+      return buffered() > 0 ||
+             socket().poll(Poco::Timespan(0),
+                           Poco::Net::Socket::SELECT_READ |
+                               Poco::Net::Socket::SELECT_ERROR);
+    }
   };
 
   void connect() {
--- a/tests/net/surplus_bytes_test.cpp
+++ b/tests/net/surplus_bytes_test.cpp
@@ -1,7 +1,8 @@
 /// @file
-/// @brief Tests of the client for HTTP calls against bytes
+/// @brief Tests of the clients for HTTP calls and for the store against bytes
 /// that belong to no call.
 #include "hyssopford/net/http_client.hpp"
+#include "hyssopford/net/store_client.hpp"
 #include "loop_thread.hpp"
 
 #include <Poco/Net/ServerSocket.h>
@@ -9,6 +10,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <memory>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -134,3 +136,35 @@
     return 0;
   });
 }
+
+// A call of the store got the bytes behind the answer before as its own.
+TEST_CASE("a store call is never answered by bytes behind an earlier answer",
+          "[surplus][store]") {
+  const std::string Bytes = GENERATE(from_range(surplus()));
+  const bool AtOnce = GENERATE(false, true);
+  INFO(Bytes << ", at once " << AtOnce);
+  SurplusServer Server(Bytes, AtOnce);
+  std::mutex Lock;
+  std::vector<StoreResult> Results;
+  HttpStoreSettings Settings;
+  Settings.Address = Server.address();
+  Settings.CallTimeout = 500ms;
+  HttpStoreClient Client(Settings, [&](std::uint64_t, StoreResult Result) {
+    const std::lock_guard<std::mutex> Guard(Lock);
+    Results.push_back(std::move(Result));
+  });
+  const auto Last = [&] {
+    const std::lock_guard<std::mutex> Guard(Lock);
+    return Results.back();
+  };
+  for (std::size_t Count = 1; Count <= 3; ++Count) {
+    Client.start(StoreCall{Count, StoreRead{"k"}});
+    REQUIRE(eventually([&] {
+      const std::lock_guard<std::mutex> Guard(Lock);
+      return Results.size() == Count;
+    }));
+    CHECK(Last().Status == StoreStatus::Done);
+    CHECK(Last().Value == std::to_string(Count));
+    std::this_thread::sleep_for(ArrivalTime);
+  }
+}
