Rebuild the locations of all candidates before any pool

Before that, nodes that heard of the new run before their link to it was up sent its instance nothing until the member table changed again.

Cause: setCandidates() rebuilt the pools in the order of the services' names, and each rebuild erased the locations of the pool's old rows. A node that had moved from a later to an earlier name lost the location that the pool of its new service had just made. The next swap of its row made one by operator[] without a pool, and the next record for the node used that null pointer.

All locations are dropped before the first pool is rebuilt, a node has exactly one row even if a table lists it twice, and a swap never makes a location.

Tests, in the default run: "a node that moves to another service has its row there" and "the link to a moved node may come before or after the news" failed (the row of the moved node was not usable) and pass.

--- a/include/hyssopford/core/candidate_table.hpp
+++ b/include/hyssopford/core/candidate_table.hpp
@@ -113,7 +113,8 @@
   /// @{
 
   /// @brief Replaces the known candidates. The state of those that remain with
-  /// the same run is kept.
+  /// the same run and service is kept. A node has one candidate: that of its
+  /// highest run, the first one in @p All.
   /// @note Complexity: n log n in the number of candidates.
   void setCandidates(std::vector<Candidate> All);
 
@@ -205,6 +206,7 @@
   RoutingSettings Settings;
   std::map<std::string, std::vector<Candidate>> Known;
   std::map<std::string, ServicePool> Pools;
+  /// The row of each node with one; the only index that outlives a call.
   std::unordered_map<NodeId, Location> Locations;
   std::unordered_map<NodeId, Incarnation> Links;
   std::vector<std::string> Domains;
--- a/src/core/candidate_table.cpp
+++ b/src/core/candidate_table.cpp
@@ -66,11 +66,25 @@
 }
 
 void CandidateTable::setCandidates(std::vector<Candidate> All) {
+  std::unordered_map<NodeId, Incarnation> Latest;
+  for (const Candidate &Each : All) {
+    Incarnation &Run = Latest[Each.Owner.Node];
+    Run = std::max(Run, Each.Owner.Run);
+  }
   Known.clear();
   for (Candidate &Each : All) {
+    const auto Found = Latest.find(Each.Owner.Node);
+    if (Found == Latest.end() || Found->second != Each.Owner.Run) {
+      continue;
+    }
+    // A node has one row, in the pool of one service.
+    Latest.erase(Found);
     std::vector<Candidate> &List = Known[Each.Service];
     List.push_back(std::move(Each));
   }
+  // All locations go before the first pool is rebuilt: a node may have moved
+  // from any pool to any other.
+  Locations.clear();
   for (auto &[Service, Pool] : Pools) {
     rebuild(Service, Pool);
   }
@@ -282,7 +296,6 @@
   std::unordered_map<NodeId, std::size_t> Old;
   for (std::size_t Index = 0; Index < Pool.Views.size(); ++Index) {
     Old.emplace(Pool.Views[Index].Owner.Node, Index);
-    Locations.erase(Pool.Views[Index].Owner.Node);
   }
   std::vector<CandidateView> OldViews = std::exchange(Pool.Views, {});
   std::vector<ServicePool::History> OldHistories =
@@ -367,8 +380,8 @@
                               std::size_t Second) {
   std::swap(Pool.Views[First], Pool.Views[Second]);
   std::swap(Pool.Histories[First], Pool.Histories[Second]);
-  Locations[Pool.Views[First].Owner.Node].Index = First;
-  Locations[Pool.Views[Second].Owner.Node].Index = Second;
+  Locations.at(Pool.Views[First].Owner.Node).Index = First;
+  Locations.at(Pool.Views[Second].Owner.Node).Index = Second;
 }
 
 std::size_t CandidateTable::domainIndex(const std::string &Domain) {
