Acknowledge a status report only if what it states holds

Cause: the registry compared start numbers of any two instances, kept a departure only for a start that it knew, and its caller ignored the result.

Reports of one start apply in the order of their sequence, for the latest start and for up to eight others. A higher start replaces a lower one at once, a lower one is taken when nothing else is in force and the health check confirms it. What is dropped is answered 409; 200 is left for a copy of the latest report and for `draining` of an instance that gets no requests. Departures of unknown instances are kept for their next report.

--- a/include/hyssopford/node/upstream_registry.hpp
+++ b/include/hyssopford/node/upstream_registry.hpp
@@ -9,7 +9,9 @@
 #include "hyssopford/node/core_driver.hpp"
 #include "hyssopford/node/node_telemetry.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +28,16 @@
   Removal
 };
 
+/// @brief What became of an announcement.
+enum class AnnouncementResult : std::uint8_t {
+  /// It is in force.
+  Applied,
+  /// It came too late to change anything, but what it states holds.
+  Holds,
+  /// It was dropped: another one is in force. Must not be acknowledged.
+  Dropped
+};
+
 /// @brief What an upstream states about itself.
 struct Announcement {
   AnnouncementKind Kind = AnnouncementKind::Renewal;
@@ -79,8 +91,12 @@
   /// @{
 
   /// @brief Applies an announcement of any kind.
-  /// @return false if it was ignored because a later one arrived before it
-  bool apply(const Announcement &New);
+  ///
+  /// Announcements of one start apply in the order of their sequence. Those of
+  /// a higher start number replace those of a lower one at once. As clocks may
+  /// step back, a lower one is taken too, but only when no other announcement
+  /// is in force, and when a probe has confirmed the upstream.
+  AnnouncementResult apply(const Announcement &New);
 
   /// @brief Probes an unverified upstream; see Unverified. Called again when
   /// the path of its health endpoint becomes known.
@@ -104,7 +120,29 @@
   CoreDriver &Driver;
   UpstreamClient &Client;
   NodeTelemetry &Log;
+  /// One start of an upstream.
+  struct Start {
+    std::string Instance;
+    std::uint64_t Number = 0;
+    /// Highest sequence that was acknowledged.
+    std::uint64_t Sequence = 0;
+
+    bool isOf(const Announcement &New) const {
+      return Instance == New.Instance && Number == New.Start;
+    }
+  };
+
+  /// Most starts, and most departures of unknown instances, that are kept.
+  static constexpr std::size_t KeptMax = 8;
+
+  AnnouncementResult depart(const std::string &Instance);
   bool isOvertaken(const Announcement &New) const;
+  bool holds(const Announcement &New) const;
+  /// Keeps the sequence of an acknowledged announcement of another start, so
+  /// that an earlier one of it is not applied later.
+  void noteSequence(const Announcement &New);
+  /// Makes an announcement with a start number the latest one.
+  void remember(const Announcement &New);
   void submitState();
   void startDraining();
 
@@ -114,6 +152,11 @@
   std::optional<Announcement> Latest;
   /// The start in Latest sent a departure.
   bool Departed = false;
+  /// Starts other than that of Latest, the newest last.
+  std::deque<Start> Others;
+  /// Instances that sent a departure, but no announcement to this incarnation
+  /// before it.
+  std::deque<std::string> DepartedUnseen;
   /// The upstream may have sent its departure to an earlier incarnation of this
   /// node, and no probe has confirmed yet that it still takes requests.
   bool Unverified = false;
--- a/src/node/local_service.cpp
+++ b/src/node/local_service.cpp
@@ -43,9 +43,21 @@
                            nlohmann::json{{"error", toString(Fault)}}.dump()));
     return;
   }
-  if (!Registry.apply(*New)) {
+  const AnnouncementResult Result = Registry.apply(*New);
+  if (Result != AnnouncementResult::Applied) {
+    const bool Holds = Result == AnnouncementResult::Holds;
     Log.log(LogLevel::Info, "announcement_overtaken",
-            {{"instance", New->Instance}, {"sequence", New->Sequence}});
+            {{"instance", New->Instance},
+             {"start", New->Start},
+             {"sequence", New->Sequence},
+             {"acknowledged", Holds ? "yes" : "no"}});
+  }
+  if (Result == AnnouncementResult::Dropped) {
+    LocalServer->reply(
+        Id,
+        makeHttpAnswer(409, JsonField,
+                       "{\"error\":\"another announcement is in force\"}\n"));
+    return;
   }
   LocalServer->reply(Id, makeHttpAnswer(200, JsonField, "{}\n"));
 }
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -99,29 +100,22 @@
 
 UpstreamRegistry::~UpstreamRegistry() { Loop.cancel(Expiry); }
 
-bool UpstreamRegistry::apply(const Announcement &New) {
+AnnouncementResult UpstreamRegistry::apply(const Announcement &New) {
   if (New.Kind == AnnouncementKind::Removal) {
     removeUpstream(false, "left");
-    return true;
+    return AnnouncementResult::Applied;
   }
   if (New.Kind == AnnouncementKind::Departure) {
-    if (Latest && Latest->Instance != New.Instance) {
-      return false;
-    }
-    startDraining();
-    return true;
+    return depart(New.Instance);
   }
   if (isOvertaken(New)) {
-    return false;
-  }
-  // After a restart, this node does not know whether the upstream sent its
-  // departure to an earlier incarnation.
-  Unverified = Unverified || (!Latest && New.Start != 0 && New.Sequence > 1);
-  if (New.Start != 0) {
-    Departed = Departed && Latest && Latest->Instance == New.Instance &&
-               Latest->Start == New.Start;
-    Latest = New;
+    if (!holds(New)) {
+      return AnnouncementResult::Dropped;
+    }
+    noteSequence(New);
+    return AnnouncementResult::Holds;
   }
+  remember(New);
   Loop.cancel(Expiry);
   Expiry = Loop.after(New.TimeToLive, [this] {
     Expiry = 0;
@@ -146,13 +140,29 @@
   }
   if (Unverified && Current->State != UpstreamState::Draining) {
     probePresence();
-    return true;
+    return AnnouncementResult::Applied;
   }
   if (!Old || OtherStart || Old->Service != New.Service ||
       Old->Slots != New.Slots || Old->State != Current->State) {
     submitState();
   }
-  return true;
+  return AnnouncementResult::Applied;
+}
+
+AnnouncementResult UpstreamRegistry::depart(const std::string &Instance) {
+  if (Latest && Latest->Instance == Instance) {
+    startDraining();
+    return AnnouncementResult::Applied;
+  }
+  DepartedUnseen.push_back(Instance);
+  if (DepartedUnseen.size() > KeptMax) {
+    DepartedUnseen.pop_front();
+  }
+  if (!Latest) {
+    startDraining();
+    return AnnouncementResult::Applied;
+  }
+  return AnnouncementResult::Holds;
 }
 
 void UpstreamRegistry::submitState() {
@@ -172,10 +182,75 @@
   if (New.Start == 0 || !Latest) {
     return false;
   }
-  if (New.Start != Latest->Start) {
-    return New.Start < Latest->Start;
+  if (New.Instance == Latest->Instance && New.Start == Latest->Start) {
+    return New.Sequence <= Latest->Sequence;
+  }
+  const auto Known =
+      std::find_if(Others.begin(), Others.end(),
+                   [&](const Start &Each) { return Each.isOf(New); });
+  if (Known != Others.end() && New.Sequence <= Known->Sequence) {
+    return true;
+  }
+  return New.Start < Latest->Start && Current.has_value();
+}
+
+bool UpstreamRegistry::holds(const Announcement &New) const {
+  const bool IsLatest =
+      New.Instance == Latest->Instance && New.Start == Latest->Start;
+  if (IsLatest && New.Sequence == Latest->Sequence) {
+    return New == *Latest;
+  }
+  // The upstream of another start gets no requests.
+  const bool GetsNone = !IsLatest || Departed || !Current ||
+                        Current->State == UpstreamState::Draining;
+  return New.State == UpstreamState::Draining && GetsNone;
+}
+
+void UpstreamRegistry::noteSequence(const Announcement &New) {
+  if (New.Instance == Latest->Instance && New.Start == Latest->Start) {
+    return;
+  }
+  const auto Known =
+      std::find_if(Others.begin(), Others.end(),
+                   [&](const Start &Each) { return Each.isOf(New); });
+  if (Known != Others.end()) {
+    Known->Sequence = std::max(Known->Sequence, New.Sequence);
+    return;
+  }
+  Others.push_back(Start{New.Instance, New.Start, New.Sequence});
+  if (Others.size() > KeptMax) {
+    Others.pop_front();
+  }
+}
+
+void UpstreamRegistry::remember(const Announcement &New) {
+  // After a restart, this node does not know whether the upstream sent its
+  // departure to an earlier incarnation.
+  Unverified = Unverified || (!Latest && New.Start != 0 && New.Sequence > 1);
+  if (New.Start == 0) {
+    return;
+  }
+  const bool SameStart =
+      Latest && Latest->Instance == New.Instance && Latest->Start == New.Start;
+  if (!SameStart) {
+    Unverified = Unverified || (Latest && New.Start < Latest->Start);
+    std::erase_if(Others, [&](const Start &Each) { return Each.isOf(New); });
+    if (Latest) {
+      Others.push_back(
+          Start{Latest->Instance, Latest->Start, Latest->Sequence});
+    }
+    if (Others.size() > KeptMax) {
+      Others.pop_front();
+    }
+    // The first announcement of a start comes before its departure.
+    const auto Left =
+        std::find(DepartedUnseen.begin(), DepartedUnseen.end(), New.Instance);
+    Departed = Left != DepartedUnseen.end() && New.Sequence > 1;
+    if (Left != DepartedUnseen.end()) {
+      DepartedUnseen.erase(Left);
+    }
   }
-  return New.Instance == Latest->Instance && New.Sequence <= Latest->Sequence;
+  Latest = New;
 }
 
 void UpstreamRegistry::probePresence() {
--- a/tests/node/test_site.hpp
+++ b/tests/node/test_site.hpp
@@ -86,8 +86,8 @@
 class TestNode {
 public:
   explicit TestNode(const NodeRuntimeSettings &Settings,
-                    const RoutingConfig &Config)
-      : Node(Settings) {
+                    const RoutingConfig &Config, NodeAdapters Adapters = {})
+      : Node(Settings, std::move(Adapters)) {
     Node.adopt(Config);
     Runner = std::thread([this] { Finished = Node.run(); });
   }
