--- a/include/hyssopford/core/member_table.hpp
+++ b/include/hyssopford/core/member_table.hpp
@@ -40,7 +40,8 @@
   /// @return the record of a node, or nullptr
   const MemberRecord *find(NodeId Node) const;
 
-  void put(const MemberRecord &Record);
+  /// @param Record by value: it may be a record of this table
+  void put(MemberRecord Record);
 
   void remove(NodeId Node);
 
--- a/src/core/member_table.cpp
+++ b/src/core/member_table.cpp
@@ -51,10 +51,11 @@
   return Row == All.end() ? nullptr : &Row->second;
 }
 
-void MemberTable::put(const MemberRecord &Record) {
+void MemberTable::put(MemberRecord Record) {
   remove(Record.Id.Node);
-  All.emplace(Record.Id.Node, Record);
   Live += Record.State != MemberState::Dead ? 1 : 0;
+  const NodeId Node = Record.Id.Node;
+  All.emplace(Node, std::move(Record));
 }
 
 void MemberTable::remove(NodeId Node) {
