Answer what was read behind other requests when a node stops

Cause: a stop stopped parsing behind requests in flight, but not reading. Change: until the ports close such requests are served like others; after that each gets a true 503 behind the answers before it, and the last one closes. Tests: two checks that only saw that such a request was not passed on now also ask for its 503; one more asks that it is served while the stop is announced.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -101,11 +101,8 @@
       Stream.pending() > UnsentLimit) {
     return false;
   }
-  // A connection that is about to close reads no request behind another one:
-  // its caller sends it again elsewhere.
   return Pipeline.empty() ||
-         (!Server.Draining && !Server.KeepAliveDisabled && !ContinueDue &&
-          Pipeline.size() < Server.Settings.PipelineDepth &&
+         (!ContinueDue && Pipeline.size() < Server.Settings.PipelineDepth &&
           PipelineBytes < Server.Settings.PipelineBytes);
 }
 
@@ -145,7 +142,14 @@
 void HttpServer::Connection::handleHead() {
   HeadRead = true;
   const HttpHeadFacts &Facts = Reader.facts();
-  const HeadDecision Decision = Server.Handler.onHead(Reader.request(), Facts);
+  // A request that arrived behind others is refused in its turn: closing
+  // without an answer would leave its caller in doubt.
+  const HeadDecision Decision =
+      Server.Draining && !Pipeline.empty()
+          ? HeadDecision{Server.Handler.refusal(
+                             HttpFault{503, "shutting down"}),
+                         0}
+          : Server.Handler.onHead(Reader.request(), Facts);
   const bool HasBody =
       Facts.Framing == BodyFraming::Chunked ||
       (Facts.Framing == BodyFraming::Length && Facts.ContentLength > 0);
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -165,8 +165,9 @@
   // completed.
   REQUIRE(Idle.receiveAll().empty());
   REQUIRE_FALSE(Test.Thread.call([&] { return Test.Server->isIdle(); }));
-  // Requests behind others are not passed on any more.
+  // Requests behind others are not passed on any more, and told so.
   Busy.send(get("/behind"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
   Slow.send("cd");
   REQUIRE(eventually([&] { return Test.requests() == 3; }));
   Test.Thread.call([&] {
@@ -177,10 +178,13 @@
   });
   const std::string Answer = Busy.receiveAll();
   const std::size_t Next = Answer.rfind("HTTP/1.1 200");
+  const std::size_t Refused = Answer.find("HTTP/1.1 503");
   REQUIRE(Answer.find("/busy=") < Next);
-  REQUIRE(Answer.find("Connection: close") > Next);
+  REQUIRE(Answer.find("/next=") < Refused);
+  REQUIRE(Answer.find("Connection: close") > Refused);
   REQUIRE(Answer.find("Connection: close") != std::string::npos);
-  REQUIRE(Answer.ends_with("/next="));
+  REQUIRE(Answer.ends_with("shutting down"));
+  REQUIRE(Test.requests() == 3);
   REQUIRE(Slow.receiveAll().ends_with("/slow=abcd"));
   REQUIRE(eventually(
       [&] { return Test.Thread.call([&] { return Test.Server->isIdle(); }); }));
--- a/tests/net/pipelining_test.cpp
+++ b/tests/net/pipelining_test.cpp
@@ -101,15 +101,34 @@
   SECTION("a stop answers what was passed on and closes with the last one") {
     Test.drain();
     Client.send(get("/late"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
     Test.answer(1);
     Test.answer(0);
     Test.answer(2);
     const std::string Text = Client.receiveAll();
-    CHECK(targets(Text) == std::vector<std::string>{"/a", "/b", "/c"});
-    CHECK(Text.find("Connection: close") > Text.find("/b="));
+    const std::size_t Refused = Text.find("HTTP/1.1 503");
+    CHECK(targets(Text.substr(0, Refused)) ==
+          std::vector<std::string>{"/a", "/b", "/c"});
+    CHECK(Text.find("Connection: close") > Refused);
     CHECK(Text.find("Connection: close") != std::string::npos);
     CHECK(Test.requests() == 3);
   }
+  // Guards against requests that were read before a stop and never answered.
+  SECTION("a request behind others is served while a stop is announced") {
+    Test.Thread.call([&] {
+      Test.Server->disableKeepAlive();
+      return 0;
+    });
+    Client.send(get("/late"));
+    REQUIRE(Test.waitForRequests(4));
+    for (const std::size_t Index : {0, 1, 2, 3}) {
+      Test.answer(Index);
+    }
+    const std::string Text = Client.receiveAll();
+    CHECK(targets(Text) == std::vector<std::string>{"/a", "/b", "/c", "/late"});
+    CHECK(Text.find("Connection: close") > Text.find("/c="));
+    CHECK(Text.find("Connection: close") != std::string::npos);
+  }
 }
 
 TEST_CASE("the requests of one connection in flight are bounded",
