--- a/include/hyssopford/net/upstream_client.hpp
+++ b/include/hyssopford/net/upstream_client.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -35,6 +36,10 @@
   /// @brief A connection to the upstream could not be opened: nothing listens
   /// at its address.
   virtual void onRefusedConnection() = 0;
+
+  /// @brief Bytes on a connection could not be attributed to its request.
+  /// The parameter states where they arrived.
+  virtual void onForeignBytes(std::string_view /*Reason*/) {}
 };
 
 /// @brief Limits of an UpstreamClient.
--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -179,6 +179,7 @@
   void onFailed(const UpstreamFailed &Failure) override;
   void onProbed(const ProbeFinished &Result) override;
   void onRefusedConnection() override;
+  void onForeignBytes(std::string_view Reason) override;
 
   void execute(SendToPeer &Details);
   void execute(OpenLink &Details);
@@ -230,6 +231,8 @@
   std::unique_ptr<HttpServer> Ready;
   std::unique_ptr<HttpServer> Metrics;
   std::size_t RefusedLinks = 0;
+  /// Times that an upstream sent bytes that belong to no request.
+  std::size_t ForeignBytes = 0;
   std::uint64_t AppliedVersion = 0;
   bool StoreReachable = true;
   bool ShuttingDown = false;
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -60,6 +60,7 @@
   if (!Busy) {
     // Unexpected bytes on an idle connection; isReusable() checks for them too.
     abandon();
+    Client.Handler.onForeignBytes("on an idle connection");
     Client.discard(*this);
     return;
   }
@@ -145,6 +146,7 @@
       continue;
     case HttpReader::Progress::Complete:
       if (Kind == AnswerKind::Mismatched) {
+        Client.Handler.onForeignBytes("an answer of another or no request");
         // The answer to this request may follow.
         if (++MismatchedAnswers > MismatchedAnswersMax) {
           Stream.close();
@@ -221,6 +223,9 @@
   Attempt = ForwardToUpstream();
   Attempt.Attempt = Answer.Attempt;
   UpstreamClientHandler &Receiver = Client.Handler;
+  if (Reader.buffered() > 0) {
+    Receiver.onForeignBytes("behind an answer");
+  }
   if (Reusable) {
     Reader.next();
     IsReused = true;
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -330,6 +330,11 @@
   }
 }
 
+void NodeRuntime::onForeignBytes(std::string_view Reason) {
+  Telemetry->log(LogLevel::Warning, "upstream_foreign_bytes",
+                 {{"count", ++ForeignBytes}, {"reason", Reason}});
+}
+
 void NodeRuntime::execute(SendToPeer &Details) {
   Telemetry->countFrame(Details.Message, false);
   Links->send(Details.To, Details.Message);
--- a/tests/net/surplus_bytes_test.cpp
+++ b/tests/net/surplus_bytes_test.cpp
@@ -90,13 +90,13 @@
 };
 
 std::vector<std::string> surplus() {
+  const std::string Missing = "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n";
   const std::string Foreign = answerWith("foreign");
   return {Foreign,
           Foreign.substr(0, Foreign.size() - 3),
           Foreign.substr(0, 20),
           Foreign + Foreign,
-          "HTTP/1.1 404 No\r\n"
-          "Content-Length: 0\r\n\r\n",
+          Missing,
           "x",
           "\r\n"};
 }
--- a/tests/platform/upstream_bytes_test.cpp
+++ b/tests/platform/upstream_bytes_test.cpp
@@ -8,9 +8,11 @@
 #include <Poco/Net/ServerSocket.h>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <cstdlib>
 #include <fmt/format.h>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <set>
 #include <thread>
 #include <vector>
@@ -23,6 +25,13 @@
 
 /// Time in which bytes that were written arrive at the client.
 constexpr auto ArrivalTime = std::chrono::milliseconds(15);
+/// Rounds of the readers' fuzz test in the time of an exchange.
+constexpr std::uint64_t RoundsPerExchange = 200;
+
+std::uint64_t numberOf(const char *Name, std::uint64_t Default) {
+  const char *const Text = std::getenv(Name);
+  return Text == nullptr ? Default : std::strtoull(Text, nullptr, 10);
+}
 
 std::string answer(const std::string &Status, const std::string &Fields,
                    const std::string &Body = "") {
@@ -158,10 +167,12 @@
     Probes.push_back(Result);
   }
   void onRefusedConnection() override {}
+  void onForeignBytes(std::string_view /*Reason*/) override { ++Foreign; }
 
   std::vector<UpstreamAnswered> Answers;
   std::vector<UpstreamFailed> Failures;
   std::vector<ProbeFinished> Probes;
+  int Foreign = 0;
 };
 
 /// How an attempt ended.
@@ -234,6 +245,11 @@
     return Thread.call([&] { return Events.Probes.back(); });
   }
 
+  /// @return how often bytes that belong to no request were reported
+  int foreign() {
+    return Thread.call([&] { return Events.Foreign; });
+  }
+
 private:
   LoopThread Thread;
   Collector Events;
@@ -385,6 +401,12 @@
     if (!Idempotent) {
       CHECK(Instance.runs("t2") <= 1);
     }
+    if (!Idempotent && Second.Status == 200 &&
+        (When == Timing::WithAnswer ||
+         (When == Timing::NextRequest &&
+          Each.Name == std::string_view("a refusal")))) {
+      CHECK(Test.foreign() > 0);
+    }
     // Nothing that arrived before may reach a third request either.
     const End Third = Test.send("t3", false);
     CHECK(Third.Status == 200);
@@ -392,6 +414,46 @@
   }
 }
 
+// As above, with random changes of the additional bytes, several of them and at
+// random places; scripts/fuzz.sh runs more rounds.
+TEST_CASE("random additional bytes never end a request wrongly",
+          "[upstream][bytes][fuzz]") {
+  std::mt19937_64 Random(numberOf("HYSSOPFORD_FUZZ_SEED", 1));
+  // Each round takes milliseconds, unlike those of the readers.
+  const std::uint64_t Rounds =
+      numberOf("HYSSOPFORD_FUZZ_ROUNDS", 20'000) / RoundsPerExchange;
+  const std::vector<Extra> Corpus = extras();
+  for (std::uint64_t Round = 0; Round < Rounds; ++Round) {
+    std::string Bytes;
+    for (std::uint64_t Count = Random() % 3 + 1; Count > 0; --Count) {
+      Bytes += Corpus[Random() % Corpus.size()].Bytes;
+    }
+    for (std::uint64_t Count = Random() % 3; Count > 0; --Count) {
+      const std::size_t At = Random() % Bytes.size();
+      if (Random() % 2 == 0) {
+        Bytes[At] = static_cast<char>(Random());
+      } else {
+        Bytes.insert(At, Bytes.substr(At, Random() % 40));
+      }
+    }
+    const auto When = static_cast<Timing>(Random() % 4);
+    const std::size_t Split = Random() % Bytes.size();
+    const bool Idempotent = Random() % 2 == 0;
+    INFO("round " << Round << ", timing " << static_cast<int>(When)
+                  << ", split at " << Split << ", idempotent " << Idempotent
+                  << ": " << Bytes);
+    FakeInstance Instance(garbling(Bytes, When, Split));
+    Node Test(Instance.address());
+    REQUIRE(Test.send("t1", Idempotent).Status == 200);
+    for (const char *Id : {"t2", "t3"}) {
+      const End Result = Test.send(Id, Idempotent, 50ms);
+      CHECK_FALSE((Result.NotRun && Instance.runs(Id) > 0));
+      CHECK((Result.Status == 0 ||
+             Result.Answer.ends_with("\r\n\r\n" + std::string(Id))));
+    }
+  }
+}
+
 // A refusal that was repeated on a kept connection was taken for that of the
 // same request, sent once more to this instance.
 TEST_CASE("an earlier refusal of the same request is no refusal of its repeat",
