--- a/include/hyssopford/core/candidate_table.hpp
+++ b/include/hyssopford/core/candidate_table.hpp
@@ -113,7 +113,8 @@
   /// @{
 
   /// @brief Replaces the known candidates. The state of those that remain with
-  /// the same run is kept.
+  /// the same run and service is kept. A node has one candidate: that of its
+  /// highest run, the first one in @p All.
   /// @note Complexity: n log n in the number of candidates.
   void setCandidates(std::vector<Candidate> All);
 
@@ -159,8 +160,12 @@
   /// @brief Records that an attempt is no longer outstanding.
   void attemptEnded(NodeId Node, std::uint64_t Sequence);
 
-  /// @brief Records a load report received on the link to a node.
-  void recordLoad(NodeId Node, const LoadReport &Load, TimePoint Now);
+  /// @return whether an attempt is outstanding at the candidate that the node
+  /// is now; false if the node has another run or service since it was sent
+  bool isOutstanding(NodeId Node, std::uint64_t Sequence) const;
+
+  /// @brief Records a load report received on the link to a run of a node.
+  void recordLoad(NodeRun From, const LoadReport &Load, TimePoint Now);
 
   /// @brief Records a measured round trip to a node.
   void recordRoundTrip(NodeId Node, Duration Measured);
@@ -201,6 +206,7 @@
   RoutingSettings Settings;
   std::map<std::string, std::vector<Candidate>> Known;
   std::map<std::string, ServicePool> Pools;
+  /// The row of each node with one; the only index that outlives a call.
   std::unordered_map<NodeId, Location> Locations;
   std::unordered_map<NodeId, Incarnation> Links;
   std::vector<std::string> Domains;
