--- a/tests/platform/soak/report.py
+++ b/tests/platform/soak/report.py
@@ -25,6 +25,8 @@
         self.outcomes, self.violations, self.events = [], [], []
         self.pauses, self.down, self.ending = {}, {}, {}
         self.versions = {}
+        # Origin of the times of events; nothing for the start of the run.
+        self.begun = None
 
     def record_event(self, text):
         self.events.append((time.monotonic(), text))
