--- a/tests/platform/soak/operator_day.py
+++ b/tests/platform/soak/operator_day.py
@@ -265,12 +265,13 @@
         """Kills, stops or ends watching nodes right before a change."""
         machines = [machine for machine in await self.watching()
                     if ("node", machine) not in self.reserved]
-        machines = self.rng.sample(machines, self.rng.randrange(
-            min(1, len(machines)), len(machines) + 1))
+        if self.rng.random() < 0.5:
+            machines = self.rng.sample(machines, self.rng.randrange(
+                min(1, len(machines)), len(machines) + 1))
         how = self.rng.choice(("kill", "kill", "freeze", "freeze", "term"))
         self.record_event(f"{how} of the watching nodes {machines}")
         tasks = [asyncio.create_task(
-            self._pause(("node", machine), self.site.nodes[machine], 4.0)
+            self._pause(("node", machine), self.site.nodes[machine], 6.0)
             if how == "freeze" else self._restart(
                 machine, signal.SIGKILL if how == "kill" else signal.SIGTERM))
             for machine in machines]
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -187,10 +187,12 @@
         begun = time.monotonic()
         report = asyncio.run((run_operator_day if options.operator_day
                               else run_seed)(options, folder))
+        events = [f"  {when - (report.begun or begun):7.2f} {text}"
+                  for when, text in report.events]
+        (folder / "events.txt").write_text("\n".join(events) + "\n")
         if report.violations:
             failed.append(seed)
-            for when, text in report.events:
-                print(f"  {when - (report.begun or begun):7.2f} {text}")
+            print("\n".join(events))
             print(f"  logs in {folder}")
         sys.stdout.flush()
     print(f"{len(seeds)} seeds, {len(failed)} failed: {failed}")
