Count an effect that precedes the printed ack of a version

The store stand-in prints the time of a write after it has answered the watches, so a node may have the version in force before; the effect of the next version was taken for it.

--- a/tests/platform/soak/version_checks.py
+++ b/tests/platform/soak/version_checks.py
@@ -264,8 +264,7 @@
         for node, rows in by_node.items():
             rows.sort(key=lambda effect: effect.seen)
             for index, version in enumerate(self.versions[1:], 1):
-                first = next((row for row in rows if row.oldest >= index
-                              and row.seen >= version.ack), None)
+                first = next((row for row in rows if row.oldest >= index), None)
                 if first is not None:
                     self._sort_delay(node, version.ack, first.seen, undisturbed,
                                      others)
@@ -280,8 +279,7 @@
             rows = self._versions_in_log(site, node)
             for version in self.versions[1:]:
                 first = next((when for when, number in rows
-                              if number >= version.number and
-                              when >= version.ack - 0.01), None)
+                              if number >= version.number), None)
                 if first is not None:
                     self._sort_delay(node, version.ack, first, undisturbed, others)
         print_histogram("in force by logs, undisturbed", undisturbed)
