Drop idle connections once a call has had no response

Change: a call without a response closes the idle connections too, so that the next one shows whether the server answers.

--- a/include/hyssopford/net/http_client.hpp
+++ b/include/hyssopford/net/http_client.hpp
@@ -40,7 +40,8 @@
 };
 
 /// @brief Makes calls on an event loop. Each running call has a connection of
-/// its own; a connection whose response times out is closed.
+/// its own; a connection whose response times out is closed, and with it all
+/// idle ones.
 class HttpClient {
 public:
   using Callback = std::function<void(HttpCallResult)>;
@@ -74,6 +75,7 @@
   friend class Exchange;
 
   void finish(Exchange &Ended, bool Reusable);
+  void closeIdle();
 
   EventLoop &Loop;
   HttpClientSettings Settings;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -34,6 +34,9 @@
     Timer = Client.Loop.after(Timeout, [this] {
       Timer = 0;
       Stream.close();
+      // Connections may have gone silent together; a new one shows whether the
+      // server answers.
+      Client.closeIdle();
       fail("timed out waiting for the response");
     });
     if (Connected) {
@@ -164,6 +167,11 @@
   Connection->start(std::move(Request), Timeout, std::move(Done));
 }
 
+void HttpClient::closeIdle() {
+  // Destroyed later, as a handler may be running.
+  Loop.defer([Dropped = std::exchange(Idle, {})] {});
+}
+
 void HttpClient::finish(Exchange &Ended, bool Reusable) {
   const auto InPool =
       std::find_if(Idle.begin(), Idle.end(),
