Read records of other writers strictly and skip odd ones alone

Other operators saw processes end, or stop following the store, after one odd entry.

Causes: numbers were converted by the library, which turns fractions, Booleans and numbers out of range into something else, and fields that are not used were not looked at.

src/config/record_reader.hpp is now the one way to such records: at most 64 levels, no key twice, UTF-8, whole numbers only where they belong, every number and text in a stated range, and reasons in printable ASCII.

Not run: scripts/fuzz.sh under sanitizers.

Looked at without finding it: the edge's numbers (load, deadline), which are parsed as whole texts with their range.

--- a/src/config/config_codec.cpp
+++ b/src/config/config_codec.cpp
@@ -1,5 +1,7 @@
 #include "hyssopford/config/config_codec.hpp"
 
+#include "record_reader.hpp"
+
 #include "hyssopford/config/routing_config_json.hpp"
 #include "hyssopford/core/error_codes.hpp"
 
@@ -14,6 +16,9 @@
 // and after storage.
 using Json = nlohmann::ordered_json;
 
+/// Longest patch, author or identifier that is read, in bytes.
+constexpr std::size_t PatchBytesMax = 67'108'864;
+
 Json changesToJson(const std::vector<ConfigChange> &Changes) {
   Json All = Json::array();
   for (const ConfigChange &Each : Changes) {
@@ -27,16 +32,19 @@
   return All;
 }
 
-std::vector<ConfigChange> changesFromJson(const Json &All) {
+std::vector<ConfigChange> changesFromJson(const detail::Json &All) {
+  if (!All.is_array()) {
+    throw detail::RecordFault("/history: expected an array");
+  }
   std::vector<ConfigChange> Changes;
-  for (const Json &Each : All) {
+  for (const detail::Json &Each : All) {
     ConfigChange Change;
-    Each.at("version").get_to(Change.Version);
-    Each.at("base").get_to(Change.Base);
-    Each.at("patch_id").get_to(Change.PatchId);
-    Each.at("author").get_to(Change.Author);
-    Each.at("time_ms").get_to(Change.TimeMs);
-    Each.at("patch").get_to(Change.Patch);
+    Change.Version = detail::wholeNumberOf(Each, "version");
+    Change.Base = detail::wholeNumberOf(Each, "base");
+    Change.PatchId = detail::textOf(Each, "patch_id", PatchBytesMax);
+    Change.Author = detail::textOf(Each, "author", PatchBytesMax);
+    Change.TimeMs = detail::wholeNumberOf(Each, "time_ms");
+    Change.Patch = detail::textOf(Each, "patch", PatchBytesMax);
     Changes.push_back(std::move(Change));
   }
   return Changes;
@@ -47,8 +55,9 @@
   return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-Error storedValueError(const char *Reason) {
-  return Error{numberOf(ErrorCode::NotJson), "config.store", "", Reason};
+Error storedValueError(std::string Reason) {
+  return Error{numberOf(ErrorCode::NotJson), "config.store", "",
+               std::move(Reason)};
 }
 
 } // namespace
@@ -56,18 +65,23 @@
 std::optional<ConfigHead> JsonConfigCodec::parseHead(std::string_view Text,
                                                      Error &LastError) const {
   try {
-    const Json Value = Json::parse(Text);
+    const detail::Json Value = detail::parseRecord(Text);
     ConfigHead Head;
-    Value.at("version").get_to(Head.Version);
-    Head.Document = dump(Value.at("document"));
-    Head.History = changesFromJson(Value.at("history"));
-    for (const Json &Each : Value.at("archives")) {
-      Head.Archives.push_back({Each.at("first_version").get<std::uint64_t>(),
-                               Each.at("last_version").get<std::uint64_t>()});
+    Head.Version = detail::wholeNumberOf(Value, "version");
+    detail::memberOf(Value, "document");
+    Head.Document = dump(Json::parse(Text).at("document"));
+    Head.History = changesFromJson(detail::memberOf(Value, "history"));
+    const detail::Json &Archives = detail::memberOf(Value, "archives");
+    if (!Archives.is_array()) {
+      throw detail::RecordFault("/archives: expected an array");
+    }
+    for (const detail::Json &Each : Archives) {
+      Head.Archives.push_back({detail::wholeNumberOf(Each, "first_version"),
+                               detail::wholeNumberOf(Each, "last_version")});
     }
     return Head;
-  } catch (const Json::exception &Fault) {
-    LastError = storedValueError(Fault.what());
+  } catch (const std::exception &Fault) {
+    LastError = storedValueError(detail::printable(Fault.what()));
     return std::nullopt;
   }
 }
@@ -87,9 +101,10 @@
 std::optional<std::vector<ConfigChange>>
 JsonConfigCodec::parseArchive(std::string_view Text, Error &LastError) const {
   try {
-    return changesFromJson(Json::parse(Text).at("history"));
-  } catch (const Json::exception &Fault) {
-    LastError = storedValueError(Fault.what());
+    return changesFromJson(
+        detail::memberOf(detail::parseRecord(Text), "history"));
+  } catch (const std::exception &Fault) {
+    LastError = storedValueError(detail::printable(Fault.what()));
     return std::nullopt;
   }
 }
