--- a/tools/benchmark/choice_benchmark.cpp
+++ b/tools/benchmark/choice_benchmark.cpp
@@ -63,10 +63,12 @@
     ++Request.Id.Value;
     Ingress.start(Request, Matched, Now, Out);
     const auto &Frame = std::get<SendToPeer>(Out.front());
-    Reply.Attempt = std::get<Dispatch>(Frame.Message).Attempt;
+    const auto &Sent = std::get<Dispatch>(Frame.Message);
+    const NodeRun Owner{Frame.To, Sent.Owner};
+    Reply.Attempt = Sent.Attempt;
     ++Reply.Load.Sequence;
     Now += 9ms;
-    Ingress.finishAttempt(Frame.To, Reply, Now, Out);
+    Ingress.finishAttempt(Owner, Reply, Now, Out);
   }
 }
 BENCHMARK(requestAmong)->Arg(8)->Arg(64)->Arg(1100);
--- a/tools/experiment/chain.cpp
+++ b/tools/experiment/chain.cpp
@@ -82,7 +82,7 @@
       const auto *Sent =
           Frame == nullptr ? nullptr : std::get_if<Dispatch>(&Frame->Message);
       if (Sent != nullptr) {
-        const NodeId Owner = Frame->To;
+        const NodeRun Owner{Frame->To, Sent->Owner};
         const DispatchReply Reply = attempt(Hop, *Sent);
         Ingress.finishAttempt(Owner, Reply, Now, Out);
       }
--- a/tools/experiment/site.cpp
+++ b/tools/experiment/site.cpp
@@ -230,7 +230,7 @@
       --On.Approaching;
       On.Owner.admit(From, *Attempt, Now, Out);
     } else if (const auto *Reply = std::get_if<DispatchReply>(&Message)) {
-      On.Ingress.finishAttempt(From, *Reply, Now, Out);
+      On.Ingress.finishAttempt(node(From).Self, *Reply, Now, Out);
     } else if (const auto *Ended = std::get_if<Cancel>(&Message)) {
       On.Owner.cancel(Ended->Attempt, Now, Out);
     } else if (const auto *Query = std::get_if<StatusQuery>(&Message)) {
