Answer an announcement that is not UTF-8 instead of ending

Seen by callers: a node ended with SIGABRT when a report held one byte that is not UTF-8, and with it all its kept connections (LOST); an instance or another writer that repeats it ends the node again and again.

Cause: the 400 answer quotes the reason, the parser's message quotes the bytes, and dump() throws on text that is not UTF-8. Beside it, hyssopford's own announcements took fractions and converted times out of range, and a deeply nested patch was copied by recursion.

The reason is printable ASCII, the answer replaces what is not UTF-8 whatever its reason, and announcements and patch submissions are read by the strict reader (64 levels).

Test: "a node goes on after announcements that cannot be read" ended the test program with type_error 316 on the old code (trial on this tree) and passes. All other calls of dump() were read: they render parsed documents or own data.

--- a/src/node/local_service.cpp
+++ b/src/node/local_service.cpp
@@ -39,8 +39,10 @@
              {"peer", Request.Peer},
              {"reason", Fault.Reason}});
     LocalServer->reply(
-        Id, makeHttpAnswer(400, JsonField,
-                           nlohmann::json{{"error", toString(Fault)}}.dump()));
+        Id, makeHttpAnswer(
+                400, JsonField,
+                nlohmann::json{{"error", toString(Fault)}}.dump(
+                    -1, ' ', false, nlohmann::json::error_handler_t::replace)));
     return;
   }
   const AnnouncementResult Result = Registry.apply(*New);
--- a/src/node/operator_service.cpp
+++ b/src/node/operator_service.cpp
@@ -1,5 +1,6 @@
 #include "hyssopford/node/operator_service.hpp"
 
+#include "../config/record_reader.hpp"
 #include "hyssopford/config/routing_config_json.hpp"
 #include "hyssopford/core/error_codes.hpp"
 #include "hyssopford/net/http_forward.hpp"
@@ -59,20 +60,20 @@
                                                  "author", "dry_run", "patch"};
   PatchSubmitted Result;
   try {
-    const json Root = json::parse(Text);
+    const json Root = detail::parseRecord(Text);
     for (const auto &Each : Root.items()) {
       if (!KnownFields.contains(Each.key())) {
         Reason = "unknown field " + Each.key();
         return std::nullopt;
       }
     }
-    Result.PatchId = Root.at("patch_id").get<std::string>();
-    Result.Author = Root.at("author").get<std::string>();
-    Result.Base = Root.at("base_version").get<std::uint64_t>();
+    Result.PatchId = detail::textOf(Root, "patch_id");
+    Result.Author = detail::textOf(Root, "author");
+    Result.Base = detail::wholeNumberOf(Root, "base_version");
     Result.Patch = Root.at("patch").dump();
     Result.DryRun = Root.value("dry_run", false);
-  } catch (const json::exception &Exception) {
-    Reason = Exception.what();
+  } catch (const std::exception &Exception) {
+    Reason = detail::printable(Exception.what());
     return std::nullopt;
   }
   Result.TimeMs = static_cast<std::uint64_t>(
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -1,11 +1,11 @@
 #include "hyssopford/node/upstream_registry.hpp"
 
+#include "../config/record_reader.hpp"
 #include "hyssopford/core/error_codes.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace hyssopford {
@@ -72,16 +72,23 @@
   Announcement New;
   std::string State;
   try {
-    const nlohmann::json Root = nlohmann::json::parse(Text);
-    New.Service = Root.at("service").get<std::string>();
-    New.Address = Root.at("address").get<std::string>();
-    New.Slots = Root.value("slots", New.Slots);
-    New.HealthPath = Root.value("health_path", New.HealthPath);
-    New.TimeToLive = std::chrono::milliseconds(
-        Root.value("ttl_ms", std::int64_t{New.TimeToLive / 1ms}));
-    State = Root.value("state", "serving");
-  } catch (const nlohmann::json::exception &Exception) {
-    refuse(Fault, Exception.what());
+    const detail::Json Root = detail::parseRecord(Text);
+    New.Service = detail::textOf(Root, "service");
+    New.Address = detail::textOf(Root, "address");
+    if (Root.contains("slots")) {
+      New.Slots = static_cast<std::uint32_t>(
+          detail::wholeNumberOf(Root, "slots", 1, MaximumSlots));
+    }
+    if (Root.contains("health_path")) {
+      New.HealthPath = detail::textOf(Root, "health_path");
+    }
+    if (Root.contains("ttl_ms")) {
+      New.TimeToLive = std::chrono::milliseconds(
+          detail::wholeNumberOf(Root, "ttl_ms", 100, 60'000));
+    }
+    State = Root.contains("state") ? detail::textOf(Root, "state") : "serving";
+  } catch (const std::exception &Caught) {
+    refuse(Fault, detail::printable(Caught.what()));
     return std::nullopt;
   }
   if (!readState(State, New.State)) {
--- a/tests/node/node_runtime_test.cpp
+++ b/tests/node/node_runtime_test.cpp
@@ -125,6 +125,29 @@
   }
 }
 
+// Guards against a node that ended while it answered an announcement that is
+// not UTF-8: the answer quoted its bytes.
+TEST_CASE("a node goes on after announcements that cannot be read", "[node]") {
+  TestUpstream Upstream;
+  TestNode Node(testSettings(), testRouting());
+  for (const std::string &Body :
+       {std::string("{\"service\":\"\xff\xfe\"}"), std::string("\xff"),
+        std::string(4'000, '['),
+        std::string(R"({"service":"a","address":"127.0.0.1:99999"})"),
+        std::string(
+            R"({"service":"a","address":"127.0.0.1:80","slots":1e999})"),
+        std::string(R"({"service":"a","address":"127.0.0.1:80","slots":1.5})"),
+        std::string(
+            R"({"service":"a","address":"127.0.0.1:80","ttl_ms":1e300})"),
+        std::string(
+            R"({"service":"a","service":"b","address":"127.0.0.1:80"})")}) {
+    REQUIRE(exchange(Node.Node.localAddress(), "POST", "/.hyssopford/upstream",
+                     "", Body)
+                .starts_with("HTTP/1.1 400"));
+  }
+  REQUIRE(announce(Node, Upstream.address(), 4));
+}
+
 TEST_CASE("an upstream that does not renew its announcement is removed",
           "[node]") {
   TestUpstream Upstream;
