Take only addresses from the directory

Seen: another writer's value in a directory slot gave a node contacts that cannot be opened (ports out of range), or whose name is looked up, which blocks the event loop; the list was not bounded.

Contacts are lines of the form ip:port with a port from 1 to 65535, at most 64 of one value.

Test: "directory values that are no addresses are left out" failed with the old code (trial on this tree) and passes. Opening such an address threw nothing: the connection was refused and counted, which was read in tcp_stream.cpp, not run. Not done: a log line or a counter for the lines that are left out.

--- a/src/core/directory_system.cpp
+++ b/src/core/directory_system.cpp
@@ -1,6 +1,8 @@
 #include "hyssopford/core/directory_system.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 namespace hyssopford {
@@ -14,6 +16,29 @@
 // Rounds with unreachable contacts after which the slot may be taken over.
 constexpr std::uint32_t UnreachableRoundLimit = 2;
 
+// Most contacts taken from one value, which another program may have written.
+constexpr std::size_t ContactsMax = 64;
+// Longest "ip:port", with an IPv6 address in brackets.
+constexpr std::size_t AddressLengthMax = 47;
+
+/// Tells whether a text has the form "ip:port", with a port from 1 to 65535. A
+/// name would be looked up, which blocks.
+bool isPeerAddress(std::string_view Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Text.size() > AddressLengthMax || Colon == std::string_view::npos ||
+      Colon == 0) {
+    return false;
+  }
+  const std::string_view Host = Text.substr(0, Colon);
+  const bool IsIp = Host.find_first_not_of("0123456789abcdefABCDEF.:[]") ==
+                        std::string_view::npos &&
+                    Host.find_first_of(".:") != std::string_view::npos;
+  std::uint16_t Port = 0;
+  const char *const End = Text.data() + Text.size();
+  const auto [At, Code] = std::from_chars(Text.data() + Colon + 1, End, Port);
+  return IsIp && Code == std::errc() && At == End && Port != 0;
+}
+
 std::string slotKey(std::uint32_t Slot) {
   return "hyssopford/directory/" + std::to_string(Slot);
 }
@@ -216,7 +241,8 @@
   while (Begin < Value.size()) {
     const std::size_t End = std::min(Value.find('\n', Begin), Value.size());
     const std::string Each = Value.substr(Begin, End - Begin);
-    if (!Each.empty() && Each != Address) {
+    if (Each != Address && isPeerAddress(Each) &&
+        FoundContacts.size() < ContactsMax) {
       FoundContacts.push_back(Each);
     }
     Begin = End + 1;
