--- a/tests/core/config_system_test.cpp
+++ b/tests/core/config_system_test.cpp
@@ -410,4 +410,14 @@
     Write(Valid);
     CHECK(Site.inForceWithin(3, 3s));
   }
+  SECTION("nor a valid one with the same number") {
+    Invalid.Version = 3;
+    Write(Invalid);
+    Site.run(3s);
+    CHECK(Site.lowestVersion() == 2);
+    Valid.Version = 3;
+    Valid.Document = "three";
+    Write(Valid);
+    CHECK(Site.inForceWithin(3, 3s));
+  }
 }
