--- a/include/hyssopford/core/outcome.hpp
+++ b/include/hyssopford/core/outcome.hpp
@@ -45,7 +45,9 @@
   /// The node has not received a configuration yet.
   NoConfig,
   /// The upstream is slowed down for a short time; others may not be.
-  UpstreamSlow
+  UpstreamSlow,
+  /// The node has no memory for the request.
+  NoMemory
 };
 
 /// @brief Tells faults of the upstream from other reasons.
--- a/include/hyssopford/core/payload.hpp
+++ b/include/hyssopford/core/payload.hpp
@@ -2,6 +2,8 @@
 /// @brief Opaque, shared, immutable bytes.
 #pragma once
 
+#include "hyssopford/core/memory_budget.hpp"
+
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -20,8 +22,21 @@
 
   /// @brief Takes ownership of a byte string.
   /// @param Bytes the content
-  explicit Payload(std::string Bytes)
-      : Shared(std::make_shared<const std::string>(std::move(Bytes))) {}
+  /// @param Charge the memory charged for it; returned with the last copy
+  explicit Payload(std::string Bytes, MemoryCharge Charge = {})
+      : Shared(std::make_shared<const Content>(std::move(Bytes),
+                                               std::move(Charge))),
+        Length(Shared->Bytes.size()) {}
+
+  /// @brief Refers to a part of the bytes without copying them.
+  /// @param Offset first byte of the part
+  /// @param Size number of bytes; the part must lie within this payload
+  Payload part(std::size_t Offset, std::size_t Size) const {
+    Payload Result = *this;
+    Result.Start += Offset;
+    Result.Length = Size;
+    return Result;
+  }
   /// @}
 
   /// @name Content
@@ -29,11 +44,12 @@
 
   /// @return the bytes; valid as long as any copy of this payload lives
   std::string_view bytes() const {
-    return Shared ? std::string_view(*Shared) : std::string_view();
+    return Shared ? std::string_view(Shared->Bytes).substr(Start, Length)
+                  : std::string_view();
   }
 
   /// @return the number of bytes
-  std::size_t size() const { return bytes().size(); }
+  std::size_t size() const { return Length; }
   /// @}
 
   /// @brief Compares the bytes.
@@ -42,7 +58,17 @@
   }
 
 private:
-  std::shared_ptr<const std::string> Shared;
+  struct Content {
+    Content(std::string Text, MemoryCharge Held)
+        : Bytes(std::move(Text)), Charge(std::move(Held)) {}
+
+    std::string Bytes;
+    MemoryCharge Charge;
+  };
+
+  std::shared_ptr<const Content> Shared;
+  std::size_t Start = 0;
+  std::size_t Length = 0;
 };
 
 } // namespace hyssopford
--- a/include/hyssopford/net/edge_policy.hpp
+++ b/include/hyssopford/net/edge_policy.hpp
@@ -65,8 +65,7 @@
   /// @brief Builds the request that is sent to an upstream.
   /// @param Request the request
   /// @param Trusted true for requests of the upstream on this VM
-  virtual Payload forwardedRequest(const HttpRequest &Request,
-                                   bool Trusted) const = 0;
+  virtual Payload forwardedRequest(HttpRequest Request, bool Trusted) const = 0;
 
   /// @param Reply the reply to the caller
   /// @return field lines added to an upstream's answer, each with its line end
@@ -116,8 +115,7 @@
                                     bool Trusted) const override;
   std::string
   callerRequestId(const Poco::Net::HTTPRequest &Head) const override;
-  Payload forwardedRequest(const HttpRequest &Request,
-                           bool Trusted) const override;
+  Payload forwardedRequest(HttpRequest Request, bool Trusted) const override;
   std::string answerFields(const ReplyToCaller &Reply) const override;
   Payload refusal(const EdgeRefusal &Refused) const override;
   std::string attemptFields(const ForwardToUpstream &Attempt,
--- a/include/hyssopford/net/http_forward.hpp
+++ b/include/hyssopford/net/http_forward.hpp
@@ -51,7 +51,7 @@
 /// @param AddedFields field lines to add, each with its line end
 /// @return request line, fields and body
 Payload
-renderForwardedRequest(const HttpRequest &Request,
+renderForwardedRequest(HttpRequest Request,
                        const std::function<bool(std::string_view)> &ShouldDrop,
                        const std::string &AddedFields);
 
@@ -61,16 +61,18 @@
 /// @param Trusted true for requests of the upstream on this VM, whose
 /// Forwarded fields are kept
 /// @return request line, fields and body
-Payload buildForwardedRequest(const HttpRequest &Request, bool Trusted);
+Payload buildForwardedRequest(HttpRequest Request, bool Trusted);
 
 /// @brief Builds the answer for a caller from an upstream's answer, without
 /// hop-by-hop and Hyssopford-* fields.
 /// @param Head status line and fields of the upstream's answer
 /// @param Body its body
 /// @param IsHeadRequest true if the request's method was HEAD
+/// @param Memory memory charged for the answer
 /// @return status line, fields and body
 Payload buildForwardedAnswer(const Poco::Net::HTTPResponse &Head,
-                             std::string_view Body, bool IsHeadRequest);
+                             std::string Body, bool IsHeadRequest,
+                             MemoryCharge Memory = {});
 
 /// @return the path of the request target, without scheme, authority and query
 std::string_view pathOf(const Poco::Net::HTTPRequest &Head,
--- a/include/hyssopford/net/http_head.hpp
+++ b/include/hyssopford/net/http_head.hpp
@@ -27,6 +27,8 @@
   /// HTTP status to answer a refused request with.
   int Status = 400;
   std::string Reason;
+  /// True if the node lacks the memory for the message.
+  bool LacksMemory = false;
 
   friend bool operator==(const HttpFault &, const HttpFault &) = default;
 };
--- a/include/hyssopford/net/http_reader.hpp
+++ b/include/hyssopford/net/http_reader.hpp
@@ -2,6 +2,7 @@
 /// @brief Incremental reader of HTTP/1.1 messages.
 #pragma once
 
+#include "hyssopford/core/memory_budget.hpp"
 #include "hyssopford/net/http_head.hpp"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace hyssopford {
 
@@ -57,6 +59,17 @@
   /// @param Bytes longest body
   void limitBody(std::uint64_t Bytes) { Limits.Body = Bytes; }
 
+  /// @brief Sets the memory charged for the current body, which grows with a
+  /// body of unknown length. Must be called after HeadReady.
+  void chargeBody(MemoryCharge Charge) { Memory = std::move(Charge); }
+
+  /// @brief Lets the memory of the current body exceed its budget.
+  void allowOverdraft() { Overdraft = true; }
+
+  /// @brief Reads the current body without keeping it. Must be called after
+  /// HeadReady.
+  void discardBody() { Discarding = true; }
+
   /// @brief Sets whether the next response answers a HEAD request and thus has
   /// no body.
   void expectHeadResponse(bool Expected) { IsHeadRequest = Expected; }
@@ -71,7 +84,8 @@
   const Poco::Net::HTTPResponse &response() const { return Response; }
   const HttpHeadFacts &facts() const { return Facts; }
   const std::string &body() const { return Body; }
-  std::string takeBody() { return std::move(Body); }
+  std::string takeBody() { return std::exchange(Body, {}); }
+  MemoryCharge takeCharge() { return std::move(Memory); }
   const HttpFault &fault() const { return Fault; }
 
   /// @return whether any byte of the current message has arrived
@@ -80,6 +94,12 @@
   /// @return whether the head was read and the body is still incomplete
   bool inBody() const { return State != Stage::Head && State != Stage::Done; }
 
+  /// @return whether a response waits until advance() finds room for its body
+  bool awaitsMemory() const { return AwaitsMemory; }
+
+  /// @return whether the current body is discarded
+  bool isDiscarding() const { return Discarding; }
+
   /// @return the number of bytes fed but not yet read
   std::size_t buffered() const { return Buffer.size() - Position; }
   /// @}
@@ -106,6 +126,7 @@
   bool readTrailer();
   Progress refuse(int Status, std::string Reason);
   bool fitsBodyLimit(std::uint64_t More) const;
+  bool makeRoom(std::size_t More);
 
   Kind MessageKind;
   HttpLimits Limits;
@@ -126,6 +147,10 @@
   Poco::Net::HTTPResponse Response;
   HttpHeadFacts Facts;
   std::string Body;
+  MemoryCharge Memory;
+  bool Overdraft = false;
+  bool AwaitsMemory = false;
+  bool Discarding = false;
   HttpFault Fault;
 };
 
--- a/include/hyssopford/net/http_server.hpp
+++ b/include/hyssopford/net/http_server.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "hyssopford/core/ids.hpp"
+#include "hyssopford/core/memory_budget.hpp"
 #include "hyssopford/core/payload.hpp"
 #include "hyssopford/net/event_loop.hpp"
 #include "hyssopford/net/http_head.hpp"
@@ -52,6 +53,8 @@
   std::string Body;
   /// Address of the sender, "ip:port".
   std::string Peer;
+  /// Memory charged for the request.
+  MemoryCharge Memory = {};
 };
 
 /// @brief Decision on a request after its head was read.
@@ -60,6 +63,11 @@
   std::optional<Payload> Refusal;
   /// Longest body accepted, in bytes.
   std::uint64_t BodyLimit = 0;
+  /// True if the body of a refused request is read and discarded, so that its
+  /// sender receives the refusal; otherwise the connection closes.
+  bool DiscardBody = false;
+  /// Memory charged for the request.
+  MemoryCharge Memory = {};
 };
 
 /// @brief Handles the requests of a server.
--- a/include/hyssopford/net/peer_links.hpp
+++ b/include/hyssopford/net/peer_links.hpp
@@ -4,6 +4,7 @@
 
 #include "hyssopford/core/error.hpp"
 #include "hyssopford/core/ids.hpp"
+#include "hyssopford/core/memory_budget.hpp"
 #include "hyssopford/core/message.hpp"
 #include "hyssopford/net/event_loop.hpp"
 
@@ -17,6 +18,9 @@
 
 namespace hyssopford {
 
+/// Largest request or answer that a link carries, in bytes.
+constexpr std::size_t PeerPayloadLimit = 68'157'440;
+
 /// @brief Settings of the links of one node.
 struct PeerLinkSettings {
   /// Address to listen on, "ip:port"; port 0 lets the system choose.
@@ -38,6 +42,9 @@
   Duration SilenceLimit = 2400ms;
   /// Time limit for connecting and the handshake.
   Duration HandshakeTimeout = 2s;
+  /// Budget that large contents are charged to; must outlive the links. Null
+  /// for none.
+  MemoryBudget *Memory = nullptr;
 };
 
 /// @brief Receives events of the links.
@@ -56,6 +63,13 @@
   /// @brief A message arrived.
   virtual void onMessage(NodeRun From, PeerMessage Message) = 0;
 
+  /// @brief A request was discarded while it arrived, for lack of memory. It
+  /// did not run.
+  /// @param From the sender
+  /// @param Attempt the attempt that carried the request
+  virtual void onAttemptRefused(NodeRun /*From*/,
+                                const AttemptId & /*Attempt*/) {}
+
   /// @brief An incoming connection failed before its peer was authenticated.
   /// @param Fault the reason, with step and address of the peer
   virtual void onLinkRefused(const Error &Fault) = 0;
--- a/include/hyssopford/net/upstream_client.hpp
+++ b/include/hyssopford/net/upstream_client.hpp
@@ -4,6 +4,7 @@
 
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/core/event.hpp"
+#include "hyssopford/core/memory_budget.hpp"
 #include "hyssopford/net/edge_policy.hpp"
 #include "hyssopford/net/event_loop.hpp"
 #include "hyssopford/net/http_head.hpp"
@@ -48,6 +49,9 @@
   /// Idle time up to which a connection may carry a non-idempotent request.
   /// Servers rarely close connections that were idle for so short a time.
   Duration NonIdempotentReuseLimit = 1s;
+  /// Budget that answers are charged to; must outlive the client. Null for
+  /// none.
+  MemoryBudget *Memory = nullptr;
 };
 
 /// @brief Sends attempts and probes. Each running one has its own connection;
@@ -117,6 +121,9 @@
   void returnToPool(Exchange &Finished);
   void discard(Exchange &Finished);
   void closeExpired();
+  /// @brief Resumes the answers that wait for memory after a short time.
+  void scheduleMemoryCheck();
+  void checkMemory();
 
   EventLoop &Loop;
   UpstreamClientHandler &Handler;
@@ -132,6 +139,7 @@
   std::uint64_t Opened = 0;
   std::uint64_t Reused = 0;
   EventLoop::TimerId IdleCheckTimer = 0;
+  EventLoop::TimerId MemoryTimer = 0;
 };
 
 } // namespace hyssopford
--- a/include/hyssopford/node/caller_service.hpp
+++ b/include/hyssopford/node/caller_service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "hyssopford/core/action.hpp"
+#include "hyssopford/core/memory_budget.hpp"
 #include "hyssopford/net/edge_policy.hpp"
 #include "hyssopford/net/http_server.hpp"
 #include "hyssopford/node/core_driver.hpp"
@@ -44,6 +45,10 @@
   /// object.
   void setTelemetry(NodeTelemetry &Observer) { Telemetry = &Observer; }
 
+  /// @brief Sets the budget that requests are charged to; must outlive this
+  /// object.
+  void setMemory(MemoryBudget &Budget) { Memory = &Budget; }
+
   /// @brief Refuses every later request with "shutting-down".
   void refuseNewRequests() { Refusing = true; }
 
@@ -71,6 +76,7 @@
   bool Refusing = false;
   HttpServer *Server = nullptr;
   NodeTelemetry *Telemetry = nullptr;
+  MemoryBudget *Memory = nullptr;
   std::uint64_t RefusedRequests = 0;
   TraceSampler Sampler{0};
   std::mt19937_64 TraceSource;
--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "hyssopford/config/config_codec.hpp"
+#include "hyssopford/core/memory_budget.hpp"
 #include "hyssopford/net/event_loop.hpp"
 #include "hyssopford/net/http_server.hpp"
 #include "hyssopford/net/peer_links.hpp"
@@ -91,6 +92,8 @@
   Duration DrainDelay{0};
   HttpServerSettings Http;
   UpstreamClientSettings Upstream;
+  /// Most bytes of requests and answers held at a time.
+  std::size_t MemoryBytes = 134'217'728;
   /// Limit for connecting to a peer, including the handshake.
   Duration HandshakeTimeout = 2s;
   /// Limit for one call to the store.
@@ -159,6 +162,7 @@
   }
   const std::string &peerAddress() const { return Links->address(); }
   const NodeCore &core() const { return Driver->core(); }
+  const MemoryBudget &memory() const { return Memory; }
 
   /// @return the incarnation with which the node must restart, if its peers
   /// know a newer one
@@ -174,6 +178,7 @@
   void onLinkUp(NodeRun Peer) override;
   void onLinkDown(NodeId Peer, const Error &Fault) override;
   void onMessage(NodeRun From, PeerMessage Message) override;
+  void onAttemptRefused(NodeRun From, const AttemptId &Attempt) override;
   void onLinkRefused(const Error &Fault) override;
   void onAnswered(UpstreamAnswered Answer) override;
   void onFailed(const UpstreamFailed &Failure) override;
@@ -206,6 +211,8 @@
   bool isReady() const;
 
   NodeRuntimeSettings Settings;
+  /// Declared before Loop, whose callbacks may hold charged memory.
+  MemoryBudget Memory;
   EventLoop Loop;
   NodeAdapters Adapters;
   StandardErrorSink DefaultLog;
--- a/src/core/outcome.cpp
+++ b/src/core/outcome.cpp
@@ -10,7 +10,7 @@
 constexpr std::array<const char *, 3> OutcomeNames{"answered", "not-run",
                                                    "unknown"};
 
-constexpr std::array<const char *, 25> ReasonNames{"none",
+constexpr std::array<const char *, 26> ReasonNames{"none",
                                                    "no-route",
                                                    "no-upstream",
                                                    "queue-full",
@@ -34,9 +34,10 @@
                                                    "shutting-down",
                                                    "upstream-refused",
                                                    "no-config",
-                                                   "upstream-slow"};
+                                                   "upstream-slow",
+                                                   "no-memory"};
 
-static_assert(static_cast<std::size_t>(OutcomeReason::UpstreamSlow) + 1 ==
+static_assert(static_cast<std::size_t>(OutcomeReason::NoMemory) + 1 ==
               ReasonNames.size());
 
 } // namespace
--- a/src/net/codec/codec.hpp
+++ b/src/net/codec/codec.hpp
@@ -27,8 +27,11 @@
 flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>>
 encodeBytes(Builder &Out, std::string_view Bytes);
 
-/// @brief Copies a FlatBuffers vector of bytes.
-Payload decodeBytes(const flatbuffers::Vector<std::uint8_t> &Bytes);
+/// @brief Reads a FlatBuffers vector of bytes.
+/// @param Source the frame that holds the vector, which the result then shares;
+/// nullptr to copy
+Payload decodeBytes(const flatbuffers::Vector<std::uint8_t> &Bytes,
+                    const Payload *Source = nullptr);
 
 inline std::string text(const flatbuffers::String &Value) {
   return Value.str();
@@ -56,8 +59,10 @@
                                               const StatusQuery &Value);
 flatbuffers::Offset<wire::StatusReply> encode(Builder &Out,
                                               const StatusReply &Value);
-std::optional<Dispatch> decode(const wire::Dispatch &Value);
-std::optional<DispatchReply> decode(const wire::DispatchReply &Value);
+std::optional<Dispatch> decode(const wire::Dispatch &Value,
+                               const Payload *Source = nullptr);
+std::optional<DispatchReply> decode(const wire::DispatchReply &Value,
+                                    const Payload *Source = nullptr);
 std::optional<Cancel> decode(const wire::Cancel &Value);
 std::optional<StatusQuery> decode(const wire::StatusQuery &Value);
 std::optional<StatusReply> decode(const wire::StatusReply &Value);
--- a/src/net/codec/message_codec.cpp
+++ b/src/net/codec/message_codec.cpp
@@ -4,6 +4,8 @@
 #include "codec.hpp"
 #include "verified_frame.hpp"
 
+#include <algorithm>
+#include <utility>
 #include <variant>
 
 namespace hyssopford {
@@ -12,21 +14,30 @@
 
 /// Decodes the union member of a frame as @p Table.
 template <typename Table>
-std::optional<PeerMessage> decodeAs(const wire::Frame &Frame) {
+std::optional<PeerMessage> decodeAs(const wire::Frame &Frame,
+                                    const Payload *Source = nullptr) {
   const auto *Body = static_cast<const Table *>(Frame.body());
-  auto Result = codec::decode(*Body);
+  const auto Decode = [&] {
+    if constexpr (requires { codec::decode(*Body, Source); }) {
+      return codec::decode(*Body, Source);
+    } else {
+      return codec::decode(*Body);
+    }
+  };
+  auto Result = Decode();
   if (!Result) {
     return std::nullopt;
   }
   return PeerMessage(std::move(*Result));
 }
 
-std::optional<PeerMessage> decodeBody(const wire::Frame &Frame) {
+std::optional<PeerMessage> decodeBody(const wire::Frame &Frame,
+                                      const Payload *Source) {
   switch (Frame.body_type()) {
   case wire::Body::Dispatch:
-    return decodeAs<wire::Dispatch>(Frame);
+    return decodeAs<wire::Dispatch>(Frame, Source);
   case wire::Body::DispatchReply:
-    return decodeAs<wire::DispatchReply>(Frame);
+    return decodeAs<wire::DispatchReply>(Frame, Source);
   case wire::Body::Cancel:
     return decodeAs<wire::Cancel>(Frame);
   case wire::Body::StatusQuery:
@@ -82,24 +93,36 @@
                                Body.Union()));
 }
 
-} // namespace
+/// Position and content of the payload's vector in a frame.
+const flatbuffers::Vector<std::uint8_t> &
+payloadVector(const wire::Frame &Frame) {
+  if (const wire::Dispatch *Request = Frame.body_as_Dispatch()) {
+    return *Request->request();
+  }
+  return *Frame.body_as_DispatchReply()->answer();
+}
 
-std::string encodeMessage(const PeerMessage &Message) {
-  codec::Builder Out;
-  std::visit(
-      [&](const auto &Value) { finishFrame(Out, codec::encode(Out, Value)); },
-      Message);
-  return codec::bytesOf(Out);
+PeerMessage withPayload(const PeerMessage &Message, Payload Content) {
+  if (const auto *Request = std::get_if<Dispatch>(&Message)) {
+    Dispatch Result = *Request;
+    Result.Request = std::move(Content);
+    return Result;
+  }
+  DispatchReply Result = std::get<DispatchReply>(Message);
+  Result.Answer = std::move(Content);
+  return Result;
 }
 
-std::optional<PeerMessage> decodeMessage(std::string_view Bytes, Error &Fault) {
+std::optional<PeerMessage> decode(std::string_view Bytes, const Payload *Source,
+                                  Error &Fault) {
   const codec::VerifiedFrame Verified(Bytes);
   if (!Verified.frame()) {
     Fault = Error{numberOf(ErrorCode::FrameRefused), "frame.verify", "",
                   "malformed frame: FlatBuffers verification failed"};
     return std::nullopt;
   }
-  auto Result = decodeBody(*Verified.frame());
+  auto Result =
+      decodeBody(*Verified.frame(), Verified.isCopy() ? nullptr : Source);
   if (!Result) {
     Fault = Error{numberOf(ErrorCode::InvalidFrameValue), "frame.decode", "",
                   "malformed frame: a value is out of range"};
@@ -107,4 +130,67 @@
   return Result;
 }
 
+} // namespace
+
+std::string EncodedMessage::part(std::size_t Offset, std::size_t Size) const {
+  std::string Result;
+  Result.reserve(Size);
+  std::size_t Begin = 0;
+  for (const std::string_view Each :
+       {std::string_view(Head), Content.bytes(), std::string_view(Tail)}) {
+    const std::size_t From = std::max(Begin, Offset);
+    const std::size_t To = std::min(Begin + Each.size(), Offset + Size);
+    if (From < To) {
+      Result.append(Each.substr(From - Begin, To - From));
+    }
+    Begin += Each.size();
+  }
+  return Result;
+}
+
+const Payload &payloadOf(const PeerMessage &Message) {
+  static const Payload None;
+  if (const auto *Request = std::get_if<Dispatch>(&Message)) {
+    return Request->Request;
+  }
+  const auto *Reply = std::get_if<DispatchReply>(&Message);
+  return Reply != nullptr ? Reply->Answer : None;
+}
+
+EncodedMessage encodeShared(const PeerMessage &Message) {
+  // A FlatBuffers buffer is written from its end and the payload comes first,
+  // so the bytes before it depend on its size only through its alignment and
+  // the length in front of it.
+  constexpr std::size_t Alignment = 8;
+  const Payload &Content = payloadOf(Message);
+  const std::size_t Short = Alignment + Content.size() % Alignment;
+  const std::string Encoded =
+      encodeMessage(withPayload(Message, Payload(std::string(Short, '\0'))));
+  const auto &Vector = payloadVector(*wire::GetFrame(Encoded.data()));
+  const auto Offset = static_cast<std::size_t>(
+      reinterpret_cast<const char *>(Vector.data()) - Encoded.data());
+  EncodedMessage Result{Encoded.substr(0, Offset), Content,
+                        Encoded.substr(Offset + Short)};
+  flatbuffers::WriteScalar(Result.Head.data() + Offset -
+                               sizeof(flatbuffers::uoffset_t),
+                           static_cast<flatbuffers::uoffset_t>(Content.size()));
+  return Result;
+}
+
+std::string encodeMessage(const PeerMessage &Message) {
+  codec::Builder Out;
+  std::visit(
+      [&](const auto &Value) { finishFrame(Out, codec::encode(Out, Value)); },
+      Message);
+  return codec::bytesOf(Out);
+}
+
+std::optional<PeerMessage> decodeMessage(std::string_view Bytes, Error &Fault) {
+  return decode(Bytes, nullptr, Fault);
+}
+
+std::optional<PeerMessage> decodeMessage(const Payload &Bytes, Error &Fault) {
+  return decode(Bytes.bytes(), &Bytes, Fault);
+}
+
 } // namespace hyssopford
--- a/src/net/codec/request_codec.cpp
+++ b/src/net/codec/request_codec.cpp
@@ -10,9 +10,14 @@
                           Bytes.size());
 }
 
-Payload decodeBytes(const flatbuffers::Vector<std::uint8_t> &Bytes) {
-  return Payload(
-      std::string(reinterpret_cast<const char *>(Bytes.data()), Bytes.size()));
+Payload decodeBytes(const flatbuffers::Vector<std::uint8_t> &Bytes,
+                    const Payload *Source) {
+  const char *const Data = reinterpret_cast<const char *>(Bytes.data());
+  if (Source != nullptr) {
+    const auto Offset = static_cast<std::size_t>(Data - Source->bytes().data());
+    return Source->part(Offset, Bytes.size());
+  }
+  return Payload(std::string(Data, Bytes.size()));
 }
 
 namespace {
@@ -58,7 +63,8 @@
       Value.Target.count());
 }
 
-std::optional<Dispatch> decode(const wire::Dispatch &Value) {
+std::optional<Dispatch> decode(const wire::Dispatch &Value,
+                               const Payload *Source) {
   Dispatch Result;
   if (!decodeEnum(Value.priority(), Priority::Lowest, Result.Class)) {
     return std::nullopt;
@@ -72,7 +78,7 @@
   Result.IsExtra = Value.is_extra();
   Result.Fingerprint = Value.fingerprint();
   Result.Trace = decodeTrace(*Value.trace());
-  Result.Request = decodeBytes(*Value.request());
+  Result.Request = decodeBytes(*Value.request(), Source);
   Result.MayHandBack = Value.may_hand_back();
   Result.Target = Duration(Value.target_us());
   return Result;
@@ -92,10 +98,11 @@
       Value.Held.count());
 }
 
-std::optional<DispatchReply> decode(const wire::DispatchReply &Value) {
+std::optional<DispatchReply> decode(const wire::DispatchReply &Value,
+                                    const Payload *Source) {
   DispatchReply Result;
   if (!decodeEnum(Value.result(), Outcome::Unknown, Result.Result) ||
-      !decodeEnum(Value.reason(), OutcomeReason::UpstreamSlow, Result.Reason)) {
+      !decodeEnum(Value.reason(), OutcomeReason::NoMemory, Result.Reason)) {
     return std::nullopt;
   }
   Result.Attempt = decodeAttempt(*Value.attempt());
@@ -109,7 +116,7 @@
                            Duration(Load.service_time_us()),
                            Duration(Load.age_us()),
                            Load.slow()};
-  Result.Answer = decodeBytes(*Value.answer());
+  Result.Answer = decodeBytes(*Value.answer(), Source);
   return Result;
 }
 
--- a/src/net/codec/verified_frame.hpp
+++ b/src/net/codec/verified_frame.hpp
@@ -33,6 +33,9 @@
   /// @return the frame; nullptr if verification failed
   const wire::Frame *frame() const { return Checked; }
 
+  /// @return whether the frame refers to an aligned copy of the bytes
+  bool isCopy() const { return !Copy.empty(); }
+
 private:
   static constexpr std::size_t Alignment = 8;
   std::vector<std::uint64_t> Copy;
--- a/src/net/default_edge_policy.cpp
+++ b/src/net/default_edge_policy.cpp
@@ -1,6 +1,7 @@
 #include "hyssopford/net/edge_policy.hpp"
 
 #include <fmt/format.h>
+#include <utility>
 
 namespace hyssopford {
 
@@ -22,9 +23,9 @@
   return Head.get("X-Request-Id", "");
 }
 
-Payload DefaultEdgePolicy::forwardedRequest(const HttpRequest &Request,
+Payload DefaultEdgePolicy::forwardedRequest(HttpRequest Request,
                                             bool Trusted) const {
-  return buildForwardedRequest(Request, Trusted);
+  return buildForwardedRequest(std::move(Request), Trusted);
 }
 
 std::string DefaultEdgePolicy::answerFields(const ReplyToCaller &Reply) const {
--- a/src/net/frame_buffer.cpp
+++ b/src/net/frame_buffer.cpp
@@ -29,21 +29,44 @@
   return Status::Ready;
 }
 
+void ChunkAssembler::begin(std::uint64_t Stream, std::size_t Total,
+                           MemoryCharge Charge) {
+  Content &Added = Partial[Stream];
+  Added.Bytes.reserve(Total);
+  Added.Charge = std::move(Charge);
+}
+
+void ChunkAssembler::skip(std::uint64_t Stream) {
+  Partial[Stream].Skipped = true;
+}
+
 std::optional<std::string> ChunkAssembler::add(std::uint64_t Stream, bool Last,
                                                std::string_view Bytes,
                                                bool &Refused) {
-  std::string &Content = Partial[Stream];
-  Content.append(Bytes);
-  PartialBytes += Bytes.size();
-  Refused = Content.size() > ContentLimit || PartialBytes > PartialLimit ||
-            (Bytes.empty() && !Last);
+  Content &Current = Partial[Stream];
+  Refused = Bytes.empty() && !Last;
+  if (!Current.Skipped) {
+    Current.Bytes.append(Bytes);
+    if (Current.Charge.isBounded()) {
+      // The stated size is exceeded only by a faulty peer.
+      Refused = Refused || Current.Bytes.size() > Current.Charge.size();
+    } else {
+      PartialBytes += Bytes.size();
+    }
+    Refused = Refused || Current.Bytes.size() > ContentLimit ||
+              PartialBytes > PartialLimit;
+  }
   if (Refused || !Last) {
     return std::nullopt;
   }
-  std::string Complete = std::move(Content);
-  PartialBytes -= Complete.size();
+  const bool Skipped = Current.Skipped;
+  std::string Complete = std::move(Current.Bytes);
+  if (!Current.Charge.isBounded()) {
+    PartialBytes -= Complete.size();
+  }
+  CompleteCharge = std::move(Current.Charge);
   Partial.erase(Stream);
-  return Complete;
+  return Skipped ? std::nullopt : std::optional(std::move(Complete));
 }
 
 std::string frameLength(std::size_t Size) {
--- a/src/net/frame_buffer.hpp
+++ b/src/net/frame_buffer.hpp
@@ -2,12 +2,16 @@
 /// @brief Splits a byte stream into frames and reassembles chunked contents.
 #pragma once
 
+#include "hyssopford/core/memory_budget.hpp"
+#include "hyssopford/net/peer_links.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace hyssopford {
 
@@ -22,9 +26,10 @@
 /// Longest frame before the peer is authenticated, in bytes.
 constexpr std::size_t HandshakeFrameLimit = 1'024;
 /// Largest content that is reassembled from chunks, in bytes.
-constexpr std::size_t ContentLimit = 20'971'520;
-/// Maximum number of bytes of incomplete contents on one link.
-constexpr std::size_t PartialLimit = 67'108'864;
+constexpr std::size_t ContentLimit = PeerPayloadLimit + 65'536;
+/// Maximum number of bytes on one link of incomplete contents that no budget
+/// bounds.
+constexpr std::size_t PartialLimit = 2 * ContentLimit;
 
 /// @brief Splits the bytes of a connection into frames.
 class FrameBuffer {
@@ -50,6 +55,15 @@
 /// @brief Reassembles contents from chunks.
 class ChunkAssembler {
 public:
+  /// @brief Prepares for a content whose size is known.
+  /// @param Stream identifies the content on this link
+  /// @param Total its size in bytes, at most ContentLimit
+  /// @param Charge memory charged for it
+  void begin(std::uint64_t Stream, std::size_t Total, MemoryCharge Charge);
+
+  /// @brief Discards the chunks of a content.
+  void skip(std::uint64_t Stream);
+
   /// @brief Adds a chunk.
   /// @param Stream identifies the content on this link
   /// @param Last whether it is the last chunk of its content
@@ -60,9 +74,20 @@
   std::optional<std::string> add(std::uint64_t Stream, bool Last,
                                  std::string_view Bytes, bool &Refused);
 
+  /// @return the memory charged for the content that add() returned last
+  MemoryCharge takeCharge() { return std::move(CompleteCharge); }
+
 private:
-  std::map<std::uint64_t, std::string> Partial;
+  struct Content {
+    std::string Bytes;
+    MemoryCharge Charge;
+    bool Skipped = false;
+  };
+
+  std::map<std::uint64_t, Content> Partial;
+  /// Size of the contents that are not charged.
   std::size_t PartialBytes = 0;
+  MemoryCharge CompleteCharge;
 };
 
 /// @return the encoded length that precedes a frame of @p Size bytes
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -133,7 +133,11 @@
     handleHead();
     return true;
   case HttpReader::Progress::Complete:
-    handleRequest();
+    if (Reader.isDiscarding()) {
+      startMessage();
+    } else {
+      handleRequest();
+    }
     return true;
   case HttpReader::Progress::Failed:
     refuse(Reader.fault());
@@ -145,13 +149,22 @@
 void HttpServer::Connection::handleHead() {
   HeadRead = true;
   const HttpHeadFacts &Facts = Reader.facts();
-  const HeadDecision Decision = Server.Handler.onHead(Reader.request(), Facts);
+  HeadDecision Decision = Server.Handler.onHead(Reader.request(), Facts);
   const bool HasBody =
       Facts.Framing == BodyFraming::Chunked ||
       (Facts.Framing == BodyFraming::Length && Facts.ContentLength > 0);
   if (Decision.Refusal) {
-    appendRefusal(*Decision.Refusal, HasBody);
-    if (!LastRead) {
+    // A caller that expects an interim answer may leave out the body.
+    const bool Discards = HasBody && Decision.DiscardBody &&
+                          !Facts.ExpectContinue &&
+                          Facts.Framing == BodyFraming::Length &&
+                          Facts.ContentLength <= Decision.BodyLimit;
+    appendRefusal(*Decision.Refusal, HasBody && !Discards);
+    if (Discards && !LastRead) {
+      Reader.limitBody(Decision.BodyLimit);
+      Reader.discardBody();
+      Started = EventLoop::now();
+    } else if (!LastRead) {
       Reader.advance();
       startMessage();
     }
@@ -164,6 +177,7 @@
     return;
   }
   Reader.limitBody(Decision.BodyLimit);
+  Reader.chargeBody(std::move(Decision.Memory));
   Started = EventLoop::now();
   ContinueDue = HasBody && Facts.ExpectContinue && Reader.buffered() == 0;
 }
@@ -176,8 +190,9 @@
   Added.BodySize = Body.size();
   PipelineBytes += Body.size();
   LastRead = !Added.KeepAlive;
-  Server.Handler.onRequest(
-      Id, HttpRequest{Reader.request(), Reader.facts(), std::move(Body), Peer});
+  Server.Handler.onRequest(Id, HttpRequest{Reader.request(), Reader.facts(),
+                                           std::move(Body), Peer,
+                                           Reader.takeCharge()});
   if (!LastRead) {
     startMessage();
   }
@@ -263,7 +278,7 @@
     armTimer();
     return;
   }
-  if (Stream.pending() > 0 || !Reader.started()) {
+  if (Stream.pending() > 0 || !Reader.started() || Reader.isDiscarding()) {
     Stream.close();
     reportClosed();
     return;
--- a/src/net/http_forward.cpp
+++ b/src/net/http_forward.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <fmt/format.h>
 #include <iterator>
+#include <utility>
 #include <vector>
 
 namespace hyssopford {
@@ -116,6 +117,20 @@
               Via.empty() ? "1.1 hyssopford" : Via + ", 1.1 hyssopford");
 }
 
+/// Puts the head before the body, in the memory of a large body.
+Payload joinMessage(std::string Head, std::string Body, MemoryCharge Memory) {
+  if (Body.size() < MemoryBudget::LargeSize) {
+    Head.append(Body);
+    Body.swap(Head);
+  } else {
+    Body.insert(0, Head);
+  }
+  if (Memory.size() < Body.size()) {
+    Memory.resize(Body.size());
+  }
+  return Payload(std::move(Body), std::move(Memory));
+}
+
 } // namespace
 
 RequestContext parseRequestContext(const Poco::Net::HTTPRequest &Head,
@@ -156,13 +171,15 @@
 }
 
 Payload
-renderForwardedRequest(const HttpRequest &Request,
+renderForwardedRequest(HttpRequest Request,
                        const std::function<bool(std::string_view)> &ShouldDrop,
                        const std::string &AddedFields) {
   const Poco::Net::HTTPRequest &Head = Request.Head;
   const std::vector<std::string> ConnectionFields = connectionFieldNames(Head);
   std::string Out;
-  Out.reserve(1'024 + Request.Body.size());
+  Out.reserve(1'024 + (Request.Body.size() < MemoryBudget::LargeSize
+                           ? Request.Body.size()
+                           : 0));
   Out.append(Head.getMethod()).append(" ");
   Out.append(Head.getURI(), Request.Facts.TargetOffset, std::string::npos);
   Out.append(" HTTP/1.1\r\n");
@@ -179,15 +196,16 @@
       Head.getMethod() == "POST" || Head.getMethod() == "PUT") {
     appendField(Out, "Content-Length", std::to_string(Request.Body.size()));
   }
-  Out.append("\r\n").append(Request.Body);
-  return Payload(std::move(Out));
+  Out.append("\r\n");
+  return joinMessage(std::move(Out), std::move(Request.Body),
+                     std::move(Request.Memory));
 }
 
-Payload buildForwardedRequest(const HttpRequest &Request, bool Trusted) {
+Payload buildForwardedRequest(HttpRequest Request, bool Trusted) {
   std::string AddedFields;
   appendForwardingFields(AddedFields, Request, Trusted);
   return renderForwardedRequest(
-      Request,
+      std::move(Request),
       [](std::string_view Name) {
         return contains(DroppedRequestFields, Name);
       },
@@ -195,10 +213,11 @@
 }
 
 Payload buildForwardedAnswer(const Poco::Net::HTTPResponse &Head,
-                             std::string_view Body, bool IsHeadRequest) {
+                             std::string Body, bool IsHeadRequest,
+                             MemoryCharge Memory) {
   const std::vector<std::string> ConnectionFields = connectionFieldNames(Head);
   std::string Out;
-  Out.reserve(512 + Body.size());
+  Out.reserve(512 + (Body.size() < MemoryBudget::LargeSize ? Body.size() : 0));
   fmt::format_to(std::back_inserter(Out), "HTTP/1.1 {} {}\r\n",
                  static_cast<int>(Head.getStatus()), Head.getReason());
   for (const auto &[Name, Value] : Head) {
@@ -214,8 +233,8 @@
   } else if (Status != 204) {
     appendField(Out, "Content-Length", std::to_string(Body.size()));
   }
-  Out.append("\r\n").append(Body);
-  return Payload(std::move(Out));
+  Out.append("\r\n");
+  return joinMessage(std::move(Out), std::move(Body), std::move(Memory));
 }
 
 std::string_view pathOf(const Poco::Net::HTTPRequest &Head,
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -17,6 +17,11 @@
 /// alone cannot use up memory.
 constexpr std::uint64_t ReserveLimit = 65'536;
 
+/// Room for the head of the forwarded message, which is put before a body.
+constexpr std::size_t HeadRoom = 4'096;
+/// Largest buffer in bytes that is kept between two messages.
+constexpr std::size_t KeptBufferSize = 16'384;
+
 /// Most empty lines before a request line.
 constexpr std::uint32_t EmptyLinesMax = 8;
 /// Most interim answers (1xx) before an answer; more would keep the reader busy
@@ -52,11 +57,18 @@
 
 void HttpReader::next() {
   Buffer.erase(0, Position);
+  if (Buffer.empty() && Buffer.capacity() > KeptBufferSize) {
+    Buffer = std::string();
+  }
   Position = 0;
   HeadScanOffset = 0;
   EmptyLines = 0;
   State = Stage::Head;
-  Body.clear();
+  Body = std::string();
+  Memory = MemoryCharge();
+  Overdraft = false;
+  AwaitsMemory = false;
+  Discarding = false;
   Facts = HttpHeadFacts();
 }
 
@@ -250,7 +262,11 @@
       refuse(413, "body too large");
       return false;
     }
-    Body.reserve(std::min(Remaining, ReserveLimit));
+    if (!Discarding && !Memory.isBounded()) {
+      Body.reserve(std::min(Remaining, ReserveLimit));
+    } else if (!Discarding && !makeRoom(static_cast<std::size_t>(Remaining))) {
+      return false;
+    }
   }
   const std::size_t Taken =
       Unbounded ? buffered()
@@ -260,7 +276,12 @@
     refuse(413, "body too large");
     return false;
   }
-  Body.append(Buffer, Position, Taken);
+  if (!Discarding) {
+    if (!makeRoom(Taken)) {
+      return false;
+    }
+    Body.append(Buffer, Position, Taken);
+  }
   Position += Taken;
   if (Unbounded) {
     return false;
@@ -295,6 +316,8 @@
 
 HttpReader::Progress HttpReader::refuse(int Status, std::string Reason) {
   State = Stage::Refused;
+  Body = std::string();
+  Memory = MemoryCharge();
   Fault = HttpFault{Status, std::move(Reason)};
   return Progress::Failed;
 }
@@ -303,4 +326,31 @@
   return More <= Limits.Body && Body.size() <= Limits.Body - More;
 }
 
+bool HttpReader::makeRoom(std::size_t More) {
+  const std::size_t Needed = Body.size() + More;
+  if (Needed <= Body.capacity()) {
+    return true;
+  }
+  // A body of known length gets its whole room at once.
+  const std::size_t Doubled = static_cast<std::size_t>(
+      std::min<std::uint64_t>(2 * Body.capacity(), Limits.Body));
+  const std::size_t Capacity =
+      Body.empty() ? Needed : std::max(Needed, Doubled);
+  const std::size_t Charged = std::max(Memory.size(), Capacity + HeadRoom);
+  AwaitsMemory = false;
+  if (Overdraft) {
+    Memory.resize(Charged);
+  } else if (!Memory.tryResize(Charged)) {
+    if (MessageKind == Kind::Response) {
+      AwaitsMemory = true;
+    } else {
+      refuse(503, "not enough memory");
+      Fault.LacksMemory = true;
+    }
+    return false;
+  }
+  Body.reserve(Capacity + (Capacity < MemoryBudget::LargeSize ? 0 : HeadRoom));
+  return true;
+}
+
 } // namespace hyssopford
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -16,12 +16,14 @@
 /// Queued bytes above which the link to a peer that does not read is closed.
 constexpr std::size_t QueueLimit = 134'217'728;
 
-std::string encodeChunk(std::uint64_t Stream, bool Last,
-                        std::string_view Bytes) {
+std::string encodeChunk(std::uint64_t Stream, bool Last, std::string_view Bytes,
+                        std::size_t Total, const wire::AttemptId *Attempt,
+                        bool IsRequest) {
   codec::Builder Out(ChunkSize + 256);
   const auto Data = Out.CreateVector(
       reinterpret_cast<const std::uint8_t *>(Bytes.data()), Bytes.size());
-  const auto Chunk = wire::CreateChunk(Out, Stream, Last, Data);
+  const auto Chunk =
+      wire::CreateChunk(Out, Stream, Last, Data, Total, Attempt, IsRequest);
   Out.Finish(wire::CreateFrame(Out, wire::Body::Chunk, Chunk.Union()));
   return codec::bytesOf(Out);
 }
@@ -31,7 +33,11 @@
 PeerLinks::Link::Link(PeerLinks &LinkParent)
     : Parent(LinkParent), Loop(LinkParent.Loop), Stream(LinkParent.Loop, *this),
       Auth(LinkParent.Settings.Site, LinkParent.Settings.Key,
-           LinkIdentity{LinkParent.Settings.PublicAddress, LinkParent.Self}) {}
+           LinkIdentity{LinkParent.Settings.PublicAddress, LinkParent.Self}) {
+  if (Parent.Settings.Memory != nullptr) {
+    QueueCharge = Parent.Settings.Memory->charge(0, MemoryUse::Answer);
+  }
+}
 
 PeerLinks::Link::~Link() { Loop.cancel(Timer); }
 
@@ -54,16 +60,29 @@
   return Stream.connect(Address);
 }
 
-void PeerLinks::Link::send(std::string Content) {
-  QueuedBytes += Content.size();
-  if (pending() > QueueLimit) {
+void PeerLinks::Link::send(const PeerMessage &Message) {
+  LargeContent Large;
+  if (payloadOf(Message).size() > ChunkSize) {
+    Large.Message = encodeShared(Message);
+    Large.IsRequest = std::holds_alternative<Dispatch>(Message);
+    Large.Attempt = Large.IsRequest ? std::get<Dispatch>(Message).Attempt
+                                    : std::get<DispatchReply>(Message).Attempt;
+  } else {
+    Large.Message.Head = encodeMessage(Message);
+  }
+  const std::size_t Own = Large.Message.Head.size();
+  QueuedBytes += Large.Message.size();
+  OwnBytes += Own;
+  QueueCharge.resize(OwnBytes);
+  if (OwnBytes + Stream.pending() > QueueLimit) {
     closeWithError("link.send", "send queue full: the peer does not read");
     return;
   }
-  if (Content.size() <= ChunkSize) {
-    SmallQueue.push_back(std::move(Content));
+  if (Large.Message.size() <= ChunkSize) {
+    SmallQueue.push_back(std::move(Large.Message.Head));
   } else {
-    LargeQueue.push_back(LargeContent{++LastStream, std::move(Content), 0});
+    Large.Stream = ++LastStream;
+    LargeQueue.push_back(std::move(Large));
   }
   scheduleFlush();
 }
@@ -189,25 +208,64 @@
     return refuse("link.frame",
                   "malformed frame: FlatBuffers verification failed");
   }
-  const wire::Chunk *Chunk = Verified.frame()->body_as_Chunk();
-  if (Chunk == nullptr) {
-    return handleMessage(Content);
+  if (const wire::Chunk *Chunk = Verified.frame()->body_as_Chunk()) {
+    return handleChunk(*Chunk);
+  }
+  Error Fault;
+  auto Message = decodeMessage(Content, Fault);
+  return handleMessage(std::move(Message), Fault);
+}
+
+bool PeerLinks::Link::handleChunk(const wire::Chunk &Chunk) {
+  startContent(Chunk);
+  if (State == Phase::Closed) {
+    return false;
   }
   bool Refused = false;
-  const auto Complete =
-      Assembler.add(Chunk->stream(), Chunk->last(),
-                    {reinterpret_cast<const char *>(Chunk->bytes()->data()),
-                     Chunk->bytes()->size()},
+  auto Complete =
+      Assembler.add(Chunk.stream(), Chunk.last(),
+                    {reinterpret_cast<const char *>(Chunk.bytes()->data()),
+                     Chunk.bytes()->size()},
                     Refused);
   if (Refused) {
     return refuse("link.frame", "chunked content exceeds its limits");
   }
-  return !Complete || handleMessage(*Complete);
+  if (!Complete) {
+    return true;
+  }
+  Error Fault;
+  auto Message = decodeMessage(
+      Payload(std::move(*Complete), Assembler.takeCharge()), Fault);
+  return handleMessage(std::move(Message), Fault);
 }
 
-bool PeerLinks::Link::handleMessage(std::string_view Content) {
-  Error Fault;
-  auto Message = decodeMessage(Content, Fault);
+void PeerLinks::Link::startContent(const wire::Chunk &Chunk) {
+  MemoryBudget *const Memory = Parent.Settings.Memory;
+  if (Memory == nullptr || Chunk.total() == 0 || Chunk.attempt() == nullptr) {
+    return;
+  }
+  if (Chunk.total() <= ContentLimit) {
+    const auto Total = static_cast<std::size_t>(Chunk.total());
+    if (!Chunk.is_request()) {
+      // The request has run, so its answer must not be lost.
+      Assembler.begin(Chunk.stream(), Total,
+                      Memory->charge(Total, MemoryUse::Answer));
+      return;
+    }
+    if (auto Charge = Memory->reserve(Total, MemoryUse::Request)) {
+      Assembler.begin(Chunk.stream(), Total, std::move(*Charge));
+      return;
+    }
+  } else if (!Chunk.is_request()) {
+    return;
+  }
+  Assembler.skip(Chunk.stream());
+  Parent.Handler.onAttemptRefused(peer(),
+                                  codec::decodeAttempt(*Chunk.attempt()));
+}
+
+bool PeerLinks::Link::handleMessage(std::optional<PeerMessage> Message,
+                                    const Error &Fault) {
   if (!Message) {
     return refuse("link.frame", Fault.Reason);
   }
@@ -249,6 +307,7 @@
 bool PeerLinks::Link::appendNext(std::string &Out) {
   if (!SmallQueue.empty()) {
     QueuedBytes -= SmallQueue.front().size();
+    releaseOwn(SmallQueue.front().size());
     appendAuthenticated(Out, SmallQueue.front());
     SmallQueue.pop_front();
     return true;
@@ -258,18 +317,30 @@
   }
   LargeContent Current = std::move(LargeQueue.front());
   LargeQueue.pop_front();
-  const std::string_view Part =
-      std::string_view(Current.Bytes).substr(Current.Offset, ChunkSize);
+  const bool First = Current.Offset == 0 && Current.Attempt;
+  const std::string Part = Current.Message.part(Current.Offset, ChunkSize);
   Current.Offset += Part.size();
   QueuedBytes -= Part.size();
-  const bool Last = Current.Offset == Current.Bytes.size();
-  appendAuthenticated(Out, encodeChunk(Current.Stream, Last, Part));
+  const bool Last = Current.Offset == Current.Message.size();
+  const wire::AttemptId Attempt =
+      First ? codec::encodeAttempt(*Current.Attempt) : wire::AttemptId();
+  appendAuthenticated(Out, encodeChunk(Current.Stream, Last, Part,
+                                       First ? Current.Message.size() : 0,
+                                       First ? &Attempt : nullptr,
+                                       First && Current.IsRequest));
   if (!Last) {
     LargeQueue.push_back(std::move(Current));
+  } else {
+    releaseOwn(Current.Message.Head.size());
   }
   return true;
 }
 
+void PeerLinks::Link::releaseOwn(std::size_t Bytes) {
+  OwnBytes -= Bytes;
+  QueueCharge.resize(OwnBytes);
+}
+
 void PeerLinks::Link::scheduleFlush() {
   // Frames of one iteration of the loop are sent by one system call.
   if (!FlushScheduled && isUsable()) {
--- a/src/net/peer_link.hpp
+++ b/src/net/peer_link.hpp
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "frame_buffer.hpp"
+#include "frame_generated.h"
 #include "frame_mac.hpp"
 #include "handshake.hpp"
+#include "hyssopford/net/message_codec.hpp"
 #include "hyssopford/net/peer_links.hpp"
 #include "hyssopford/net/tcp_stream.hpp"
 
@@ -33,8 +35,8 @@
   /// @return whether connecting could be started
   bool connect(NodeId Expected, const std::string &Address);
 
-  /// @brief Queues a content for sending, in chunks if it is large.
-  void send(std::string Content);
+  /// @brief Queues a message for sending, in chunks if it is large.
+  void send(const PeerMessage &Message);
 
   /// @brief Closes after the queue is sent.
   void closeAfterQueue();
@@ -63,7 +65,10 @@
   /// A content that is sent in chunks.
   struct LargeContent {
     std::uint64_t Stream = 0;
-    std::string Bytes;
+    EncodedMessage Message;
+    /// Attempt that carries the content, if it is a request or an answer.
+    std::optional<AttemptId> Attempt;
+    bool IsRequest = false;
     std::size_t Offset = 0;
   };
 
@@ -77,11 +82,15 @@
   bool handleReply(std::string_view Frame);
   bool handleAuthenticatedFrame(std::string_view Frame);
   bool handleContent(std::string_view Content);
-  bool handleMessage(std::string_view Content);
+  bool handleChunk(const wire::Chunk &Chunk);
+  /// Charges a content whose first chunk states its size, or discards it.
+  void startContent(const wire::Chunk &Chunk);
+  bool handleMessage(std::optional<PeerMessage> Message, const Error &Fault);
   void becomeUsable();
   void sendHandshakeFrame(const std::string &Content);
   void appendAuthenticated(std::string &Out, std::string_view Content);
   bool appendNext(std::string &Out);
+  void releaseOwn(std::size_t Bytes);
   void scheduleFlush();
   void flush();
   void onHeartbeatTimer();
@@ -104,6 +113,9 @@
   std::deque<std::string> SmallQueue;
   std::deque<LargeContent> LargeQueue;
   std::size_t QueuedBytes = 0;
+  /// Memory of the queued messages that is not shared with their payloads.
+  std::size_t OwnBytes = 0;
+  MemoryCharge QueueCharge;
   std::uint64_t LastStream = 0;
   bool FlushScheduled = false;
   bool Flushing = false;
--- a/src/net/peer_links.cpp
+++ b/src/net/peer_links.cpp
@@ -51,7 +51,7 @@
     ++Counters.MessagesDropped;
     return;
   }
-  Found->second->send(encodeMessage(Message));
+  Found->second->send(Message);
 }
 
 void PeerLinks::close(NodeId Peer) {
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -11,6 +11,8 @@
 
 /// Interval of the check for expired idle connections.
 constexpr Duration IdleCheckPeriod = 1s;
+/// Time after which answers that wait for memory are read again.
+constexpr Duration MemoryCheckPeriod = 5ms;
 
 } // namespace
 
@@ -21,7 +23,10 @@
     : Loop(EventSource), Handler(Receiver), Settings(ClientSettings),
       Edge(Fields) {}
 
-UpstreamClient::~UpstreamClient() { Loop.cancel(IdleCheckTimer); }
+UpstreamClient::~UpstreamClient() {
+  Loop.cancel(IdleCheckTimer);
+  Loop.cancel(MemoryTimer);
+}
 
 void UpstreamClient::setUpstream(const std::string &NewAddress,
                                  const std::string &NewHealthPath,
@@ -160,6 +165,25 @@
   }
 }
 
+void UpstreamClient::scheduleMemoryCheck() {
+  if (MemoryTimer == 0) {
+    MemoryTimer = Loop.after(MemoryCheckPeriod, [this] { checkMemory(); });
+  }
+}
+
+void UpstreamClient::checkMemory() {
+  MemoryTimer = 0;
+  std::vector<std::shared_ptr<Exchange>> Waiting;
+  for (const auto &Entry : Active) {
+    if (Entry.second->awaitsMemory()) {
+      Waiting.push_back(Entry.second);
+    }
+  }
+  for (const auto &Each : Waiting) {
+    Each->resume();
+  }
+}
+
 void UpstreamClient::closeExpired() {
   IdleCheckTimer = 0;
   const TimePoint Oldest = EventLoop::now() - Settings.IdleTimeout;
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -118,12 +118,32 @@
   Stream.write(std::move(Head), Attempt.Request, LineEnd);
 }
 
+void UpstreamClient::Exchange::resume() {
+  if (awaitsMemory()) {
+    Stream.setReadingPaused(false);
+    advance();
+  }
+}
+
 void UpstreamClient::Exchange::advance() {
   while (true) {
     switch (Reader.advance()) {
     case HttpReader::Progress::NeedMore:
+      if (Reader.awaitsMemory()) {
+        // One answer may exceed the limit, so that answers which are read in
+        // part never wait for each other.
+        if (Client.Settings.Memory->used() <= Client.Settings.Memory->limit()) {
+          Reader.allowOverdraft();
+          continue;
+        }
+        Stream.setReadingPaused(true);
+        Client.scheduleMemoryCheck();
+      }
       return;
     case HttpReader::Progress::HeadReady:
+      if (Client.Settings.Memory != nullptr) {
+        Reader.chargeBody(Client.Settings.Memory->charge(0, MemoryUse::Answer));
+      }
       Kind = Probe ? AnswerKind::Answer
                    : Client.Edge.classifyResponse(Reader.response(),
                                                   CorrelationId);
@@ -173,9 +193,9 @@
   const bool WasProbe = Probe;
   const bool Ran = Kind != AnswerKind::NotRun;
   if (!WasProbe && Ran) {
-    Answer.Answer =
-        buildForwardedAnswer(Reader.response(), Reader.body(),
-                             Attempt.Request.bytes().starts_with("HEAD "));
+    Answer.Answer = buildForwardedAnswer(
+        Reader.response(), Reader.takeBody(),
+        Attempt.Request.bytes().starts_with("HEAD "), Reader.takeCharge());
   }
   // Not reusable if the answer came before the request was sent completely, or
   // if further bytes followed the answer.
--- a/src/net/upstream_exchange.hpp
+++ b/src/net/upstream_exchange.hpp
@@ -36,6 +36,12 @@
   /// @return whether this idle connection is still open and without input
   bool isReusable() { return Stream.looksIdle(); }
 
+  /// @return whether the answer waits for memory
+  bool awaitsMemory() const { return Busy && Reader.awaitsMemory(); }
+
+  /// @brief Goes on with an answer that waits for memory.
+  void resume();
+
   TimePoint idleSince() const { return IdleSince; }
   const AttemptId &attempt() const { return Attempt.Attempt; }
   bool isProbe() const { return Probe; }
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -2,8 +2,10 @@
 
 #include "hyssopford/core/routing_config.hpp"
 #include "hyssopford/net/http_forward.hpp"
+#include "hyssopford/net/peer_links.hpp"
 
 #include <Poco/Net/HTTPResponse.h>
+#include <algorithm>
 #include <utility>
 
 namespace hyssopford {
@@ -12,6 +14,10 @@
 
 /// Retry-After of refusals that are sent before the request body is read.
 constexpr Duration RefusalRetryAfter = 150ms;
+/// Memory charged for a request besides its body, in bytes.
+constexpr std::size_t RequestOverhead = 4'096;
+/// Largest body that reaches another node with its head, in bytes.
+constexpr std::uint64_t LargestBody = PeerPayloadLimit - 1'048'576;
 
 EdgeRefusal makeRefusal(OutcomeReason Reason) {
   EdgeRefusal Refused;
@@ -56,7 +62,23 @@
     Decision.Refusal = refuseHead(Head, OutcomeReason::NoRoute);
     return Decision;
   }
-  Decision.BodyLimit = Matched->BodyLimit;
+  Decision.BodyLimit = std::min(Matched->BodyLimit, LargestBody);
+  if (Memory != nullptr) {
+    Decision.BodyLimit = std::min<std::uint64_t>(
+        Decision.BodyLimit,
+        Memory->largeLimit() - std::min(Memory->largeLimit(), RequestOverhead));
+  }
+  if (Memory != nullptr && Facts.ContentLength <= Decision.BodyLimit) {
+    std::optional<MemoryCharge> Charge = Memory->reserve(
+        static_cast<std::size_t>(Facts.ContentLength) + RequestOverhead,
+        MemoryUse::Request);
+    if (!Charge) {
+      Decision.Refusal = refuseHead(Head, OutcomeReason::NoMemory);
+      Decision.DiscardBody = true;
+      return Decision;
+    }
+    Decision.Memory = std::move(*Charge);
+  }
   return Decision;
 }
 
@@ -93,7 +115,7 @@
   Input.IsExtra = Hop.IsExtra;
   Input.Trace = Hop.Trace ? *Hop.Trace : newTrace();
   Input.ServeInShutdown = true;
-  Input.Request = Edge.forwardedRequest(Request, Trusted);
+  Input.Request = Edge.forwardedRequest(std::move(Request), Trusted);
   if (Telemetry != nullptr) {
     Telemetry->requestStarted(Id, EventLoop::now());
   }
@@ -112,7 +134,9 @@
 }
 
 Payload CallerService::refusal(const HttpFault &Fault) {
-  EdgeRefusal Refused = makeRefusal(OutcomeReason::ShuttingDown);
+  EdgeRefusal Refused =
+      makeRefusal(Fault.LacksMemory ? OutcomeReason::NoMemory
+                                    : OutcomeReason::ShuttingDown);
   Refused.Status = Fault.Status;
   Refused.Detail = Fault.Reason;
   if (Fault.Status == Poco::Net::HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE) {
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
 #include <chrono>
+#include <fmt/format.h>
 #include <utility>
 
 namespace hyssopford {
@@ -24,6 +25,9 @@
 constexpr std::uint8_t MetricsServerNumber = 4;
 constexpr int ServerNumberShift = 56;
 
+/// Part of the memory that replies of finished attempts may use, as a divisor.
+constexpr std::size_t FinishedShare = 8;
+
 /// Interval for gauges of connections and counts of suppressed log lines.
 constexpr Duration FlushPeriod = 1s;
 
@@ -73,7 +77,8 @@
 
 NodeRuntime::NodeRuntime(const NodeRuntimeSettings &RuntimeSettings,
                          NodeAdapters Custom)
-    : Settings(RuntimeSettings), Adapters(std::move(Custom)) {
+    : Settings(RuntimeSettings), Memory(Settings.MemoryBytes),
+      Adapters(std::move(Custom)) {
   PeerLinkSettings LinkSettings;
   LinkSettings.ListenAddress = Settings.PeerAddress;
   LinkSettings.PublicAddress = Settings.PublicPeerAddress;
@@ -81,6 +86,7 @@
   LinkSettings.Key = Settings.SiteKey;
   LinkSettings.Run = newIncarnation(Settings.MinIncarnation);
   LinkSettings.HandshakeTimeout = Settings.HandshakeTimeout;
+  LinkSettings.Memory = &Memory;
   // The bases are private, so std::make_unique cannot convert *this.
   PeerLinkHandler &LinkEvents = *this;
   ActionHandler &CoreActions = *this;
@@ -94,6 +100,9 @@
   CoreSettings.Seeds = Settings.Seeds;
   CoreSettings.Seed = LinkSettings.Run.Value;
   CoreSettings.Decisions = Settings.Decisions;
+  CoreSettings.Decisions.Admission.FinishedBytesMax =
+      std::min(CoreSettings.Decisions.Admission.FinishedBytesMax,
+               Settings.MemoryBytes / FinishedShare);
   CoreSettings.Keys = Settings.Keys;
   Telemetry = std::make_unique<NodeTelemetry>(
       telemetrySettings(Settings, nodeIdOf(CoreSettings.Address)),
@@ -107,8 +116,10 @@
   }
   Driver = std::make_unique<CoreDriver>(Loop, CoreSettings, CoreActions, Codec);
   createStoreClient();
-  Upstream = std::make_unique<UpstreamClient>(
-      Loop, UpstreamEvents, Settings.Upstream, *Adapters.Edge);
+  UpstreamClientSettings UpstreamSettings = Settings.Upstream;
+  UpstreamSettings.Memory = &Memory;
+  Upstream = std::make_unique<UpstreamClient>(Loop, UpstreamEvents,
+                                              UpstreamSettings, *Adapters.Edge);
   Upstream->setHealthPath(Settings.HealthPath);
   Registry =
       std::make_unique<UpstreamRegistry>(Loop, *Driver, *Upstream, *Telemetry);
@@ -162,6 +173,8 @@
   Local = std::make_unique<HttpServer>(
       Loop, *LocalRequests,
       serverSettings(Settings, Settings.LocalAddress, LocalServerNumber));
+  CallerRequests->setMemory(Memory);
+  LocalRequests->setMemory(Memory);
   CallerRequests->attach(*Callers);
   CallerRequests->setUpstreamIp(Settings.UpstreamIp);
   LocalRequests->attachServer(*Local);
@@ -251,6 +264,10 @@
   Telemetry->set(MetricId::UpstreamConnections,
                  Upstream->active() + Upstream->idle());
   Telemetry->set(MetricId::RefusedRequests, CallerRequests->refusedRequests());
+  Telemetry->set(MetricId::MemoryUsed, Memory.used());
+  Telemetry->set(MetricId::MemoryPeak, Memory.peak());
+  Telemetry->set(MetricId::MemoryLimit, Memory.limit());
+  Telemetry->set(MetricId::MemoryRefusals, Memory.refusals());
   Telemetry->flush();
   Loop.after(FlushPeriod, [this] { flushTelemetry(); });
 }
@@ -284,6 +301,20 @@
   Driver->submit(PeerMessageReceived{From, std::move(Message)});
 }
 
+void NodeRuntime::onAttemptRefused(NodeRun From, const AttemptId &Attempt) {
+  Telemetry->log(
+      LogLevel::Info, "attempt_discarded",
+      {{"attempt", fmt::format("{}/{}/{}", toString(Attempt.Ingress.Node),
+                               Attempt.Ingress.Run.Value, Attempt.Sequence)},
+       {"reason", toString(OutcomeReason::NoMemory)}});
+  DispatchReply Reply;
+  Reply.Attempt = Attempt;
+  Reply.Result = Outcome::NotRun;
+  // The ingress then tries another owner.
+  Reply.Reason = OutcomeReason::QueueFull;
+  Links->send(From.Node, Reply);
+}
+
 void NodeRuntime::onLinkRefused(const Error &Fault) {
   ++RefusedLinks;
   Telemetry->set(MetricId::RefusedFrames, RefusedLinks);
--- a/tests/net/http_forward_test.cpp
+++ b/tests/net/http_forward_test.cpp
@@ -15,9 +15,10 @@
   Reader.feed(Bytes);
   Reader.advance();
   Reader.advance();
-  const HttpRequest Request{Reader.request(), Reader.facts(), Reader.body(),
-                            "192.0.2.7:5000"};
-  return std::string(buildForwardedRequest(Request, Trusted).bytes());
+  HttpRequest Request{Reader.request(), Reader.facts(), Reader.body(),
+                      "192.0.2.7:5000", MemoryCharge()};
+  return std::string(
+      buildForwardedRequest(std::move(Request), Trusted).bytes());
 }
 
 bool hasLine(const std::string &Text, const std::string &Line) {
--- a/tests/net/message_codec_test.cpp
+++ b/tests/net/message_codec_test.cpp
@@ -81,3 +81,31 @@
     REQUIRE(Fault.Code == 302);
   }
 }
+
+// Guards against a large request or answer that is copied for its encoding, and
+// against a shared encoding that differs from the copied one.
+TEST_CASE("shared encoding gives the same bytes as a copy", "[codec]") {
+  for (std::size_t Size = 16'385; Size < 16'385 + 17; ++Size) {
+    for (const PeerMessage &Each : sampleMessages()) {
+      PeerMessage Message = Each;
+      const Payload Content(std::string(Size, 'x') + "end");
+      if (auto *Request = std::get_if<Dispatch>(&Message)) {
+        Request->Request = Content;
+      } else if (auto *Reply = std::get_if<DispatchReply>(&Message)) {
+        Reply->Answer = Content;
+      } else {
+        continue;
+      }
+      const std::string Copied = encodeMessage(Message);
+      const EncodedMessage Shared = encodeShared(Message);
+      REQUIRE(Shared.size() == Copied.size());
+      CHECK(Shared.part(0, Shared.size()) == Copied);
+      CHECK(Shared.part(100, 16'384) == Copied.substr(100, 16'384));
+      CHECK(Shared.Content.bytes().data() == Content.bytes().data());
+      Error Fault;
+      const auto Decoded = decodeMessage(Payload(Copied), Fault);
+      REQUIRE(Decoded);
+      CHECK(*Decoded == Message);
+    }
+  }
+}
--- a/tests/net/peer_links_test.cpp
+++ b/tests/net/peer_links_test.cpp
@@ -37,6 +37,9 @@
   void onMessage(NodeRun /*From*/, PeerMessage Message) override {
     Messages.push_back(std::move(Message));
   }
+  void onAttemptRefused(NodeRun /*From*/, const AttemptId &Attempt) override {
+    Discarded.push_back(Attempt.Sequence);
+  }
   void onLinkRefused(const Error &Fault) override {
     ++Refusals;
     LastFault = Fault.Reason;
@@ -63,6 +66,7 @@
   int Refusals = 0;
   std::string LastFault;
   std::vector<PeerMessage> Messages;
+  std::vector<std::uint64_t> Discarded;
 };
 
 PeerLinkSettings settings(const std::string &Key = "key", int Run = 1) {
@@ -287,3 +291,58 @@
             "handshake timed out");
   }
 }
+
+// Guards against a peer whose requests arrive faster than they are used: they
+// took any amount of memory.
+TEST_CASE("requests of a peer stay within the memory budget", "[link]") {
+  constexpr std::size_t Size = 1'000'000;
+  constexpr std::uint64_t Count = 20;
+  MemoryBudget Budget(8'000'000);
+  LoopThread Thread;
+  PeerLinkSettings Bounded = settings();
+  Bounded.SilenceLimit = 2s;
+  TestNode A(Thread, Bounded);
+  Bounded.Memory = &Budget;
+  TestNode B(Thread, Bounded);
+  A.open(B);
+  REQUIRE(eventually([&] { return A.isUp() && B.isUp(); }));
+  A.get([&](TestNode &Self) {
+    for (std::uint64_t Sequence = 1; Sequence <= Count; ++Sequence) {
+      Dispatch Request;
+      Request.Attempt = AttemptId{{NodeId{1}, Incarnation{1}}, Sequence};
+      Request.Request = Payload(std::string(Size, 'x'));
+      Self.Links->send(B.id(), Request);
+    }
+    Self.Links->send(B.id(), cancelOf(1));
+    return 0;
+  });
+  const auto Received = [&] {
+    return B.get([](TestNode &Self) { return Self.Messages.size(); });
+  };
+  const auto Discarded = [&] {
+    return B.get([](TestNode &Self) { return Self.Discarded.size(); });
+  };
+  REQUIRE(eventually([&] { return Received() + Discarded() == Count + 1; }));
+  CHECK(Received() > 1);
+  CHECK(Discarded() > 0);
+  CHECK(B.get([&](TestNode &) { return Budget.peak(); }) <= Budget.limit());
+  CHECK(A.get([](TestNode &Self) { return Self.Downs; }) == 0);
+  // A content that was discarded leaves nothing behind.
+  B.get([](TestNode &Self) {
+    Self.Messages.clear();
+    return 0;
+  });
+  CHECK(B.get([&](TestNode &) { return Budget.used(); }) == 0);
+
+  SECTION("an answer is taken even without room") {
+    DispatchReply Reply;
+    Reply.Answer = Payload(std::string(9'000'000, 'x'));
+    A.get([&](TestNode &Self) {
+      Self.Links->send(B.id(), Reply);
+      return 0;
+    });
+    REQUIRE(eventually([&] { return Received() == 1; }));
+    CHECK(B.get([](TestNode &Self) { return Self.Messages; }) ==
+          std::vector<PeerMessage>{Reply});
+  }
+}
--- a/tests/node/test_site.hpp
+++ b/tests/node/test_site.hpp
@@ -46,7 +46,9 @@
 
   HeadDecision onHead(const Poco::Net::HTTPRequest & /*Head*/,
                       const HttpHeadFacts & /*Facts*/) override {
-    return HeadDecision{std::nullopt, 16'777'216};
+    HeadDecision Decision;
+    Decision.BodyLimit = 67'108'864;
+    return Decision;
   }
   void onRequest(RequestId Id, HttpRequest Request) override {
     ++Runs;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -70,6 +70,17 @@
     CHECK(Runtime.DrainDeadline < Read->Grace);
     CHECK(Runtime.UpstreamIp == "10.0.0.1");
     CHECK_FALSE(Runtime.Keys.Enabled);
+    CHECK(Runtime.MemoryBytes == NodeRuntimeSettings().MemoryBytes);
+  }
+  SECTION("a part of the stated memory is for requests and answers") {
+    json Settings = goodSettings();
+    Settings["memory_mb"] = 160;
+    const auto Read = parseSettings(Settings.dump(), Fault);
+    REQUIRE(Read.has_value());
+    const MemoryBudget Budget(runtimeSettings(*Read).MemoryBytes);
+    CHECK(Budget.limit() == 125'829'120);
+    // The largest body that operators may allow fits on the smallest machine.
+    CHECK(Budget.largeLimit() > 67'108'864 + 65'536);
   }
   SECTION("unknown fields are ignored") {
     json Settings = goodSettings();
--- a/tools/node/main.cpp
+++ b/tools/node/main.cpp
@@ -2,6 +2,7 @@
 /// @brief The node daemon.
 #include "hyssopford/config/routing_config_json.hpp"
 #include "hyssopford/node/node_runtime.hpp"
+#include "hyssopford/node/process_memory.hpp"
 #include "hyssopford/node/process_signals.hpp"
 #include "runtime_settings.hpp"
 
@@ -135,6 +136,7 @@
 
 int main(int Count, char **Arguments) {
   ProcessSignals::block();
+  returnLargeBlocks();
   try {
     TCLAP::CmdLine Line("Node of the hyssopford load balancer", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> SettingsPath(
--- a/tools/node/runtime_settings.cpp
+++ b/tools/node/runtime_settings.cpp
@@ -13,6 +13,7 @@
   Result.Http.PipelineBytes = Settings.Limits.PipelinedBytes;
   Result.Upstream.AnswerLimits.Body = Settings.Limits.AnswerBytes;
   Result.Upstream.PoolSize = Settings.Limits.UpstreamConnections;
+  Result.MemoryBytes = Settings.Limits.MemoryBytes;
 }
 
 void setTimeouts(const NodeSettings &Settings, NodeRuntimeSettings &Result) {
