Read the body of a refused request that closes its connection

What callers saw: a caller that asked for its connection to be closed and was refused for lack of memory could find the connection reset while it still sent its body, as only 1 MiB was read after the refusal.

Change: the connection reads on for as much as the request stated, at most for the stall time.

--- a/include/hyssopford/net/tcp_stream.hpp
+++ b/include/hyssopford/net/tcp_stream.hpp
@@ -84,6 +84,11 @@
   /// before the peer has received the bytes.
   void closeAfterWrite();
 
+  /// @brief As above for a peer that is still sending.
+  /// @param MoreBytes further bytes that are read and discarded
+  /// @param Wait longest time until the peer closes its end
+  void closeAfterWrite(std::uint64_t MoreBytes, Duration Wait);
+
   /// @brief Checks, without consuming input, that the connection is open and no
   /// bytes have arrived, e.g. before reuse from a pool.
   /// @return true if the connection is open and idle
@@ -126,7 +131,9 @@
   bool Closing = false;
   bool Lingering = false;
   /// Bytes read since the stream began to close.
-  std::size_t DiscardedBytes = 0;
+  std::uint64_t DiscardedBytes = 0;
+  std::uint64_t DiscardLimit = 0;
+  Duration LingerWait{0};
   int Modes = 0;
   EventLoop::TimerId LingerTimer = 0;
 };
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -160,7 +160,7 @@
                           Facts.Framing == BodyFraming::Length &&
                           Facts.ContentLength <= Decision.BodyLimit;
     appendRefusal(*Decision.Refusal, HasBody && !Discards);
-    if (Discards && !LastRead) {
+    if (Discards) {
       Reader.limitBody(Decision.BodyLimit);
       Reader.discardBody();
       Started = EventLoop::now();
@@ -262,7 +262,10 @@
     Head += "Connection: keep-alive\r\n";
   }
   Stream.write(std::move(Head), Answer, LineEnd);
-  if (Close) {
+  if (Close && Reader.isDiscarding()) {
+    Stream.closeAfterWrite(Reader.facts().ContentLength,
+                           Server.Settings.StallTimeout);
+  } else if (Close) {
     Stream.closeAfterWrite();
   }
 }
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -109,11 +109,15 @@
   Socket.close();
 }
 
-void TcpStream::closeAfterWrite() {
+void TcpStream::closeAfterWrite() { closeAfterWrite(0, LingerTime); }
+
+void TcpStream::closeAfterWrite(std::uint64_t MoreBytes, Duration Wait) {
   if (!Open || Closing) {
     return;
   }
   Closing = true;
+  DiscardLimit = MoreBytes + DiscardedBytesMax;
+  LingerWait = Wait;
   if (Queue.empty()) {
     shutdownWrite();
   }
@@ -181,8 +185,8 @@
   if (Received == 0) {
     fail("closed by peer", true);
   } else if (Received > 0 && Closing) {
-    DiscardedBytes += static_cast<std::size_t>(Received);
-    if (DiscardedBytes > DiscardedBytesMax) {
+    DiscardedBytes += static_cast<std::uint64_t>(Received);
+    if (DiscardedBytes > DiscardLimit) {
       fail("closed");
     }
   } else if (Received > 0) {
@@ -270,7 +274,7 @@
 void TcpStream::shutdownWrite() {
   Lingering = true;
   updateModes();
-  Duration Wait = LingerTime;
+  Duration Wait = LingerWait;
   try {
     Socket.shutdownSend();
   } catch (const Poco::Exception &) {
