--- a/tests/node/memory_test.cpp
+++ b/tests/node/memory_test.cpp
@@ -232,7 +232,8 @@
   REQUIRE(eventually([&] {
     return exchange(Address, "GET", "/warm-up").starts_with("HTTP/1.1 200");
   }));
-  const std::string Body(31'457'280, 'b');
+  std::string Body;
+  Body.resize(31'457'280, 'b');
   const std::string Answer = exchange(Address, "POST", "/x", "", Body);
   CHECK(Answer.substr(0, 15) == "HTTP/1.1 200 OK");
   CHECK(Answer.ends_with(TestUpstream::answerTo("/x", Body)));
