--- a/include/hyssopford/net/upstream_client.hpp
+++ b/include/hyssopford/net/upstream_client.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -36,6 +37,10 @@
   /// @brief A connection to the upstream could not be opened: nothing listens
   /// at its address.
   virtual void onRefusedConnection() = 0;
+
+  /// @brief Bytes on a connection could not be attributed to its request.
+  /// The parameter states where they arrived.
+  virtual void onForeignBytes(std::string_view /*Reason*/) {}
 };
 
 /// @brief Limits of an UpstreamClient.
@@ -52,6 +57,10 @@
   /// Budget that answers are charged to; must outlive the client. Null for
   /// none.
   MemoryBudget *Memory = nullptr;
+  /// How long non-idempotent requests avoid connections in use before after a
+  /// refusal that did not identify its request: on a new connection it can only
+  /// belong to the request there.
+  Duration UnidentifiedRefusalMemory = 10s;
 };
 
 /// @brief Sends attempts and probes. Each running one has its own connection;
@@ -117,6 +126,7 @@
   friend class Exchange;
 
   std::shared_ptr<Exchange> takeIdle(bool Idempotent);
+  void noteUnidentifiedRefusal();
   std::shared_ptr<Exchange> openConnection();
   void returnToPool(Exchange &Finished);
   void discard(Exchange &Finished);
@@ -140,6 +150,8 @@
   std::uint64_t Reused = 0;
   EventLoop::TimerId IdleCheckTimer = 0;
   EventLoop::TimerId MemoryTimer = 0;
+  /// Until then, non-idempotent requests use new connections.
+  TimePoint NewConnectionsUntil;
 };
 
 } // namespace hyssopford
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -34,6 +34,9 @@
     Timer = Client.Loop.after(Timeout, [this] {
       Timer = 0;
       Stream.close();
+      // Connections may have gone silent together; a new one shows whether the
+      // server answers.
+      Client.closeIdle();
       fail("timed out waiting for the response");
     });
     if (Connected) {
@@ -48,6 +51,12 @@
   }
 
   void onData(std::string_view Bytes) override {
+    if (!Done) {
+      // Bytes on an idle connection belong to no call.
+      Stream.close();
+      fail("unexpected bytes");
+      return;
+    }
     Reader.feed(Bytes);
     while (true) {
       switch (Reader.advance()) {
@@ -83,8 +92,8 @@
 
   void succeed() {
     HttpCallResult Result{Reader.facts().Status, Reader.takeBody(), true, ""};
-    const bool Reusable =
-        Stream.isOpen() && Reader.facts().KeepAlive && Reader.buffered() == 0;
+    const bool Reusable = Stream.isOpen() && Reader.facts().KeepAlive &&
+                          Stream.pending() == 0 && Reader.buffered() == 0;
     if (Reusable) {
       Reader.next();
       IdleSince = EventLoop::now();
@@ -158,6 +167,11 @@
   Connection->start(std::move(Request), Timeout, std::move(Done));
 }
 
+void HttpClient::closeIdle() {
+  // Destroyed later, as a handler may be running.
+  Loop.defer([Dropped = std::exchange(Idle, {})] {});
+}
+
 void HttpClient::finish(Exchange &Ended, bool Reusable) {
   const auto InPool =
       std::find_if(Idle.begin(), Idle.end(),
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -36,6 +36,7 @@
   CorrelationId.clear();
   Attempt = ForwardToUpstream();
   Attempt.Idempotent = true;
+  Attempt.Remaining = NewProbe.Timeout;
   Attempt.Request = Payload(
       fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", Path, Client.Address));
   Reader.expectHeadResponse(false);
@@ -59,6 +60,7 @@
   if (!Busy) {
     // Unexpected bytes on an idle connection; isReusable() checks for them too.
     abandon();
+    Client.Handler.onForeignBytes("on an idle connection");
     Client.discard(*this);
     return;
   }
@@ -105,6 +107,12 @@
 }
 
 void UpstreamClient::Exchange::send() {
+  if (!IsReused && !Stream.looksIdle()) {
+    // The upstream closed the connection, or sent bytes before any request.
+    Stream.close();
+    fail(OutcomeReason::UpstreamClosed);
+    return;
+  }
   Sent = true;
   const std::string_view Bytes = Attempt.Request.bytes();
   const std::size_t LineEnd =
@@ -144,10 +152,13 @@
       if (Client.Settings.Memory != nullptr) {
         Reader.chargeBody(Client.Settings.Memory->charge(0, MemoryUse::Answer));
       }
-      Kind = Probe ? AnswerKind::Answer
-                   : Client.Edge.classifyResponse(Reader.response(),
-                                                  CorrelationId);
+      Kind = classify();
       if (Kind == AnswerKind::Invalid) {
+        const Duration Left = Attempt.Remaining - (EventLoop::now() - Started);
+        if (Probe && IsReused && Left > Duration{0}) {
+          restartOnNewConnection(Left);
+          return;
+        }
         Stream.close();
         fail(OutcomeReason::UpstreamClosed);
         return;
@@ -155,8 +166,8 @@
       continue;
     case HttpReader::Progress::Complete:
       if (Kind == AnswerKind::Mismatched) {
-        // A late answer to an earlier request; the answer to this one may
-        // follow.
+        Client.Handler.onForeignBytes("an answer of another or no request");
+        // The answer to this request may follow.
         if (++MismatchedAnswers > MismatchedAnswersMax) {
           Stream.close();
           fail(OutcomeReason::UpstreamClosed);
@@ -177,6 +188,28 @@
   }
 }
 
+AnswerKind UpstreamClient::Exchange::classify() {
+  const bool IsFirst = !IsReused && MismatchedAnswers == 0;
+  if (Probe) {
+    return Client.Edge.classifyProbeResponse(Reader.response(), IsFirst);
+  }
+  const auto KindIf = [this](bool First) {
+    return Client.Edge.classifyResponse(Reader.response(), CorrelationId,
+                                        First);
+  };
+  const AnswerKind Found = KindIf(IsFirst);
+  if (Found == AnswerKind::UnprovenNotRun ||
+      (Found == AnswerKind::NotRun &&
+       KindIf(false) == AnswerKind::UnprovenNotRun)) {
+    Client.noteUnidentifiedRefusal();
+  }
+  // While the upstream may be running it, a request that may run only once
+  // waits for its own answer.
+  return Found == AnswerKind::UnprovenNotRun && !Attempt.Idempotent
+             ? AnswerKind::Mismatched
+             : Found;
+}
+
 void UpstreamClient::Exchange::succeed() {
   Loop.cancel(Timer);
   Timer = 0;
@@ -191,20 +224,28 @@
       Reader.response().has("Retry-After");
   Answer.SlownessPercent = Client.Edge.slownessPercentOf(Reader.response());
   const bool WasProbe = Probe;
-  const bool Ran = Kind != AnswerKind::NotRun;
+  const bool Ran = Kind == AnswerKind::Answer;
+  const bool MayRun = Kind == AnswerKind::UnprovenNotRun;
+  // The refusal of a request may come again when the same request is sent once
+  // more.
+  IdempotentOnly = IdempotentOnly || MayRun || (!Ran && !Attempt.Idempotent);
   if (!WasProbe && Ran) {
     Answer.Answer = buildForwardedAnswer(
         Reader.response(), Reader.takeBody(),
         Attempt.Request.bytes().starts_with("HEAD "), Reader.takeCharge());
   }
   // Not reusable if the answer came before the request was sent completely, or
-  // if further bytes followed the answer.
+  // if bytes that belong to no request came before or behind the answer.
   const bool Reusable = Stream.isOpen() && Reader.facts().KeepAlive &&
-                        Stream.pending() == 0 && Reader.buffered() == 0;
+                        Stream.pending() == 0 && Reader.buffered() == 0 &&
+                        MismatchedAnswers == 0;
   const Duration Elapsed = EventLoop::now() - Started;
   Attempt = ForwardToUpstream();
   Attempt.Attempt = Answer.Attempt;
   UpstreamClientHandler &Receiver = Client.Handler;
+  if (Reader.buffered() > 0) {
+    Receiver.onForeignBytes("behind an answer");
+  }
   if (Reusable) {
     Reader.next();
     IsReused = true;
@@ -221,7 +262,7 @@
     Receiver.onAnswered(std::move(Answer));
   } else {
     Receiver.onFailed(
-        UpstreamFailed{Answer.Attempt, OutcomeReason::UpstreamRefused, false});
+        UpstreamFailed{Answer.Attempt, OutcomeReason::UpstreamRefused, MayRun});
   }
 }
 
@@ -251,6 +292,12 @@
   if (Left <= Duration{0}) {
     return false;
   }
+  restartOnNewConnection(Left);
+  return true;
+}
+
+void UpstreamClient::Exchange::restartOnNewConnection(Duration Left) {
+  Stream.close();
   Loop.cancel(Timer);
   Timer = 0;
   Busy = false;
@@ -268,7 +315,7 @@
       Parent.Handler.onFailed(
           UpstreamFailed{Retried.Attempt, OutcomeReason::UpstreamClosed, true});
     }
-    return true;
+    return;
   }
   if (WasProbe) {
     NewExchange->startProbe(Parent.HealthPath, ProbeUpstream{Left, ProbedFor});
@@ -276,7 +323,6 @@
     Parent.ByAttempt.insert_or_assign(Retried.Attempt, NewExchange.get());
     NewExchange->start(Retried);
   }
-  return true;
 }
 
 } // namespace hyssopford
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -30,6 +30,8 @@
 
 /// Interval for gauges of connections and counts of suppressed log lines.
 constexpr Duration FlushPeriod = 1s;
+/// Lateness of timers that is logged.
+constexpr Duration LateTimerLimit = 100ms;
 
 Duration timeOfDay() {
   return std::chrono::duration_cast<Duration>(
@@ -247,6 +249,9 @@
     return;
   }
   AppliedVersion = Config.Version;
+  if (const ConfigSystem *Configs = Driver->core().configSystem()) {
+    Telemetry->recordConfigDelay(Configs->applyDelay(), EventLoop::now());
+  }
   const CallerLimits Limits = Config.Callers.value_or(
       CallerLimits{Settings.Http.Limits.Head, Settings.Http.HeadTimeout,
                    Settings.Http.IdleTimeout});
@@ -268,6 +273,12 @@
   Telemetry->set(MetricId::MemoryPeak, Memory.peak());
   Telemetry->set(MetricId::MemoryLimit, Memory.limit());
   Telemetry->set(MetricId::MemoryRefusals, Memory.refusals());
+  const Duration Late = Loop.takeTimerLateness();
+  Telemetry->recordTimerLateness(Late, EventLoop::now());
+  if (Late >= LateTimerLimit) {
+    Telemetry->log(LogLevel::Warning, "timers_late",
+                   {{"late_ms", std::to_string(Late / 1ms)}});
+  }
   Telemetry->flush();
   Loop.after(FlushPeriod, [this] { flushTelemetry(); });
 }
@@ -361,6 +372,11 @@
   }
 }
 
+void NodeRuntime::onForeignBytes(std::string_view Reason) {
+  Telemetry->log(LogLevel::Warning, "upstream_foreign_bytes",
+                 {{"count", ++ForeignBytes}, {"reason", Reason}});
+}
+
 void NodeRuntime::execute(SendToPeer &Details) {
   Telemetry->countFrame(Details.Message, false);
   Links->send(Details.To, Details.Message);
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -165,8 +165,9 @@
   // completed.
   REQUIRE(Idle.receiveAll().empty());
   REQUIRE_FALSE(Test.Thread.call([&] { return Test.Server->isIdle(); }));
-  // Requests behind others are not passed on any more.
+  // Requests behind others are not passed on any more, and told so.
   Busy.send(get("/behind"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
   Slow.send("cd");
   REQUIRE(eventually([&] { return Test.requests() == 3; }));
   Test.Thread.call([&] {
@@ -177,11 +178,50 @@
   });
   const std::string Answer = Busy.receiveAll();
   const std::size_t Next = Answer.rfind("HTTP/1.1 200");
+  const std::size_t Refused = Answer.find("HTTP/1.1 503");
   REQUIRE(Answer.find("/busy=") < Next);
-  REQUIRE(Answer.find("Connection: close") > Next);
+  REQUIRE(Answer.find("/next=") < Refused);
+  REQUIRE(Answer.find("Connection: close") > Refused);
   REQUIRE(Answer.find("Connection: close") != std::string::npos);
-  REQUIRE(Answer.ends_with("/next="));
+  REQUIRE(Answer.ends_with("shutting down"));
+  REQUIRE(Test.requests() == 3);
   REQUIRE(Slow.receiveAll().ends_with("/slow=abcd"));
   REQUIRE(eventually(
       [&] { return Test.Thread.call([&] { return Test.Server->isIdle(); }); }));
 }
+
+// Guards against a process that ends before its last answer has arrived.
+TEST_CASE("HTTP server: the last answer arrives although the caller sends more",
+          "[http][shutdown]") {
+  Fixture Test;
+  Test.Thread.call([&] { return Test.Handler.Hold = true; });
+  RawClient Client(Test.address());
+  Client.send(get("/a"));
+  REQUIRE(eventually([&] { return Test.requests() == 1; }));
+  const std::string Body(1'000'000, 'x');
+  Test.Thread.call([&] {
+    Test.Server->reply(Test.Handler.Held.front().first,
+                       makeHttpAnswer(200, "", Body));
+    Test.Server->drain();
+    return 0;
+  });
+  std::string Answer;
+  std::thread Reader([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    Client.send(get("/b"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    Answer = Client.receiveAll();
+    Client.close();
+  });
+  REQUIRE(eventually([&] {
+    return Test.Thread.call([&] {
+      if (Test.Server->isIdle()) {
+        Test.Server.reset();
+      }
+      return Test.Server == nullptr;
+    });
+  }));
+  Reader.join();
+  REQUIRE(Answer.size() > Body.size());
+  REQUIRE(Answer.ends_with(Body));
+}
--- a/tests/net/peer_links_test.cpp
+++ b/tests/net/peer_links_test.cpp
@@ -336,7 +336,7 @@
 
   SECTION("an answer is taken even without room") {
     DispatchReply Reply;
-    Reply.Answer = Payload(std::string(9'000'000, 'x'));
+    Reply.Answer = Payload(std::string(8'380'000, 'x'));
     A.get([&](TestNode &Self) {
       Self.Links->send(B.id(), Reply);
       return 0;
