--- a/include/hyssopford/net/upstream_client.hpp
+++ b/include/hyssopford/net/upstream_client.hpp
@@ -4,6 +4,7 @@
 
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/core/event.hpp"
+#include "hyssopford/core/memory_budget.hpp"
 #include "hyssopford/net/edge_policy.hpp"
 #include "hyssopford/net/event_loop.hpp"
 #include "hyssopford/net/http_head.hpp"
@@ -53,6 +54,9 @@
   /// Idle time up to which a connection may carry a non-idempotent request.
   /// Servers rarely close connections that were idle for so short a time.
   Duration NonIdempotentReuseLimit = 1s;
+  /// Budget that answers are charged to; must outlive the client. Null for
+  /// none.
+  MemoryBudget *Memory = nullptr;
   /// How long non-idempotent requests avoid connections in use before after a
   /// refusal that did not identify its request: on a new connection it can only
   /// belong to the request there.
@@ -127,6 +131,9 @@
   void returnToPool(Exchange &Finished);
   void discard(Exchange &Finished);
   void closeExpired();
+  /// @brief Resumes the answers that wait for memory after a short time.
+  void scheduleMemoryCheck();
+  void checkMemory();
 
   EventLoop &Loop;
   UpstreamClientHandler &Handler;
@@ -142,6 +149,7 @@
   std::uint64_t Opened = 0;
   std::uint64_t Reused = 0;
   EventLoop::TimerId IdleCheckTimer = 0;
+  EventLoop::TimerId MemoryTimer = 0;
   /// Until then, non-idempotent requests use new connections.
   TimePoint NewConnectionsUntil;
 };
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -132,7 +132,11 @@
     handleHead();
     return true;
   case HttpReader::Progress::Complete:
-    handleRequest();
+    if (Reader.isDiscarding()) {
+      startMessage();
+    } else {
+      handleRequest();
+    }
     return true;
   case HttpReader::Progress::Failed:
     refuse(Reader.fault());
@@ -146,18 +150,26 @@
   const HttpHeadFacts &Facts = Reader.facts();
   // A request that arrived behind others is refused in its turn: closing
   // without an answer would leave its caller in doubt.
-  const HeadDecision Decision =
-      Server.Draining && !Pipeline.empty()
-          ? HeadDecision{Server.Handler.refusal(
-                             HttpFault{503, "shutting down"}),
-                         0}
-          : Server.Handler.onHead(Reader.request(), Facts);
+  HeadDecision Decision = Server.Draining && !Pipeline.empty()
+                              ? HeadDecision{Server.Handler.refusal(HttpFault{
+                                                 503, "shutting down"}),
+                                             0}
+                              : Server.Handler.onHead(Reader.request(), Facts);
   const bool HasBody =
       Facts.Framing == BodyFraming::Chunked ||
       (Facts.Framing == BodyFraming::Length && Facts.ContentLength > 0);
   if (Decision.Refusal) {
-    appendRefusal(*Decision.Refusal, HasBody);
-    if (!LastRead) {
+    // A caller that expects an interim answer may leave out the body.
+    const bool Discards = HasBody && Decision.DiscardBody &&
+                          !Facts.ExpectContinue &&
+                          Facts.Framing == BodyFraming::Length &&
+                          Facts.ContentLength <= Decision.BodyLimit;
+    appendRefusal(*Decision.Refusal, HasBody && !Discards);
+    if (Discards) {
+      Reader.limitBody(Decision.BodyLimit);
+      Reader.discardBody();
+      Started = EventLoop::now();
+    } else if (!LastRead) {
       Reader.advance();
       startMessage();
     }
@@ -170,6 +182,7 @@
     return;
   }
   Reader.limitBody(Decision.BodyLimit);
+  Reader.chargeBody(std::move(Decision.Memory));
   Started = EventLoop::now();
   ContinueDue = HasBody && Facts.ExpectContinue && Reader.buffered() == 0;
 }
@@ -182,8 +195,9 @@
   Added.BodySize = Body.size();
   PipelineBytes += Body.size();
   LastRead = !Added.KeepAlive;
-  Server.Handler.onRequest(
-      Id, HttpRequest{Reader.request(), Reader.facts(), std::move(Body), Peer});
+  Server.Handler.onRequest(Id, HttpRequest{Reader.request(), Reader.facts(),
+                                           std::move(Body), Peer,
+                                           Reader.takeCharge()});
   if (!LastRead) {
     startMessage();
   }
@@ -253,7 +267,10 @@
     Head += "Connection: keep-alive\r\n";
   }
   Stream.write(std::move(Head), Answer, LineEnd);
-  if (Close) {
+  if (Close && Reader.isDiscarding()) {
+    Stream.closeAfterWrite(Reader.facts().ContentLength,
+                           Server.Settings.StallTimeout);
+  } else if (Close) {
     Stream.closeAfterWrite();
   }
 }
@@ -269,7 +286,7 @@
     armTimer();
     return;
   }
-  if (Stream.pending() > 0 || !Reader.started()) {
+  if (Stream.pending() > 0 || !Reader.started() || Reader.isDiscarding()) {
     Stream.close();
     reportClosed();
     return;
