Let a node without links to peers read the configuration itself

Cause: its member table keeps the others alive without a link, so it is no watching node, and no deputy's digest can be missing at it. Not covered: several nodes cut off together that have links to each other. Test: core_tests, a change is in force within 2 s at a node without links to peers, 13 and 60 nodes. The store calls of a calm site are unchanged.

--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -208,8 +208,12 @@
   void storeFailed(const OpenCall &Call, const std::string &Reason,
                    TimePoint Now, Actions &Out);
   void endOverdueCalls(TimePoint Now, Actions &Out);
+  /// Whether no peer can tell this node of a newer version.
+  bool isIsolated() const { return Links.empty() && Version != 0; }
   /// Whether this node reads the store in place of a watching one.
-  bool standsIn(TimePoint Now) const { return Now < StandInUntil; }
+  bool standsIn(TimePoint Now) const {
+    return Now < StandInUntil || isIsolated();
+  }
   void standIn(TimePoint Now);
   /// Asks some peers, each time others, to read the store.
   void askPeers(TimePoint Now, Actions &Out);
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -142,6 +142,9 @@
   if (const auto Found = Supervised.find(Peer); Found != Supervised.end()) {
     Found->second = TimePoint{};
   }
+  if (isIsolated()) {
+    NextStoreCall = std::min(NextStoreCall, LastTick);
+  }
 }
 
 void ConfigSystem::setWatching(bool Value, std::vector<NodeId> Candidates,
--- a/tests/core/config_delay_test.cpp
+++ b/tests/core/config_delay_test.cpp
@@ -137,6 +137,24 @@
   CHECK(Delay <= ApplyLimit);
 }
 
+// Guards against a node that counts on watching nodes to which it has no link.
+TEST_CASE("a change is in force within 2 s at a node without links to peers",
+          "[config][delay]") {
+  const std::size_t Count = GENERATE(13U, 60U);
+  DelaySite Site(Count);
+  std::size_t Alone = 0;
+  while (Site.watches(Alone)) {
+    ++Alone;
+  }
+  Site.Blocked = [Alone](std::size_t From, std::size_t To) {
+    return From == Alone || To == Alone;
+  };
+  Site.run(10s);
+  const Duration Delay = Site.delayOfChange();
+  CAPTURE(Count, Delay / 1ms);
+  CHECK(Delay <= ApplyLimit);
+}
+
 // Guards against a watch that passes over a change and is continued behind it.
 TEST_CASE("a change that the watches did not report is found",
           "[config][delay]") {
