Make the reader of records a public header of the config library

Three places checked for an array by hand, two of them in one function. The text of a refusal is the same.

--- a/src/config/record_reader.hpp
+++ b/include/hyssopford/config/record_reader.hpp
@@ -2,12 +2,22 @@
 /// @brief Strict access to JSON records that other programs write.
 #pragma once
 
-#include "json_reader.hpp"
-
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <string>
+#include <string_view>
 
 namespace hyssopford::detail {
 
+using Json = nlohmann::json;
+
+/// @brief Largest integer that every JSON implementation represents exactly
+/// (2^53 - 1).
+constexpr std::uint64_t MaxExactInteger = 9'007'199'254'740'991;
+
 /// @brief A record cannot be read. what() is printable ASCII without line
 /// breaks.
 class RecordFault : public std::runtime_error {
@@ -26,6 +36,10 @@
 /// @throws RecordFault if @p Object is no object or has no such member
 const Json &memberOf(const Json &Object, const char *Name);
 
+/// @brief Finds a member that is an array.
+/// @throws RecordFault if it is missing or no array
+const Json &arrayOf(const Json &Object, const char *Name);
+
 /// @brief Reads a string.
 /// @throws RecordFault if it is missing, no string or longer than @p MaxLength
 /// bytes
--- a/src/config/config_codec.cpp
+++ b/src/config/config_codec.cpp
@@ -1,7 +1,6 @@
 #include "hyssopford/config/config_codec.hpp"
 
-#include "record_reader.hpp"
-
+#include "hyssopford/config/record_reader.hpp"
 #include "hyssopford/config/routing_config_json.hpp"
 #include "hyssopford/core/error_codes.hpp"
 
@@ -32,12 +31,9 @@
   return All;
 }
 
-std::vector<ConfigChange> changesFromJson(const detail::Json &All) {
-  if (!All.is_array()) {
-    throw detail::RecordFault("/history: expected an array");
-  }
+std::vector<ConfigChange> historyOf(const detail::Json &Record) {
   std::vector<ConfigChange> Changes;
-  for (const detail::Json &Each : All) {
+  for (const detail::Json &Each : detail::arrayOf(Record, "history")) {
     ConfigChange Change;
     Change.Version = detail::wholeNumberOf(Each, "version");
     Change.Base = detail::wholeNumberOf(Each, "base");
@@ -70,12 +66,8 @@
     Head.Version = detail::wholeNumberOf(Value, "version");
     detail::memberOf(Value, "document");
     Head.Document = dump(Json::parse(Text).at("document"));
-    Head.History = changesFromJson(detail::memberOf(Value, "history"));
-    const detail::Json &Archives = detail::memberOf(Value, "archives");
-    if (!Archives.is_array()) {
-      throw detail::RecordFault("/archives: expected an array");
-    }
-    for (const detail::Json &Each : Archives) {
+    Head.History = historyOf(Value);
+    for (const detail::Json &Each : detail::arrayOf(Value, "archives")) {
       Head.Archives.push_back({detail::wholeNumberOf(Each, "first_version"),
                                detail::wholeNumberOf(Each, "last_version")});
     }
@@ -101,8 +93,7 @@
 std::optional<std::vector<ConfigChange>>
 JsonConfigCodec::parseArchive(std::string_view Text, Error &LastError) const {
   try {
-    return changesFromJson(
-        detail::memberOf(detail::parseRecord(Text), "history"));
+    return historyOf(detail::parseRecord(Text));
   } catch (const std::exception &Fault) {
     LastError = storedValueError(detail::printable(Fault.what()));
     return std::nullopt;
--- a/src/config/json_reader.hpp
+++ b/src/config/json_reader.hpp
@@ -2,12 +2,12 @@
 /// @brief Strict reader for JSON documents that collects every fault.
 #pragma once
 
+#include "hyssopford/config/record_reader.hpp"
 #include "hyssopford/core/error.hpp"
 #include "hyssopford/core/error_codes.hpp"
 
 #include <chrono>
 #include <cstdint>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <regex>
 #include <set>
@@ -17,12 +17,6 @@
 
 namespace hyssopford::detail {
 
-using Json = nlohmann::json;
-
-/// @brief Largest integer that every JSON implementation represents exactly
-/// (2^53 - 1).
-constexpr std::uint64_t MaxExactInteger = 9'007'199'254'740'991;
-
 /// @brief Parses a document and refuses duplicate keys, which RFC 8259,
 /// section 4, leaves undefined.
 /// @param Text the document
--- a/src/config/record_reader.cpp
+++ b/src/config/record_reader.cpp
@@ -1,4 +1,6 @@
-#include "record_reader.hpp"
+#include "hyssopford/config/record_reader.hpp"
+
+#include "json_reader.hpp"
 
 #include <cmath>
 #include <fmt/format.h>
@@ -47,6 +49,14 @@
   return *Found;
 }
 
+const Json &arrayOf(const Json &Object, const char *Name) {
+  const Json &Value = memberOf(Object, Name);
+  if (!Value.is_array()) {
+    refuse(Name, "an array");
+  }
+  return Value;
+}
+
 std::string textOf(const Json &Object, const char *Name,
                    std::size_t MaxLength) {
   const Json &Value = memberOf(Object, Name);
--- a/src/node/operator_service.cpp
+++ b/src/node/operator_service.cpp
@@ -1,6 +1,6 @@
 #include "hyssopford/node/operator_service.hpp"
 
-#include "../config/record_reader.hpp"
+#include "hyssopford/config/record_reader.hpp"
 #include "hyssopford/config/routing_config_json.hpp"
 #include "hyssopford/core/error_codes.hpp"
 #include "hyssopford/net/http_forward.hpp"
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -1,6 +1,6 @@
 #include "hyssopford/node/upstream_registry.hpp"
 
-#include "../config/record_reader.hpp"
+#include "hyssopford/config/record_reader.hpp"
 #include "hyssopford/core/error_codes.hpp"
 
 #include <Poco/Exception.h>
