Compare and keep starts of an upstream in one place each

Whether two announcements are of one start was written out five times, looking one up and bounding a list three times, and a private type repeated three fields of Announcement. isSameStart() and keepNewest() serve all of them. No result changes.

--- a/include/hyssopford/node/upstream_registry.hpp
+++ b/include/hyssopford/node/upstream_registry.hpp
@@ -120,20 +120,6 @@
   CoreDriver &Driver;
   UpstreamClient &Client;
   NodeTelemetry &Log;
-  /// One start of an upstream.
-  struct Start {
-    std::string Instance;
-    std::uint64_t Number = 0;
-    /// Highest sequence that was acknowledged.
-    std::uint64_t Sequence = 0;
-
-    bool isOf(const Announcement &New) const {
-      return Instance == New.Instance && Number == New.Start;
-    }
-  };
-
-  /// Most starts, and most departures of unknown instances, that are kept.
-  static constexpr std::size_t KeptMax = 8;
 
   AnnouncementResult depart(const std::string &Instance);
   bool isOvertaken(const Announcement &New) const;
@@ -152,8 +138,9 @@
   std::optional<Announcement> Latest;
   /// The start in Latest sent a departure.
   bool Departed = false;
-  /// Starts other than that of Latest, the newest last.
-  std::deque<Start> Others;
+  /// The announcement with the highest acknowledged sequence of each start
+  /// other than that of Latest, the newest start last.
+  std::deque<Announcement> Others;
   /// Instances that sent a departure, but no announcement to this incarnation
   /// before it.
   std::deque<std::string> DepartedUnseen;
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -23,6 +23,21 @@
   return false;
 }
 
+/// Most starts, and most departures of unknown instances, that are kept.
+constexpr std::size_t KeptMax = 8;
+
+/// Appends a value and drops the oldest one above KeptMax.
+template <typename T> void keepNewest(std::deque<T> &Values, const T &New) {
+  Values.push_back(New);
+  if (Values.size() > KeptMax) {
+    Values.pop_front();
+  }
+}
+
+bool isSameStart(const Announcement &Left, const Announcement &Right) {
+  return Left.Instance == Right.Instance && Left.Start == Right.Start;
+}
+
 bool readState(const std::string &Name, UpstreamState &State) {
   if (Name == "serving") {
     State = UpstreamState::Serving;
@@ -129,9 +144,7 @@
     removeUpstream(true, "announcement expired");
   });
   const std::optional<Announcement> Old = std::exchange(Current, New);
-  const bool OtherStart =
-      Old && New.Start != 0 &&
-      (Old->Start != New.Start || Old->Instance != New.Instance);
+  const bool OtherStart = Old && New.Start != 0 && !isSameStart(*Old, New);
   if (OtherStart) {
     // Requests that the earlier start was running are lost.
     Log.log(LogLevel::Warning, "upstream_gone",
@@ -161,10 +174,7 @@
     startDraining();
     return AnnouncementResult::Applied;
   }
-  DepartedUnseen.push_back(Instance);
-  if (DepartedUnseen.size() > KeptMax) {
-    DepartedUnseen.pop_front();
-  }
+  keepNewest(DepartedUnseen, Instance);
   if (!Latest) {
     startDraining();
     return AnnouncementResult::Applied;
@@ -189,12 +199,13 @@
   if (New.Start == 0 || !Latest) {
     return false;
   }
-  if (New.Instance == Latest->Instance && New.Start == Latest->Start) {
+  if (isSameStart(*Latest, New)) {
     return New.Sequence <= Latest->Sequence;
   }
   const auto Known =
-      std::find_if(Others.begin(), Others.end(),
-                   [&](const Start &Each) { return Each.isOf(New); });
+      std::find_if(Others.begin(), Others.end(), [&](const Announcement &Each) {
+        return isSameStart(Each, New);
+      });
   if (Known != Others.end() && New.Sequence <= Known->Sequence) {
     return true;
   }
@@ -202,8 +213,7 @@
 }
 
 bool UpstreamRegistry::holds(const Announcement &New) const {
-  const bool IsLatest =
-      New.Instance == Latest->Instance && New.Start == Latest->Start;
+  const bool IsLatest = isSameStart(*Latest, New);
   if (IsLatest && New.Sequence == Latest->Sequence) {
     return New == *Latest;
   }
@@ -214,20 +224,20 @@
 }
 
 void UpstreamRegistry::noteSequence(const Announcement &New) {
-  if (New.Instance == Latest->Instance && New.Start == Latest->Start) {
+  if (isSameStart(*Latest, New)) {
     return;
   }
   const auto Known =
-      std::find_if(Others.begin(), Others.end(),
-                   [&](const Start &Each) { return Each.isOf(New); });
+      std::find_if(Others.begin(), Others.end(), [&](const Announcement &Each) {
+        return isSameStart(Each, New);
+      });
   if (Known != Others.end()) {
-    Known->Sequence = std::max(Known->Sequence, New.Sequence);
+    if (Known->Sequence < New.Sequence) {
+      *Known = New;
+    }
     return;
   }
-  Others.push_back(Start{New.Instance, New.Start, New.Sequence});
-  if (Others.size() > KeptMax) {
-    Others.pop_front();
-  }
+  keepNewest(Others, New);
 }
 
 void UpstreamRegistry::remember(const Announcement &New) {
@@ -237,17 +247,13 @@
   if (New.Start == 0) {
     return;
   }
-  const bool SameStart =
-      Latest && Latest->Instance == New.Instance && Latest->Start == New.Start;
-  if (!SameStart) {
+  if (!Latest || !isSameStart(*Latest, New)) {
     Unverified = Unverified || (Latest && New.Start < Latest->Start);
-    std::erase_if(Others, [&](const Start &Each) { return Each.isOf(New); });
+    std::erase_if(Others, [&](const Announcement &Each) {
+      return isSameStart(Each, New);
+    });
     if (Latest) {
-      Others.push_back(
-          Start{Latest->Instance, Latest->Start, Latest->Sequence});
-    }
-    if (Others.size() > KeptMax) {
-      Others.pop_front();
+      keepNewest(Others, *Latest);
     }
     // The first announcement of a start comes before its departure.
     const auto Left =
