Hash a document only if one was unreadable; order the configuration's state

Every new version was hashed to compare it with the last unreadable document, also if there was none. State of the store calls stood behind that of the supervision, under a heading that did not fit. Says that HttpStoreClient has a limit of its own; drops a remark on how a bound was chosen.

--- a/include/hyssopford/core/action.hpp
+++ b/include/hyssopford/core/action.hpp
@@ -102,7 +102,8 @@
   std::uint64_t Call = 0;
   StoreOperation Operation;
   /// Time for the answer, on top of the waiting time of a watch. A call without
-  /// an answer by then ends as StoreStatus::NoAnswer.
+  /// an answer by then ends as StoreStatus::NoAnswer. HttpStoreClient uses the
+  /// limit of its settings instead.
   Duration Timeout = DefaultStoreTimeout;
 
   friend bool operator==(const StoreCall &, const StoreCall &) = default;
--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -32,7 +32,7 @@
   static constexpr Duration WatchTime = 1s;
   static constexpr Duration WatchJitter = 50ms;
   /// Time after which a call without an answer is overdue and another one is
-  /// sent beside it; a slow store answers within 300 ms.
+  /// sent beside it.
   static constexpr Duration AnswerTime = 400ms;
   /// Bounds of the time between a failed call and the next one of a node that
   /// watches the store or stands in for one that does.
@@ -179,6 +179,14 @@
     Origin From;
   };
 
+  /// A call that has not ended.
+  struct OpenCall {
+    TimePoint Start;
+    /// Time after which the client has given it up.
+    TimePoint Deadline;
+    bool IsWatch = false;
+  };
+
   /// Takes over a version that a submission found in or wrote to the store.
   void takeStored(TimePoint Now, Actions &Out);
   std::uint64_t heldVersion() const;
@@ -190,14 +198,6 @@
   void endStartIfReady(TimePoint Now, Actions &Out);
   std::uint64_t highestPeerVersion() const;
   void fetchFromPeer(TimePoint Now, Actions &Out);
-  /// A call that has not ended.
-  struct OpenCall {
-    TimePoint Start;
-    /// Time after which the client has given it up.
-    TimePoint Deadline;
-    bool IsWatch = false;
-  };
-
   void callStore(StoreOperation Operation, TimePoint Now, Duration Wait,
                  Actions &Out);
   /// Reads or watches the head value, if this node has a reason to.
@@ -279,6 +279,13 @@
   /// the value is read first.
   bool Failing = false;
   TimePoint NextPlainRead;
+  std::optional<TimePoint> StoreAnsweredAt;
+  TimePoint LastTick;
+  std::uint64_t Revision = 0;
+  Duration Backoff = MinBackoff;
+  TimePoint NextStoreCall;
+  std::optional<TimePoint> NextOlderNotice;
+  std::map<std::uint64_t, HistoryRequested> HistoryCalls;
   /// @}
 
   /// @name Supervision of the watching nodes
@@ -295,17 +302,6 @@
   /// The peer asked last.
   NodeId LastAsked;
   /// @}
-
-  /// @name Results of calls
-  /// @{
-  std::optional<TimePoint> StoreAnsweredAt;
-  TimePoint LastTick;
-  std::uint64_t Revision = 0;
-  Duration Backoff = MinBackoff;
-  TimePoint NextStoreCall;
-  std::optional<TimePoint> NextOlderNotice;
-  std::map<std::uint64_t, HistoryRequested> HistoryCalls;
-  /// @}
 };
 
 } // namespace hyssopford
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -250,7 +250,8 @@
   if (Offered.Version <= heldVersion()) {
     return;
   }
-  if (UnreadableDocument == hashBytes(Offered.Document.bytes())) {
+  if (UnreadableDocument &&
+      *UnreadableDocument == hashBytes(Offered.Document.bytes())) {
     if (Offered.From.Peer) {
       PeerVersions.erase(*Offered.From.Peer);
     }
--- a/src/core/site_duties.cpp
+++ b/src/core/site_duties.cpp
@@ -9,7 +9,7 @@
 
 // Makes the ranking independent of other uses of rendezvous hashing.
 constexpr std::uint64_t DutySalt = 0x6475'7479;
-// Nodes of which a watching node may not be linked to some.
+// Deputies named to a watching node, which may have no link to some of them.
 constexpr std::size_t DeputyChoices = 8;
 static_assert(DeputyChoices + 1 >= DutyNodesPerDomain);
 
