Share the check for unexpected ends and the site of two nodes in tests

Both forms of the soak had the same loop over processes, and the memory tests a copy of TwoNodes that differs in its settings. Report::check_ends and parameters of TwoNodes serve both; no check changes.

--- a/tests/node/memory_test.cpp
+++ b/tests/node/memory_test.cpp
@@ -26,22 +26,9 @@
   return Config;
 }
 
-/// Two nodes, each with little memory; the upstream is announced to Owner.
-struct SmallSite {
-  SmallSite()
-      : Ingress(smallMemory(), routing(LargeBody)),
-        Owner(smallMemory({Ingress.Node.peerAddress()}), routing(LargeBody)) {
-    announce(Owner, Upstream.address(), 300);
-    eventually([&] {
-      return exchange(Ingress.Node.callerAddress(), "GET", "/warm-up")
-          .starts_with("HTTP/1.1 200");
-    });
-    Upstream.Runs = 0;
-  }
-
-  TestUpstream Upstream;
-  TestNode Ingress;
-  TestNode Owner;
+/// Two nodes, each with little memory.
+struct SmallSite : TwoNodes {
+  SmallSite() : TwoNodes(300, smallMemory, routing(LargeBody)) {}
 };
 
 bool isRefusal(const std::string &Answer) {
--- a/tests/node/test_site.hpp
+++ b/tests/node/test_site.hpp
@@ -172,9 +172,12 @@
 
 /// @brief Two nodes, Ingress and Owner; the upstream is announced to Owner.
 struct TwoNodes {
-  explicit TwoNodes(int Slots = 300)
-      : Ingress(testSettings(), testRouting()),
-        Owner(testSettings({Ingress.Node.peerAddress()}), testRouting()) {
+  using MakeSettings = NodeRuntimeSettings (*)(std::vector<std::string> Seeds);
+
+  explicit TwoNodes(int Slots = 300, MakeSettings Settings = testSettings,
+                    const RoutingConfig &Routing = testRouting())
+      : Ingress(Settings({}), Routing),
+        Owner(Settings({Ingress.Node.peerAddress()}), Routing) {
     announce(Owner, Upstream.address(), Slots);
     // The first request to a service opens the links to its owners.
     eventually([&] {
--- a/tests/platform/soak/operator_day.py
+++ b/tests/platform/soak/operator_day.py
@@ -335,12 +335,7 @@
 async def watch_processes(site, report, until):
     """Reports processes that end by themselves, and how late this program is."""
     while time.monotonic() < until:
-        for process in site.processes():
-            status = process.child.poll()
-            if status is not None and not process.expected_end:
-                process.expected_end = True
-                report.record_violation(f"{process.log.name} ended unexpectedly "
-                                        f"with status {status}")
+        report.check_ends(site.processes())
         begun = time.monotonic()
         await asyncio.sleep(0.05)
         report.client_lags.append(time.monotonic() - begun - 0.05)
--- a/tests/platform/soak/report.py
+++ b/tests/platform/soak/report.py
@@ -63,6 +63,15 @@
                 f"node {machine} went from version {before} to {version}")
         self.versions[machine] = version
 
+    def check_ends(self, processes):
+        """Checks that no process ended unless its end was expected."""
+        for process in processes:
+            status = process.child.poll()
+            if status is not None and not process.expected_end:
+                process.expected_end = True
+                self.record_violation(f"{process.log.name} ended unexpectedly "
+                                      f"with status {status}")
+
     def _overlaps(self, periods, outcome, slack=0.2):
         return any(begun - slack <= outcome.ended and
                    (end is None or outcome.begun <= end + slack)
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -61,12 +61,7 @@
             version = await site.config_version(machine)
             if version is not None and process_id == site.nodes[machine].child.pid:
                 report.check_version(machine, version)
-        for process in site.processes():
-            status = process.child.poll()
-            if status is not None and not process.expected_end:
-                process.expected_end = True
-                report.record_violation(f"{process.log.name} ended unexpectedly "
-                                        f"with status {status}")
+        report.check_ends(site.processes())
         await asyncio.sleep(0.2)
 
 
