Refuse work that cannot end before a shutdown, answer what is in flight

What callers saw: in a planned stop, unsafe requests whose bodies ended 3.8 to 5.3 s after SIGTERM were passed on although their work could not end in the 5.5 s of the drain. They ran, and their connections closed without an answer.

Cause: the drain knew its end, but nothing that starts work did. Ingress, owner and HTTP server went by the deadline of the request alone, nothing ended the requests in flight before the process, and an owner did not tell the ingress of attempts that it cut.

Change: ShutdownLimit holds the end from the signal on. Every start of an attempt asks it: first attempts, retries, retries of failed answers, hedges, recalls, requests that waited for a link or a key, queued attempts and those of peers. A body that arrives too late is refused before it is complete, also behind other requests. Attempts get a deadline before the end; what is left then ends as unknown, at the owner first, so that each ingress still hears of it.

--- a/include/hyssopford/core/candidate_table.hpp
+++ b/include/hyssopford/core/candidate_table.hpp
@@ -47,6 +47,9 @@
   /// answers; 0 before the first answer
   Duration hedgeDelay(const std::string &Route) const;
 
+  /// @return the latency quantile of a route; 0 while it has few answers
+  Duration routeLatency(const std::string &Route) const;
+
   /// Budget of retries and hedges.
   RetryBudget Budget;
   ServiceMean Mean;
@@ -149,6 +152,8 @@
 
   /// @brief Finds the pool of a service without marking it as used.
   ServicePool *findPool(const std::string &Service);
+  /// @copydoc findPool
+  const ServicePool *findPool(const std::string &Service) const;
 
   /// @brief Chooses an ejected candidate whose ejection is over for a trial.
   /// @return its owner; empty if no trial is due
--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -157,6 +157,16 @@
   friend bool operator==(const StoreReplied &, const StoreReplied &) = default;
 };
 
+/// @brief The process is going to end. New requests are still served, but only
+/// work that can be answered in time starts.
+struct ShutdownScheduled {
+  /// When the last request must be answered.
+  TimePoint AnswerBy;
+
+  friend bool operator==(const ShutdownScheduled &,
+                         const ShutdownScheduled &) = default;
+};
+
 /// @brief The process was asked to shut down.
 struct ShutdownRequested {
   friend bool operator==(const ShutdownRequested &,
@@ -164,10 +174,10 @@
 };
 
 /// @brief Any input of the core.
-using Event =
-    std::variant<CallerRequest, CallerGone, PeerLinkUp, PeerLinkDown,
-                 PeerMessageReceived, UpstreamAnswered, UpstreamFailed,
-                 UpstreamAnnounced, UpstreamGone, ProbeFinished, StoreReplied,
-                 ShutdownRequested, PatchSubmitted, HistoryRequested>;
+using Event = std::variant<CallerRequest, CallerGone, PeerLinkUp, PeerLinkDown,
+                           PeerMessageReceived, UpstreamAnswered,
+                           UpstreamFailed, UpstreamAnnounced, UpstreamGone,
+                           ProbeFinished, StoreReplied, ShutdownScheduled,
+                           ShutdownRequested, PatchSubmitted, HistoryRequested>;
 
 } // namespace hyssopford
--- a/include/hyssopford/core/ingress_system.hpp
+++ b/include/hyssopford/core/ingress_system.hpp
@@ -11,6 +11,7 @@
 #include "hyssopford/core/random_source.hpp"
 #include "hyssopford/core/routing_config.hpp"
 #include "hyssopford/core/selection_policy.hpp"
+#include "hyssopford/core/shutdown_limit.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -38,6 +39,8 @@
   std::uint64_t Recalls = 0;
   /// Replies to attempts that had already ended.
   std::uint64_t LateReplies = 0;
+  /// Requests that the end of a shutdown left with an unknown outcome.
+  std::uint64_t Interrupted = 0;
 
   friend bool operator==(const IngressCounters &,
                          const IngressCounters &) = default;
@@ -104,6 +107,10 @@
   /// @brief Sets the number of nodes that share the retry budgets.
   void setMemberCount(std::size_t Count) { Table.setMemberCount(Count); }
 
+  /// @brief Announces the end of the node. From now on only attempts start that
+  /// end in time; requests that are left at @p AnswerBy are answered then.
+  void limitWork(TimePoint AnswerBy);
+
   /// @brief Replaces the table of candidates.
   void setCandidates(std::vector<Candidate> All);
 
@@ -117,6 +124,19 @@
   /// @return the time of the next timer, if any
   std::optional<TimePoint> nextWakeup() const;
 
+  /// @return whether limitWork was called
+  bool isWorkLimited() const { return Shutdown.isSet(); }
+
+  /// @brief Decides whether a request that arrives now may start, so that it
+  /// can be refused before its body is read.
+  /// @param Matched the route of the request
+  /// @param Method the method of the request
+  /// @param Stated remaining time stated by the caller
+  /// @param Now the current time
+  /// @return false if the node shuts down before the request can be answered
+  bool mayStart(const Route &Matched, const std::string &Method,
+                std::optional<Duration> Stated, TimePoint Now) const;
+
   /// @return the number of requests in flight
   std::size_t inFlight() const { return Requests.size(); }
 
@@ -160,6 +180,8 @@
     std::uint64_t Span = 0;
     TimePoint Started;
     TimePoint Deadline;
+    /// The deadline without regard to a shutdown.
+    TimePoint FullDeadline;
     bool Idempotent = false;
     /// An attempt ended as unknown, so the request cannot end as not-run.
     bool MayHaveRun = false;
@@ -196,6 +218,9 @@
     bool InDoubt = false;
   };
 
+  /// Whether an attempt that starts now ends before the node does.
+  bool fitsShutdown(const RequestRow &Row, const ServicePool *Pool,
+                    TimePoint Now) const;
   /// Sends the first attempt, or waits for a link if no candidate has one.
   void startAttempt(RequestRow &Row, TimePoint Now, Actions &Out);
   /// Sends another attempt after one ended or lost its link, or ends the
@@ -238,6 +263,7 @@
   RandomSource &Random;
   RoutingSettings Settings;
   CandidateTable Table;
+  ShutdownLimit Shutdown;
   std::unique_ptr<SelectionPolicy> Policy;
   std::uint64_t NextSequence = 1;
   TimePoint NextUnusedCheck;
--- a/include/hyssopford/core/key_system.hpp
+++ b/include/hyssopford/core/key_system.hpp
@@ -114,6 +114,11 @@
   /// @brief Records that a link to a peer is lost.
   void linkDown(NodeId Peer);
 
+  /// @brief Limits the wait for claims to the time left before the end of the
+  /// node.
+  /// @param AnswerBy when the last request must be answered
+  void limitWork(TimePoint AnswerBy, TimePoint Now);
+
   /// @brief Starts the time limit of the handover of this node's records.
   void leave(TimePoint Now) { LeaveUntil = Now + Settings.HandoverLimit; }
 
@@ -219,6 +224,8 @@
   KeyHolder Holder;
   RosterSystem Rosters;
   std::uint64_t NextSequence = 1;
+  /// Latest deadline of a request; limitWork lowers it.
+  TimePoint LatestDeadline = TimePoint::max();
   std::optional<TimePoint> LeaveUntil;
   bool HandoverTimedOut = false;
   std::set<NodeId> Links;
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -146,6 +146,7 @@
   void on(const UpstreamGone &Input, TimePoint Now, Actions &Out);
   void on(const ProbeFinished &Input, TimePoint Now, Actions &Out);
   void on(const StoreReplied &Input, TimePoint Now, Actions &Out);
+  void on(const ShutdownScheduled &Input, TimePoint Now, Actions &Out);
   void on(const ShutdownRequested &Input, TimePoint Now, Actions &Out);
   void on(const PatchSubmitted &Input, TimePoint Now, Actions &Out);
   void on(const HistoryRequested &Input, TimePoint Now, Actions &Out);
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -9,6 +9,7 @@
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/finished_attempts.hpp"
 #include "hyssopford/core/load_report.hpp"
+#include "hyssopford/core/shutdown_limit.hpp"
 #include "hyssopford/core/speed_tracker.hpp"
 
 #include <cstdint>
@@ -81,6 +82,11 @@
   /// @brief Refuses new attempts from now on. Admitted ones still run.
   void drain() { Draining = true; }
 
+  /// @brief Announces the end of the node. From now on only attempts that end
+  /// in time are admitted, and queued ones that don't are refused. Those that
+  /// are left shortly before @p AnswerBy end then.
+  void limitWork(TimePoint AnswerBy, TimePoint Now, Actions &Out);
+
   /// @brief Runs the timers.
   void tick(TimePoint Now, Actions &Out);
   /// @}
@@ -100,6 +106,10 @@
   /// @return the number of attempts queued or running
   std::size_t inFlight() const { return Queue.size() + Running.size(); }
 
+  /// @return the number of attempts that the end of a shutdown left with an
+  /// unknown outcome
+  std::uint64_t interrupted() const { return Interrupted; }
+
   /// @return whether the upstream runs no attempt
   bool idle() const { return Running.empty(); }
 
@@ -108,7 +118,15 @@
   /// @}
 
 private:
-  std::optional<OutcomeReason> refusalReason(const Dispatch &Attempt) const;
+  std::optional<OutcomeReason> refusalReason(const Dispatch &Attempt,
+                                             TimePoint Now) const;
+  /// Until when an attempt may start and still end before the node does.
+  TimePoint latestStart(const Dispatch &Attempt, TimePoint Deadline,
+                        TimePoint Now) const;
+  /// Ends all attempts shortly before the end of the node.
+  void endAll(TimePoint Now, Actions &Out);
+  /// Cancels all running attempts; they end as unknown.
+  void abortRunning(OutcomeReason Reason, TimePoint Now, Actions &Out);
   Duration expectedWait(Priority Class) const;
   /// Current concurrency limit. While the upstream is stalled, only single
   /// trials start.
@@ -146,6 +164,8 @@
   AdmissionSettings Settings;
   UpstreamAnnounced Upstream;
   bool Draining = false;
+  ShutdownLimit Shutdown;
+  std::uint64_t Interrupted = 0;
   std::uint64_t ConfigVersion = 0;
   std::uint64_t ReportSequence = 0;
   /// Time of the latest call.
--- a/include/hyssopford/net/http_server.hpp
+++ b/include/hyssopford/net/http_server.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace hyssopford {
 
@@ -79,6 +80,13 @@
   virtual HeadDecision onHead(const Poco::Net::HTTPRequest &Head,
                               const HttpHeadFacts &Facts) = 0;
 
+  /// @brief Decides whether a request whose body is still arriving can be
+  /// served; see HttpServer::recheckBodies.
+  virtual bool canServe(const Poco::Net::HTTPRequest & /*Head*/,
+                        const HttpHeadFacts & /*Facts*/) {
+    return true;
+  }
+
   /// @brief Handles a complete request, which ends with HttpServer::reply.
   virtual void onRequest(RequestId Id, HttpRequest Request) = 0;
 
@@ -131,6 +139,10 @@
   /// new connections are still accepted.
   void disableKeepAlive() { KeepAliveDisabled = true; }
 
+  /// @brief Refuses the requests whose body is still arriving and that the
+  /// handler can't serve any more.
+  void recheckBodies();
+
   /// @brief Accepts the connections in the backlog, stops listening, closes
   /// idle connections and closes the others once the requests passed on are
   /// answered.
@@ -169,6 +181,8 @@
   /// @return whether a connection was waiting
   bool acceptNext();
   void stopListening();
+  /// Connections by value, as a call on one may close and remove it.
+  std::vector<std::shared_ptr<Connection>> currentConnections() const;
   RequestId assignRequestId(Connection &Source);
   void removeRequest(RequestId Id) { InFlight.erase(Id); }
   void removeConnection(Connection &Closed);
--- a/include/hyssopford/node/caller_service.hpp
+++ b/include/hyssopford/node/caller_service.hpp
@@ -60,6 +60,8 @@
 
   HeadDecision onHead(const Poco::Net::HTTPRequest &Head,
                       const HttpHeadFacts &Facts) override;
+  bool canServe(const Poco::Net::HTTPRequest &Head,
+                const HttpHeadFacts &Facts) override;
   void onRequest(RequestId Id, HttpRequest Request) override;
   void onDisconnected(RequestId Id) override;
   void onRefused(const HttpFault &Fault) override;
--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -139,6 +139,7 @@
 
   /// @brief Runs until shutdown.
   /// @return whether all requests in flight ended before the drain deadline
+  /// with their own outcome
   bool run();
 
   /// @brief Starts a graceful shutdown. May be called from any thread.
@@ -206,6 +207,8 @@
   void createMetricsServer();
   void flushTelemetry();
   void beginShutdown();
+  /// Refuses requests whose body arrives too late, again and again.
+  void recheckBodies();
   void closePorts();
   void checkShutdown();
   void applyConfig();
--- a/src/core/candidate_table.cpp
+++ b/src/core/candidate_table.cpp
@@ -46,10 +46,15 @@
 }
 
 Duration ServicePool::hedgeDelay(const std::string &Route) const {
+  const Duration Own = routeLatency(Route);
+  return Own > Duration{0} ? Own : HedgeDelay.value();
+}
+
+Duration ServicePool::routeLatency(const std::string &Route) const {
   const auto Found = RouteLatencies.find(Route);
   const bool HasOwn =
       Found != RouteLatencies.end() && Found->second.Answers >= RouteAnswersMin;
-  return HasOwn ? Found->second.Quantile.value() : HedgeDelay.value();
+  return HasOwn ? Found->second.Quantile.value() : Duration{0};
 }
 
 CandidateTable::CandidateTable(NodeRun Run, std::string OwnRegion,
@@ -150,6 +155,11 @@
   return Found == Pools.end() ? nullptr : &Found->second;
 }
 
+const ServicePool *CandidateTable::findPool(const std::string &Service) const {
+  const auto Found = Pools.find(Service);
+  return Found == Pools.end() ? nullptr : &Found->second;
+}
+
 std::optional<NodeRun> CandidateTable::takeTrial(ServicePool &Pool,
                                                  TimePoint Now) {
   if (Pool.Ejected.empty() || Pool.Ejected.begin()->first > Now) {
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -24,6 +24,17 @@
 /// Status of an upstream that timed out; a retry would time out as well.
 constexpr std::uint16_t GatewayTimeout = 504;
 
+/// Deadline of a request that arrives now.
+TimePoint deadlineOf(const Route &Matched, std::optional<Duration> Stated,
+                     TimePoint Now) {
+  return Now + std::min(Stated.value_or(Matched.Deadline), Matched.Deadline);
+}
+
+/// Expected time until an answer; 0 if it is not known.
+Duration expectedLatency(const ServicePool *Pool, const std::string &Route) {
+  return Pool == nullptr ? Duration{0} : Pool->routeLatency(Route);
+}
+
 /// Whether the owner refuses all further attempts of the service in this run.
 bool closesCandidate(OutcomeReason Reason) {
   return Reason == OutcomeReason::Draining ||
@@ -56,8 +67,8 @@
   Row.Span =
       hashPair(hashPair(Self.Node.Value, Self.Run.Value), Request.Id.Value);
   Row.Started = Now;
-  Row.Deadline = Now + std::min(Request.Deadline.value_or(Matched.Deadline),
-                                Matched.Deadline);
+  Row.FullDeadline = deadlineOf(Matched, Request.Deadline, Now);
+  Row.Deadline = std::min(Row.FullDeadline, Shutdown.requestEnd());
   Row.Idempotent =
       Matched.Idempotent.value_or(isIdempotentMethod(Request.Method));
   if (Matched.TargetLatency > Duration{0}) {
@@ -198,6 +209,42 @@
   Table.setCandidates(std::move(All));
 }
 
+void IngressSystem::limitWork(TimePoint AnswerBy) {
+  Shutdown.set(AnswerBy);
+  for (auto &[Id, Row] : Requests) {
+    if (Row.Deadline > AnswerBy) {
+      Timers.erase(Timer{Row.Deadline, TimerKind::Deadline, Id});
+      Row.Deadline = AnswerBy;
+      Timers.insert(Timer{AnswerBy, TimerKind::Deadline, Id});
+    }
+  }
+}
+
+bool IngressSystem::mayStart(const Route &Matched, const std::string &Method,
+                             std::optional<Duration> Stated,
+                             TimePoint Now) const {
+  const bool Idempotent =
+      Matched.Idempotent.value_or(isIdempotentMethod(Method));
+  const auto Fits = [&](const std::string &Service) {
+    return Now <= Shutdown.latestStart(
+                      deadlineOf(Matched, Stated, Now),
+                      expectedLatency(Table.findPool(Service), Matched.Name),
+                      Idempotent, Now);
+  };
+  if (Matched.Split.empty()) {
+    return Fits(Matched.Service);
+  }
+  return std::any_of(Matched.Split.begin(), Matched.Split.end(),
+                     [&](const auto &Part) { return Fits(Part.Service); });
+}
+
+bool IngressSystem::fitsShutdown(const RequestRow &Row, const ServicePool *Pool,
+                                 TimePoint Now) const {
+  return Now <= Shutdown.latestStart(Row.FullDeadline,
+                                     expectedLatency(Pool, Row.Route),
+                                     Row.Idempotent, Now);
+}
+
 void IngressSystem::tick(TimePoint Now, Actions &Out) {
   while (!Timers.empty() && Timers.begin()->At <= Now) {
     const Timer Due = *Timers.begin();
@@ -233,6 +280,11 @@
 
 void IngressSystem::startAttempt(RequestRow &Row, TimePoint Now, Actions &Out) {
   ServicePool *Pool = Table.usePool(Row.Service, Now);
+  if (!fitsShutdown(Row, Pool, Now)) {
+    finishWithoutAnswer(Row, Outcome::NotRun, OutcomeReason::ShuttingDown, Now,
+                        Out);
+    return;
+  }
   if (Pool == nullptr &&
       !(Settings.WaitWhenAlone && Table.memberCount() <= 1)) {
     finishWithoutAnswer(Row, Outcome::NotRun, OutcomeReason::NoUpstream, Now,
@@ -272,7 +324,9 @@
   }
   ServicePool *Pool = Table.usePool(Row.Service, Now);
   const std::optional<NodeRun> Chosen =
-      Pool == nullptr ? std::nullopt : chooseOwner(Row, *Pool, Now);
+      Pool == nullptr || !fitsShutdown(Row, Pool, Now)
+          ? std::nullopt
+          : chooseOwner(Row, *Pool, Now);
   if (!Chosen || !Pool->Budget.takeRetry()) {
     Row.FirstFailure.reset();
     return false;
@@ -314,6 +368,10 @@
     return;
   }
   ServicePool *Pool = Table.usePool(Row.Service, Now);
+  if (!fitsShutdown(Row, Pool, Now)) {
+    GiveUp(OutcomeReason::ShuttingDown);
+    return;
+  }
   std::optional<NodeRun> Chosen =
       Pool == nullptr ? std::nullopt : chooseOwner(Row, *Pool, Now);
   if (!Chosen && Pool != nullptr && IsFree && !Row.BusyOwners.empty()) {
@@ -341,7 +399,7 @@
 void IngressSystem::sendHedge(RequestRow &Row, TimePoint Now, Actions &Out) {
   ServicePool *Pool = Table.findPool(Row.Service);
   if (Pool == nullptr || Row.OpenAttempts.size() != 1 ||
-      Row.Attempts >= Row.AttemptLimit) {
+      Row.Attempts >= Row.AttemptLimit || !fitsShutdown(Row, Pool, Now)) {
     return;
   }
   const std::optional<NodeRun> Chosen = chooseOwner(Row, *Pool, Now);
@@ -354,8 +412,8 @@
 void IngressSystem::recall(RequestRow &Row, TimePoint Now, Actions &Out) {
   ServicePool *Pool = Table.findPool(Row.Service);
   if (Pool == nullptr || Row.OpenAttempts.size() != 1 ||
-      Row.Attempts >= Row.AttemptLimit || !Pool->Budget.allowsHedge() ||
-      !chooseOwner(Row, *Pool, Now)) {
+      Row.Attempts >= Row.AttemptLimit || !fitsShutdown(Row, Pool, Now) ||
+      !Pool->Budget.allowsHedge() || !chooseOwner(Row, *Pool, Now)) {
     return;
   }
   // A status query cancels the attempt if it is still queued, so that it can be
@@ -399,7 +457,7 @@
   Message.Owner = Owner.Run;
   Message.Service = Row.Service;
   Message.Route = Row.Route;
-  Message.Remaining = Row.Deadline - Now;
+  Message.Remaining = std::min(Row.Deadline, Shutdown.latestDeadline()) - Now;
   Message.Class = Row.Class;
   Message.Idempotent = Row.Idempotent;
   Message.IsExtra = IsExtra;
@@ -490,7 +548,11 @@
 void IngressSystem::expireRequest(RequestRow &Row, TimePoint Now,
                                   Actions &Out) {
   cancelOpenAttempts(Row, Now, Out);
-  finishWithoutAnswer(Row, Outcome::NotRun, OutcomeReason::DeadlineExceeded,
+  const bool IsShutdown = Row.Deadline == Shutdown.requestEnd();
+  Counters.Interrupted += IsShutdown && Row.MayHaveRun ? 1 : 0;
+  finishWithoutAnswer(Row, Outcome::NotRun,
+                      IsShutdown ? OutcomeReason::ShuttingDown
+                                 : OutcomeReason::DeadlineExceeded,
                       Now, Out);
 }
 
--- a/src/core/key_system.cpp
+++ b/src/core/key_system.cpp
@@ -42,8 +42,10 @@
   Row.Request = Request;
   Row.Matched = Matched;
   Row.Hash = requestHash(Request);
-  Row.Deadline = Now + std::min(Request.Deadline.value_or(Matched.Deadline),
-                                Matched.Deadline);
+  Row.Deadline =
+      std::min(Now + std::min(Request.Deadline.value_or(Matched.Deadline),
+                              Matched.Deadline),
+               LatestDeadline);
   RequestRow &Stored =
       Requests.insert_or_assign(Request.Id, std::move(Row)).first->second;
   if (Request.Key.size() > MaxKeyLength || Deliveries.size() >= MaxDeliveries) {
@@ -229,6 +231,16 @@
 
 void KeySystem::linkDown(NodeId Peer) { Links.erase(Peer); }
 
+void KeySystem::limitWork(TimePoint AnswerBy, TimePoint Now) {
+  LatestDeadline = AnswerBy;
+  for (auto &[Id, Row] : Requests) {
+    if (!Row.Running && Row.Deadline > AnswerBy) {
+      Row.Deadline = AnswerBy;
+      RequestTimers.set(Id, Now);
+    }
+  }
+}
+
 void KeySystem::tick(const RosterSystem::MemberRecords &Members,
                      const RoutingConfig &Config, TimePoint Now, Actions &Out) {
   std::set<std::string> Services;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -263,6 +263,12 @@
   Out.emplace_back(std::move(Answer));
 }
 
+void NodeCore::on(const ShutdownScheduled &Input, TimePoint Now, Actions &Out) {
+  Ingress.limitWork(Input.AnswerBy);
+  Owner.limitWork(Input.AnswerBy, Now, Out);
+  Keys.limitWork(Input.AnswerBy, Now);
+}
+
 void NodeCore::on(const ShutdownRequested & /*Input*/, TimePoint Now,
                   Actions &Out) {
   ShuttingDown = true;
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -96,8 +96,11 @@
   AdmittedAttempt Row{From, Attempt,
                       Now,  Now + Attempt.Remaining,
                       Now,  startDeadline(Attempt, Now)};
+  Row.StartDeadline =
+      std::min(Row.StartDeadline, latestStart(Attempt, Row.Deadline, Now));
+  Row.Deadline = std::min(Row.Deadline, Shutdown.latestDeadline());
   const std::optional<OutcomeReason> Reason = Refusal == OutcomeReason::None
-                                                  ? refusalReason(Attempt)
+                                                  ? refusalReason(Attempt, Now)
                                                   : std::optional(Refusal);
   if (Reason) {
     endQueued(Row, *Reason, Now, Out);
@@ -228,21 +231,59 @@
   while (const std::optional<AdmittedAttempt> Row = Queue.pop()) {
     endQueued(*Row, OutcomeReason::NoUpstream, Now, Out);
   }
-  if (!Gone.Crashed) {
-    return;
+  if (Gone.Crashed) {
+    abortRunning(OutcomeReason::UpstreamClosed, Now, Out);
   }
-  std::vector<AttemptId> Lost;
+}
+
+void OwnerSystem::abortRunning(OutcomeReason Reason, TimePoint Now,
+                               Actions &Out) {
+  std::vector<AttemptId> Aborted;
   for (const auto &[Id, Row] : Running) {
-    Lost.push_back(Id);
+    Aborted.push_back(Id);
   }
-  std::sort(Lost.begin(), Lost.end());
-  for (const AttemptId &Id : Lost) {
+  std::sort(Aborted.begin(), Aborted.end());
+  for (const AttemptId &Id : Aborted) {
     Out.emplace_back(CancelUpstream{Id});
-    upstreamFailed(UpstreamFailed{Id, OutcomeReason::UpstreamClosed, true}, Now,
-                   Out);
+    upstreamFailed(UpstreamFailed{Id, Reason, true}, Now, Out);
+  }
+}
+
+void OwnerSystem::limitWork(TimePoint AnswerBy, TimePoint Now, Actions &Out) {
+  LastInput = Now;
+  Shutdown.set(AnswerBy);
+  std::vector<AdmittedAttempt> Kept;
+  while (std::optional<AdmittedAttempt> Row = Queue.pop()) {
+    const TimePoint Latest = latestStart(Row->Attempt, Row->Deadline, Now);
+    if (Latest < Now) {
+      endQueued(*Row, OutcomeReason::DeadlineTooClose, Now, Out);
+      continue;
+    }
+    Row->Deadline = std::min(Row->Deadline, Shutdown.latestDeadline());
+    Row->StartDeadline = std::min(Row->StartDeadline, Latest);
+    Kept.push_back(std::move(*Row));
+  }
+  for (AdmittedAttempt &Row : Kept) {
+    Queue.push(std::move(Row));
   }
 }
 
+TimePoint OwnerSystem::latestStart(const Dispatch &Attempt, TimePoint Deadline,
+                                   TimePoint Now) const {
+  const auto Found = RouteTimes.find(Attempt.Route);
+  const Duration Expected(
+      Found == RouteTimes.end() ? 0 : static_cast<std::int64_t>(Found->second));
+  return Shutdown.latestStart(Deadline, Expected, Attempt.Idempotent, Now);
+}
+
+void OwnerSystem::endAll(TimePoint Now, Actions &Out) {
+  while (const std::optional<AdmittedAttempt> Row = Queue.pop()) {
+    endQueued(*Row, OutcomeReason::ShuttingDown, Now, Out);
+  }
+  Interrupted += Running.size();
+  abortRunning(OutcomeReason::ShuttingDown, Now, Out);
+}
+
 void OwnerSystem::setSuspected(bool Suspected, TimePoint Now, Actions &Out) {
   Limit.setSuspected(Suspected, Now);
   startQueued(Now, Out);
@@ -251,6 +292,10 @@
 void OwnerSystem::tick(TimePoint Now, Actions &Out) {
   LastInput = Now;
   Finished.dropExpired(Now);
+  if (Now >= Shutdown.attemptEnd()) {
+    endAll(Now, Out);
+    return;
+  }
   // Refused early enough for the ingress to tell the caller that it did not
   // run.
   while (const std::optional<AdmittedAttempt> Late =
@@ -275,6 +320,10 @@
   if (Next && NextSpeedProbe) {
     Next = std::min(*Next, *NextSpeedProbe);
   }
+  if (Shutdown.isSet() && inFlight() > 0) {
+    Next =
+        std::min(Next.value_or(Shutdown.attemptEnd()), Shutdown.attemptEnd());
+  }
   return Next;
 }
 
@@ -297,8 +346,8 @@
   return All;
 }
 
-std::optional<OutcomeReason>
-OwnerSystem::refusalReason(const Dispatch &Attempt) const {
+std::optional<OutcomeReason> OwnerSystem::refusalReason(const Dispatch &Attempt,
+                                                        TimePoint Now) const {
   if (Draining || Upstream.State == UpstreamState::Draining) {
     return OutcomeReason::Draining;
   }
@@ -308,6 +357,10 @@
   if (Attempt.Remaining <= Duration{0}) {
     return OutcomeReason::DeadlineExceeded;
   }
+  if (Now + expectedWait(Attempt.Class) >
+      latestStart(Attempt, Now + Attempt.Remaining, Now)) {
+    return OutcomeReason::DeadlineTooClose;
+  }
   if (Running.empty()) {
     // An idle upstream accepts any request: only new answers can correct a
     // service time that was measured too long.
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -69,6 +69,14 @@
   Stream.closeAfterWrite();
 }
 
+void HttpServer::Connection::recheckBody() {
+  if (Stream.isOpen() && !Closing && !LastRead && Reader.inBody() &&
+      !Reader.isDiscarding() &&
+      !Server.Handler.canServe(Reader.request(), Reader.facts())) {
+    refuse(HttpFault{503, "shutting down"});
+  }
+}
+
 bool HttpServer::Connection::isIdle() const {
   // While the stream lingers, the end of the process would reset it and discard
   // the last answer if the caller sends more.
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -35,6 +35,10 @@
   /// answered; one that is being received is completed if none is before it.
   void drain();
 
+  /// @brief Refuses the request whose body is arriving if the handler can't
+  /// serve it any more.
+  void recheckBody();
+
   /// @return whether nothing is being received, answered or sent
   bool isIdle() const;
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <utility>
-#include <vector>
 
 namespace hyssopford {
 
@@ -67,13 +66,25 @@
   }
   Draining = true;
   stopListening();
+  for (const auto &Each : currentConnections()) {
+    Each->drain();
+  }
+}
+
+void HttpServer::recheckBodies() {
+  for (const auto &Each : currentConnections()) {
+    Each->recheckBody();
+  }
+}
+
+std::vector<std::shared_ptr<HttpServer::Connection>>
+HttpServer::currentConnections() const {
   std::vector<std::shared_ptr<Connection>> Current;
+  Current.reserve(Connections.size());
   for (const auto &Entry : Connections) {
     Current.push_back(Entry.second);
   }
-  for (const auto &Each : Current) {
-    Each->drain();
-  }
+  return Current;
 }
 
 bool HttpServer::isIdle() const {
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -62,6 +62,10 @@
     Decision.Refusal = refuseHead(Head, OutcomeReason::NoRoute);
     return Decision;
   }
+  if (!canServe(Head, Facts)) {
+    Decision.Refusal = refuseHead(Head, OutcomeReason::ShuttingDown);
+    return Decision;
+  }
   Decision.BodyLimit = std::min(Matched->BodyLimit, LargestBody);
   if (Memory != nullptr) {
     Decision.BodyLimit = std::min<std::uint64_t>(
@@ -82,6 +86,20 @@
   return Decision;
 }
 
+bool CallerService::canServe(const Poco::Net::HTTPRequest &Head,
+                             const HttpHeadFacts &Facts) {
+  const IngressSystem &Ingress = Driver.core().ingress();
+  if (!Ingress.isWorkLimited()) {
+    return true;
+  }
+  const Route *Matched = findRoute(Driver.core().config(), Facts.Host,
+                                   pathOf(Head, Facts), Head.getMethod());
+  return Matched == nullptr ||
+         Ingress.mayStart(*Matched, Head.getMethod(),
+                          Edge.readRequestContext(Head, Trusted).Deadline,
+                          EventLoop::now());
+}
+
 Payload CallerService::refuseHead(const Poco::Net::HTTPRequest &Head,
                                   OutcomeReason Reason) {
   if (Telemetry != nullptr) {
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -17,6 +17,10 @@
 
 /// Interval at which a shutdown checks for remaining work.
 constexpr Duration ShutdownCheckPeriod = 20ms;
+/// Time between the last answers and the drain deadline, in which callers
+/// receive them, and its share of a short drain time as a divisor.
+constexpr Duration AnswerReserve = 200ms;
+constexpr int AnswerReserveShare = 4;
 /// Server numbers; they are the highest byte of a RequestId.
 constexpr std::uint8_t CallerServerNumber = 0;
 constexpr std::uint8_t LocalServerNumber = 1;
@@ -463,6 +467,10 @@
   ShutdownEnd = EventLoop::now() + Settings.DrainDeadline;
   Telemetry->log(LogLevel::Info, "shutdown_started",
                  {{"in_flight", Driver->core().ingress().inFlight()}});
+  Driver->submit(ShutdownScheduled{
+      ShutdownEnd -
+      std::min(AnswerReserve, Settings.DrainDeadline / AnswerReserveShare)});
+  recheckBodies();
   if (Settings.DrainDelay == Duration{0}) {
     closePorts();
     return;
@@ -472,6 +480,12 @@
   Loop.after(Settings.DrainDelay, [this] { closePorts(); });
 }
 
+void NodeRuntime::recheckBodies() {
+  Callers->recheckBodies();
+  Local->recheckBodies();
+  Loop.after(ShutdownCheckPeriod, [this] { recheckBodies(); });
+}
+
 void NodeRuntime::closePorts() {
   Driver->submit(ShutdownRequested{});
   CallerRequests->refuseNewRequests();
@@ -490,6 +504,8 @@
   Finished = Core.owner().inFlight() == 0 && Core.ingress().inFlight() == 0 &&
              Callers->isIdle() && Local->isIdle() && Links->pending() == 0;
   if (Finished || EventLoop::now() >= ShutdownEnd) {
+    Finished = Finished && Core.owner().interrupted() == 0 &&
+               Core.ingress().counters().Interrupted == 0;
     Loop.stop();
     return;
   }
--- a/tests/node/shutdown_test.cpp
+++ b/tests/node/shutdown_test.cpp
@@ -90,3 +90,83 @@
   REQUIRE(eventually([&] { return Upstream.Runs == 1; }));
   REQUIRE_FALSE(Node.stop());
 }
+
+TEST_CASE("work that arrives late in a shutdown is refused and does not run",
+          "[node][shutdown]") {
+  // The route allows 5 s, more than the whole drain time.
+  TwoNodes Site(300, [](std::vector<std::string> Seeds) {
+    NodeRuntimeSettings Settings = testSettings(std::move(Seeds));
+    Settings.DrainDeadline = 2s;
+    Settings.DrainDelay = 1s;
+    // A probe would count as a run.
+    Settings.Decisions.Probing.IdleAfter = 60s;
+    return Settings;
+  });
+  const std::string Address = Site.Ingress.Node.callerAddress();
+  int ExpectedRuns = 0;
+  const std::string LateBody =
+      "POST /late HTTP/1.1\r\nHost: a\r\nX-Delay-Ms: 4000\r\n"
+      "Content-Length: 4\r\n\r\n";
+
+  SECTION("a request whose body arrives") {
+    RawClient Client(Address);
+    Client.send(LateBody + "ab");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    Site.Ingress.Node.requestShutdown();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+    Client.send("cd");
+    const std::string Answer = Client.receiveAll();
+    REQUIRE(Answer.starts_with("HTTP/1.1 503"));
+    REQUIRE(Answer.find("Hyssopford-Outcome: not-run") != std::string::npos);
+  }
+  SECTION("a request behind one that is answered") {
+    RawClient Client(Address);
+    Client.send(slowRequest(300) + LateBody + "ab");
+    REQUIRE(eventually([&] { return Site.Upstream.Runs == 1; }));
+    Site.Ingress.Node.requestShutdown();
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    Client.send("cd");
+    const std::string Answers = Client.receiveAll();
+    REQUIRE(Answers.starts_with("HTTP/1.1 200"));
+    REQUIRE(Answers.find("HTTP/1.1 503") != std::string::npos);
+    ExpectedRuns = 1;
+  }
+  SECTION("a new request") {
+    RawClient Client(Address);
+    Site.Ingress.Node.requestShutdown();
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    Client.send(slowRequest(4'000));
+    REQUIRE(Client.receiveAll().starts_with("HTTP/1.1 503"));
+  }
+  REQUIRE(Site.Ingress.stop());
+  REQUIRE(Site.Upstream.Runs == ExpectedRuns);
+}
+
+TEST_CASE("each request in flight is answered before a shutdown ends",
+          "[node][shutdown]") {
+  TwoNodes Site(300, [](std::vector<std::string> Seeds) {
+    NodeRuntimeSettings Settings = testSettings(std::move(Seeds));
+    Settings.DrainDeadline = 1s;
+    return Settings;
+  });
+  RawClient Client(Site.Ingress.Node.callerAddress());
+  Client.send(slowRequest(3'000) + slowRequest(3'000));
+  REQUIRE(eventually([&] { return Site.Upstream.Runs == 2; }));
+  const TimePoint Start = EventLoop::now();
+
+  SECTION("by the ingress that shuts down, in their order") {
+    REQUIRE_FALSE(Site.Ingress.stop());
+    const std::string Answers = Client.receiveAll();
+    const std::size_t Second = Answers.find("HTTP/1.1", 1);
+    REQUIRE(Second != std::string::npos);
+    REQUIRE(Answers.find("Hyssopford-Outcome: unknown") < Second);
+    REQUIRE(Answers.find("Hyssopford-Outcome: unknown", Second) !=
+            std::string::npos);
+  }
+  SECTION("after the owner that shuts down has ended their attempts") {
+    REQUIRE_FALSE(Site.Owner.stop());
+    const std::string Answers = Client.receiveUntil("unknown");
+    REQUIRE(Answers.find("Hyssopford-Outcome: unknown") != std::string::npos);
+  }
+  REQUIRE(EventLoop::now() - Start < 1'500ms);
+}
--- a/tests/platform/soak/client.py
+++ b/tests/platform/soak/client.py
@@ -25,6 +25,8 @@
     sent: float = 0.0
     # Whether its connection had carried an answer before.
     kept: bool = False
+    # When the last byte of a body that is sent slowly was written.
+    completed: float = 0.0
 
 
 class Connection:
@@ -59,6 +61,37 @@
             self.disconnect()
         return outcome
 
+    async def slow_request(self, node, path, request_id, body, timeout,
+                           body_s, work_s):
+        """Sends an unsafe request on a new connection whose body takes body_s
+        seconds and whose work takes work_s seconds."""
+        outcome = Outcome(request_id, node, True, time.monotonic(), 0.0,
+                          timeout, path=path)
+
+        async def exchange():
+            await self._connect(outcome)
+            self._write(outcome, "POST", path, body,
+                        fields=f"X-Work-Ms: {int(work_s * 1000)}\r\n",
+                        body_part=len(body) // 2)
+            answer = asyncio.create_task(self._read(outcome))
+            # A refusal may come before the body is complete.
+            await asyncio.wait([answer], timeout=body_s)
+            if not answer.done():
+                self.writer.write(body[len(body) // 2:])
+                outcome.completed = time.monotonic()
+            await answer
+
+        try:
+            await asyncio.wait_for(exchange(), body_s + timeout + 2.0)
+        except asyncio.TimeoutError:
+            outcome.reason = "no answer"
+        except (OSError, asyncio.IncompleteReadError, ValueError) as fault:
+            outcome.reason = outcome.reason or f"connection ended: {fault!r}"
+        outcome.ended = time.monotonic()
+        outcome.timeout += body_s
+        self.disconnect()
+        return outcome
+
     async def pipeline(self, node, requests, timeout):
         """Sends rows of method, path, identifier, body and whether the body is
         sent in chunks, at once, and reads the answers in this order."""
@@ -98,7 +131,8 @@
                 outcome.reason = "no connection"
                 raise
 
-    def _write(self, outcome, method, path, body, chunked=False):
+    def _write(self, outcome, method, path, body, chunked=False, fields="",
+               body_part=None):
         outcome.sent, outcome.kept = time.monotonic(), self.answers > 0
         length = ("Transfer-Encoding: chunked" if chunked
                   else f"Content-Length: {len(body)}")
@@ -109,8 +143,8 @@
         self.writer.write(
             f"{method} {path} HTTP/1.1\r\nHost: demo.example\r\n"
             f"X-Attempt-Id: {outcome.request_id}\r\nX-Deadline-Ms: "
-            f"{int(outcome.timeout * 1000)}\r\n{length}\r\n\r\n"
-            .encode() + body)
+            f"{int(outcome.timeout * 1000)}\r\n{fields}{length}\r\n\r\n"
+            .encode() + body[:body_part])
 
     async def _read(self, outcome):
         if self.reader is None:
--- a/tests/platform/soak/operator_day.py
+++ b/tests/platform/soak/operator_day.py
@@ -24,6 +24,10 @@
 RECENT_S = 1.0
 FAMILIES = ("store", "partial", "compact", "watchers", "restarts", "pauses",
             "reuse", "large", "invalid")
+# Drawn apart from the others, so that the seeds of earlier runs keep theirs.
+LATE_FAMILY = "late"
+# Deadline of requests whose body takes up to MAX_BODY_S seconds to send.
+LATE_DEADLINE_S, MAX_BODY_S = 2.0, 6.0
 
 
 class Operator:
@@ -332,6 +336,23 @@
     connection.disconnect()
 
 
+async def send_slow_bodies(site, operator, rng, report, machine, until):
+    """Sends unsafe requests whose bodies end at any time of a shutdown and whose
+    work takes up to nine tenths of their deadline."""
+    count = 0
+    while time.monotonic() + MAX_BODY_S + LATE_DEADLINE_S < until:
+        names = [name for name in operator.first
+                 if operator.kind(name) == "unsafe"]
+        count += 1
+        report.outcomes.append(await Connection(site.ip(machine), site.port)
+                               .slow_request(
+                                   machine, f"/{rng.choice(sorted(names))}/late",
+                                   f"m{machine:02}late{count:05}", b"x" * 1000,
+                                   LATE_DEADLINE_S, rng.uniform(0.1, MAX_BODY_S),
+                                   rng.uniform(0.02, 0.9 * LATE_DEADLINE_S)))
+        await asyncio.sleep(rng.uniform(0.0, 0.5))
+
+
 async def watch_processes(site, report, until):
     """Reports processes that end by themselves, and how late this program is."""
     while time.monotonic() < until:
@@ -359,7 +380,10 @@
 def draw_families(options, rng):
     if options.families:
         return set(options.families.split(","))
-    return {family for family in FAMILIES if rng.random() < 0.6}
+    drawn = {family for family in FAMILIES if rng.random() < 0.6}
+    if random.Random(f"{LATE_FAMILY} {options.seed}").random() < 0.6:
+        drawn.add(LATE_FAMILY)
+    return drawn
 
 
 async def run_operator_day(options, folder):
@@ -385,6 +409,10 @@
             site, operator, random.Random(rng.random()), report, machine, number,
             until, pause)) for machine in range(site.machines)
             for number in range(CONNECTIONS_PER_NODE)]
+        if LATE_FAMILY in families:
+            tasks += [asyncio.create_task(send_slow_bodies(
+                site, operator, random.Random(rng.random()), report, machine,
+                until)) for machine in range(site.machines)]
         tasks.append(asyncio.create_task(watch_processes(site, report, until)))
         await asyncio.sleep(CALM_S)
         faults = OperatorDayFaults(site, random.Random(rng.random()), report,
--- a/tests/platform/soak/report.py
+++ b/tests/platform/soak/report.py
@@ -77,6 +77,16 @@
                    (end is None or outcome.begun <= end + slack)
                    for begun, end in periods.get(outcome.node, []))
 
+    def disturbance(self, outcome):
+        """Returns what happened to the node during a request."""
+        if self._overlaps(self.down, outcome):
+            return "killed"
+        if self._overlaps(self.ending, outcome):
+            return "terminated"
+        if self._overlaps(self.pauses, outcome):
+            return "paused"
+        return "undisturbed"
+
     def check_promises(self, run_counts):
         """Checks all recorded outcomes; returns the number of runs."""
         originals = len([outcome for outcome in self.outcomes
@@ -98,9 +108,7 @@
                     self.record_violation(
                         f"{outcome.request_id} was not run or got the answer "
                         f"of another request: {outcome.signature}")
-            undisturbed = not (self._overlaps(self.down, outcome)
-                               or self._overlaps(self.pauses, outcome)
-                               or self._overlaps(self.ending, outcome))
+            undisturbed = self.disturbance(outcome) == "undisturbed"
             if undisturbed and outcome.reason != "left":
                 overdue += outcome.ended - outcome.begun > outcome.timeout or \
                     outcome.reason == "no answer"
--- a/tests/platform/soak/version_checks.py
+++ b/tests/platform/soak/version_checks.py
@@ -133,6 +133,7 @@
         self._check_regress(effects)
         self._check_added(operator.first)
         self._check_lost(runs, site)
+        self._print_unanswered(runs)
         self._print_delays(effects, site)
 
     def _newest_acked(self, when):
@@ -232,8 +233,7 @@
                     lost.setdefault(outcome.node, []).append(outcome)
             elif any(start <= outcome.ended and (stop is None or
                                                  stop >= outcome.sent)
-                     for start, stop in self.report.ending.get(outcome.node, [])) \
-                    and outcome.ended - outcome.sent < 1.0:
+                     for start, stop in self.report.ending.get(outcome.node, [])):
                 planned.setdefault(outcome.node, []).append(outcome)
         for kind, found, most in (("LOST", lost, MAX_LOST),
                                   ("LOST at SIGTERM", planned, 0)):
@@ -248,6 +248,29 @@
                  else self.report.record_event)(
                      f"{kind}: node {node}, {len(outcomes)} requests: {text}")
 
+    def _print_unanswered(self, runs):
+        """Prints how many requests ended with their connection and no answer, by
+        what happened to the node and by what is known of the request."""
+        counts = {}
+        for outcome in self.report.outcomes:
+            if outcome.status or outcome.reason == "left":
+                continue
+            cause = self.report.disturbance(outcome)
+            if outcome.request_id in runs:
+                state = "run"
+            elif not outcome.sent:
+                state = "not sent"
+            elif "closed after" in outcome.reason:
+                state = "behind an answer that closed the connection"
+            elif "Reset" in outcome.reason:
+                state = "reset before it was read or answered"
+            else:
+                state = "not run: " + outcome.reason.split("(")[0]
+            counts[cause, state] = counts.get((cause, state), 0) + 1
+        print("  unanswered: " + "; ".join(
+            f"{cause}, {state}: {count}"
+            for (cause, state), count in sorted(counts.items())))
+
     def _log_line(self, site, node, request_id):
         for line in (site.folder / f"node-{node}.log").read_text().splitlines():
             if f"id={request_id} " in line:
