Read on behind a refused request that has a body

Cause: a request that is refused by its head, e.g. with 404 for a dropped route, closed the connection if it had a body, as the body was not read. Only refusals for lack of memory read it, and only with a stated length.

Change: bodies of refused requests up to 1 MiB are read and discarded, in chunks too, and the connection goes on; during a drain alike. A discarded body that is malformed or too long ends the connection without a second answer.

Evidence: net_tests 'a body of a refused request that is discarded keeps it' and the random pipelines with such requests failed on.

--- a/include/hyssopford/net/http_reader.hpp
+++ b/include/hyssopford/net/http_reader.hpp
@@ -147,6 +147,8 @@
   Poco::Net::HTTPResponse Response;
   HttpHeadFacts Facts;
   std::string Body;
+  /// Bytes of the current body that were read or discarded.
+  std::uint64_t BodyBytes = 0;
   MemoryCharge Memory;
   bool Overdraft = false;
   bool AwaitsMemory = false;
--- a/include/hyssopford/net/http_server.hpp
+++ b/include/hyssopford/net/http_server.hpp
@@ -62,7 +62,7 @@
 struct HeadDecision {
   /// Answer for a request that is refused before its body is read.
   std::optional<Payload> Refusal;
-  /// Longest body accepted, in bytes.
+  /// Longest body accepted, or of a refused request discarded, in bytes.
   std::uint64_t BodyLimit = 0;
   /// True if the body of a refused request is read and discarded, so that its
   /// sender receives the refusal; otherwise the connection closes.
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -12,6 +12,10 @@
 /// Unsent bytes above which no further pipelined request is read.
 constexpr std::size_t UnsentLimit = 1'048'576;
 
+/// Longest body of a request that is refused during a drain which is read, so
+/// that the requests behind it are answered too.
+constexpr std::uint64_t DiscardedBody = 1'048'576;
+
 /// Removes the body of an answer, for answers of the node itself to HEAD.
 Payload withoutBody(const Payload &Answer) {
   const std::size_t End = Answer.bytes().find("\r\n\r\n");
@@ -147,7 +151,12 @@
     }
     return true;
   case HttpReader::Progress::Failed:
-    refuse(Reader.fault());
+    if (Reader.isDiscarding()) {
+      // The request was answered already.
+      stopReading();
+    } else {
+      refuse(Reader.fault());
+    }
     return false;
   }
   return false;
@@ -161,7 +170,7 @@
   HeadDecision Decision = Server.Draining && !Pipeline.empty()
                               ? HeadDecision{Server.Handler.refusal(HttpFault{
                                                  503, "shutting down"}),
-                                             0}
+                                             DiscardedBody, true}
                               : Server.Handler.onHead(Reader.request(), Facts);
   const bool HasBody =
       Facts.Framing == BodyFraming::Chunked ||
@@ -170,8 +179,8 @@
     // A caller that expects an interim answer may leave out the body.
     const bool Discards = HasBody && Decision.DiscardBody &&
                           !Facts.ExpectContinue &&
-                          Facts.Framing == BodyFraming::Length &&
-                          Facts.ContentLength <= Decision.BodyLimit;
+                          (Facts.Framing == BodyFraming::Chunked ||
+                           Facts.ContentLength <= Decision.BodyLimit);
     appendRefusal(*Decision.Refusal, HasBody && !Discards);
     if (Discards) {
       Reader.limitBody(Decision.BodyLimit);
@@ -244,6 +253,16 @@
   LastRead = !Added.KeepAlive;
 }
 
+void HttpServer::Connection::stopReading() {
+  LastRead = true;
+  if (!Pipeline.empty()) {
+    Pipeline.back().KeepAlive = false;
+  } else if (!Closing) {
+    Closing = true;
+    Stream.closeAfterWrite();
+  }
+}
+
 void HttpServer::Connection::sendAnswers() {
   while (Stream.isOpen() && !Closing && !Pipeline.empty() &&
          Pipeline.front().Answered) {
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -69,6 +69,8 @@
   /// Appends the current request of the reader.
   Exchange &appendExchange();
   void appendRefusal(const Payload &Answer, bool Close);
+  /// Closes the connection after the answers that are due.
+  void stopReading();
   /// Writes the answers that no earlier request holds back.
   void sendAnswers();
   void send(const Exchange &Each, bool Close);
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -65,6 +65,7 @@
   EmptyLines = 0;
   State = Stage::Head;
   Body = std::string();
+  BodyBytes = 0;
   Memory = MemoryCharge();
   Overdraft = false;
   AwaitsMemory = false;
@@ -257,7 +258,7 @@
 
 bool HttpReader::readBodyBytes() {
   const bool Unbounded = State == Stage::UntilClose;
-  if (State == Stage::LengthBody && Body.empty()) {
+  if (State == Stage::LengthBody && BodyBytes == 0) {
     if (!fitsBodyLimit(Remaining)) {
       refuse(413, "body too large");
       return false;
@@ -283,6 +284,7 @@
     Body.append(Buffer, Position, Taken);
   }
   Position += Taken;
+  BodyBytes += Taken;
   if (Unbounded) {
     return false;
   }
@@ -323,7 +325,7 @@
 }
 
 bool HttpReader::fitsBodyLimit(std::uint64_t More) const {
-  return More <= Limits.Body && Body.size() <= Limits.Body - More;
+  return More <= Limits.Body && BodyBytes <= Limits.Body - More;
 }
 
 bool HttpReader::makeRoom(std::size_t More) {
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -16,6 +16,9 @@
 constexpr Duration RefusalRetryAfter = 150ms;
 /// Memory charged for a request besides its body, in bytes.
 constexpr std::size_t RequestOverhead = 4'096;
+/// Longest body of a refused request that is read and discarded, so that its
+/// connection goes on.
+constexpr std::uint64_t DiscardedBody = 1'048'576;
 /// Largest body that reaches another node with its head, in bytes.
 constexpr std::uint64_t LargestBody = PeerPayloadLimit - 1'048'576;
 
@@ -47,6 +50,8 @@
 HeadDecision CallerService::onHead(const Poco::Net::HTTPRequest &Head,
                                    const HttpHeadFacts &Facts) {
   HeadDecision Decision;
+  Decision.DiscardBody = true;
+  Decision.BodyLimit = DiscardedBody;
   const RoutingConfig &Config = Driver.core().config();
   if (Refusing) {
     Decision.Refusal = refuseHead(Head, OutcomeReason::ShuttingDown);
@@ -78,7 +83,6 @@
         MemoryUse::Request);
     if (!Charge) {
       Decision.Refusal = refuseHead(Head, OutcomeReason::NoMemory);
-      Decision.DiscardBody = true;
       return Decision;
     }
     Decision.Memory = std::move(*Charge);
--- a/tests/net/echo_server.hpp
+++ b/tests/net/echo_server.hpp
@@ -19,8 +19,9 @@
                       const HttpHeadFacts & /*Facts*/) override {
     HeadDecision Decision;
     Decision.BodyLimit = 100'000;
-    if (Head.getURI() == "/none") {
+    if (Head.getURI() == "/none" || Head.getURI() == "/discard") {
       Decision.Refusal = makeHttpAnswer(404, "", "none");
+      Decision.DiscardBody = Head.getURI() == "/discard";
     }
     return Decision;
   }
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -85,6 +85,30 @@
     REQUIRE(Client.receiveAll().find("404") != std::string::npos);
     REQUIRE(Test.requests() == 0);
   }
+  SECTION("a body of a refused request that is discarded keeps it") {
+    Client.send("POST /discard HTTP/1.1\r\nHost: a\r\nContent-Length: 30\r\n"
+                "\r\n0123456789");
+    REQUIRE(Client.receiveUntil("none").starts_with("HTTP/1.1 404"));
+    Client.send("01234567890123456789" + get("/x"));
+    REQUIRE(Client.receiveUntil("/x=").starts_with("HTTP/1.1 200"));
+    Client.send("POST /discard HTTP/1.1\r\nHost: a\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n4\r\nab");
+    REQUIRE(Client.receiveUntil("none").starts_with("HTTP/1.1 404"));
+    Client.send("cd\r\n0\r\n\r\n" + get("/y"));
+    REQUIRE(Client.receiveUntil("/y=").starts_with("HTTP/1.1 200"));
+    REQUIRE(Test.requests() == 2);
+  }
+  SECTION("a discarded body that can't be read ends the connection") {
+    const std::string Chunk = "c350\r\n" + std::string(50'000, 'x') + "\r\n";
+    Client.send("POST /discard HTTP/1.1\r\nHost: a\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n" +
+                GENERATE_COPY(Chunk + Chunk + Chunk, std::string("z\r\n")) +
+                get("/x"));
+    const std::string Text = Client.receiveAll();
+    REQUIRE(Text.starts_with("HTTP/1.1 404"));
+    REQUIRE(Text.find("HTTP/1.1", 8) == std::string::npos);
+    REQUIRE(Test.requests() == 0);
+  }
   SECTION("a body above the route's limit is refused before it is read") {
     Client.send("POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 100001\r\n"
                 "Expect: 100-continue\r\n\r\n");
--- a/tests/net/pipelining_test.cpp
+++ b/tests/net/pipelining_test.cpp
@@ -265,6 +265,10 @@
     case 0:
       All += get("/none");
       continue;
+    case 5:
+      All += Below(2) == 0 ? post("/discard", Body)
+                           : postInChunks("/discard", Body);
+      continue;
     case 1:
       All += get(Target, "Connection: close\r\n");
       Closed = true;
--- a/tests/node/node_runtime_test.cpp
+++ b/tests/node/node_runtime_test.cpp
@@ -165,3 +165,23 @@
         .starts_with("HTTP/1.1 503");
   }));
 }
+
+// Guards against requests behind a refused one that were read and never
+// answered, because the connection closed over the body of the refused one.
+TEST_CASE("requests behind a refused one with a body are answered", "[node]") {
+  RoutingConfig Routing = testRouting();
+  Routing.Routes.front().PathPrefix = "/known";
+  TestUpstream Upstream;
+  TestNode Node(testSettings(), Routing);
+  REQUIRE(announce(Node, Upstream.address(), 4));
+  const std::string Body =
+      GENERATE(as<std::string>{}, "Content-Length: 5\r\n\r\n12345",
+               "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n\r\n");
+  RawClient Client(Node.Node.callerAddress());
+  Client.send("POST /unknown HTTP/1.1\r\nHost: a\r\n" + Body +
+              "GET /known/x HTTP/1.1\r\nHost: a\r\n\r\n");
+  const std::string Answers =
+      Client.receiveUntil(TestUpstream::answerTo("/known/x", ""));
+  REQUIRE(Answers.starts_with("HTTP/1.1 404"));
+  REQUIRE(Answers.find("HTTP/1.1 200") != std::string::npos);
+}
--- a/tests/platform/soak/version_checks.py
+++ b/tests/platform/soak/version_checks.py
@@ -267,6 +267,11 @@
             else:
                 state = "not run: " + outcome.reason.split("(")[0]
             counts[cause, state] = counts.get((cause, state), 0) + 1
+            if outcome.sent and cause in ("undisturbed", "terminated"):
+                self.report.record_event(
+                    f"unanswered, {cause}, {state}: node {outcome.node} "
+                    f"{outcome.request_id} sent {outcome.sent - self.begun:.3f}, "
+                    f"ended {outcome.ended - self.begun:.3f} ({outcome.reason})")
         print("  unanswered: " + "; ".join(
             f"{cause}, {state}: {count}"
             for (cause, state), count in sorted(counts.items())))
