Answer requests that cross the last answer of a stopping node

Cause: an answer closed the connection if no request before it was open; what had arrived behind it was not looked at.

Change: a stop closes a connection with an answer only if no further request has begun to arrive, in the reader or in the socket. Such a request is served while the stop is announced and refused once the drain has begun; then the connection closes.

--- a/include/hyssopford/net/tcp_stream.hpp
+++ b/include/hyssopford/net/tcp_stream.hpp
@@ -93,6 +93,9 @@
   /// bytes have arrived, e.g. before reuse from a pool.
   /// @return true if the connection is open and idle
   bool looksIdle();
+
+  /// @return whether bytes have arrived that were not read yet
+  bool hasArrived() const;
   /// @}
 
   /// @name Observers
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -53,8 +53,10 @@
   Found->Answer = Answer;
   Found->Fields = Fields;
   PipelineBytes += Answer.size();
-  sendAnswers();
-  process();
+  if (!Processing) {
+    sendAnswers();
+    process();
+  }
 }
 
 void HttpServer::Connection::drain() {
@@ -62,15 +64,7 @@
     // Otherwise a request that the caller has sent would be cut off.
     Stream.readArrived();
   }
-  if (!Stream.isOpen() || !Pipeline.empty() || Reader.inBody() || Closing) {
-    return;
-  }
-  if (Reader.started()) {
-    refuse(HttpFault{503, "shutting down"});
-    return;
-  }
-  Closing = true;
-  Stream.closeAfterWrite();
+  endIfDrained();
 }
 
 void HttpServer::Connection::recheckBody() {
@@ -85,7 +79,7 @@
   // While the stream lingers, the end of the process would reset it and discard
   // the last answer if the caller sends more.
   return Pipeline.empty() && Stream.pending() == 0 && !Closing &&
-         !Reader.started();
+         !Reader.started() && !Stream.hasArrived();
 }
 
 void HttpServer::Connection::onData(std::string_view Bytes) {
@@ -132,10 +126,24 @@
     }
   } while (mayReadNext() && advanceReader());
   Processing = false;
+  endIfDrained();
   Stream.setReadingPaused(!Closing && !LastRead &&
                           Reader.buffered() > ReadAheadLimit);
 }
 
+void HttpServer::Connection::endIfDrained() {
+  if (!Server.Draining || !Stream.isOpen() || Closing || !Pipeline.empty() ||
+      Reader.inBody() || Stream.hasArrived()) {
+    return;
+  }
+  if (Reader.started()) {
+    refuse(HttpFault{503, "shutting down"});
+    return;
+  }
+  Closing = true;
+  Stream.closeAfterWrite();
+}
+
 bool HttpServer::Connection::advanceReader() {
   switch (Reader.advance()) {
   case HttpReader::Progress::NeedMore:
@@ -218,6 +226,7 @@
   if (!LastRead) {
     startMessage();
   }
+  sendAnswers();
 }
 
 void HttpServer::Connection::startMessage() {
@@ -263,17 +272,19 @@
   }
 }
 
+bool HttpServer::Connection::mayCloseNow() const {
+  return (Server.Draining || Server.KeepAliveDisabled) && Pipeline.empty() &&
+         !Reader.started() && !Stream.hasArrived();
+}
+
 void HttpServer::Connection::sendAnswers() {
   while (Stream.isOpen() && !Closing && !Pipeline.empty() &&
          Pipeline.front().Answered) {
     const Exchange Next = std::move(Pipeline.front());
     Pipeline.pop_front();
     PipelineBytes -= Next.BodySize + Next.Answer.size();
-    const bool IsLast = Pipeline.empty();
-    const bool Close =
-        !Next.KeepAlive ||
-        (IsLast && (Server.Draining || Server.KeepAliveDisabled));
-    if (IsLast) {
+    const bool Close = !Next.KeepAlive || mayCloseNow();
+    if (Pipeline.empty()) {
       Started = EventLoop::now();
       LastProgress = Started;
     }
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -62,6 +62,9 @@
   void onWritesFlushed() override;
 
   void process();
+  /// During a drain, closes the connection if it is idle and refuses a request
+  /// whose head is incomplete.
+  void endIfDrained();
   bool advanceReader();
   void handleHead();
   void handleRequest();
@@ -71,6 +74,9 @@
   void appendRefusal(const Payload &Answer, bool Close);
   /// Closes the connection after the answers that are due.
   void stopReading();
+  /// Whether a drain may close the connection after an answer: no other request
+  /// has begun to arrive, which would end without an answer.
+  bool mayCloseNow() const;
   /// Writes the answers that no earlier request holds back.
   void sendAnswers();
   void send(const Exchange &Each, bool Close);
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -133,6 +133,13 @@
   return Received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool TcpStream::hasArrived() const {
+  char Byte = 0;
+  return Open && !Connecting &&
+         ::recv(Socket.impl()->sockfd(), &Byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0; // NOLINT
+}
+
 std::string TcpStream::peerAddress() const {
   try {
     return Socket.peerAddress().toString();
--- a/tests/net/pipelining_test.cpp
+++ b/tests/net/pipelining_test.cpp
@@ -242,6 +242,42 @@
   }
 }
 
+// Guards against a request that arrives while the last answer of a connection
+// is sent, and that is read and dropped.
+TEST_CASE("a stop answers a request that crosses the last answer",
+          "[http][shutdown]") {
+  const bool Drains = GENERATE(false, true);
+  const bool IsComplete = GENERATE(false, true);
+  HoldingServer Test;
+  RawClient Client(Test.address());
+  Client.send(get("/a"));
+  REQUIRE(Test.waitForRequests(1));
+  const std::string Crossing = post("/b", "body");
+  Test.Thread.call([&] {
+    if (Drains) {
+      Test.Server->drain();
+    } else {
+      Test.Server->disableKeepAlive();
+    }
+    // The loop is busy here, so it does not read.
+    Client.send(IsComplete ? Crossing
+                           : Crossing.substr(0, Crossing.size() - 2));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    Test.Server->reply(Test.Handler.Held.at(0).first,
+                       makeHttpAnswer(200, "", "/a="));
+    return 0;
+  });
+  if (!IsComplete) {
+    Client.send("dy");
+  }
+  REQUIRE(Test.waitForRequests(2));
+  Test.answer(1);
+  const std::string Text = Client.receiveAll();
+  CHECK(targets(Text) == std::vector<std::string>{"/a", "/b"});
+  CHECK(Text.find("Connection: close") > Text.find("/a="));
+  CHECK(Text.find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("random pipelines agree with a model of the connection",
           "[http][pipelining]") {
   const unsigned Seed = GENERATE(range(1U, 21U));
