Keep the callers' port open while a stopping node's upstream uses it

What callers saw: a request that an instance runs when its node starts to drain fails with the instance's 500 if the instance then calls another service: on the platform it calls through the callers' port, which closed at once, so the call was refused a connection.

Cause: the rule that the upstream's port closes after its last request held for the local port only.

Change: where the upstream uses the callers' port, that port closes once the upstream runs no request. Calls through it start only if they end in time, as all work in a shutdown.

Evidence: the new test of node_tests [shutdown]; before, connecting failed.

--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -210,6 +210,7 @@
   /// Refuses requests whose body arrives too late, again and again.
   void recheckBodies();
   void closePorts();
+  void closeCallersPort();
   void checkShutdown();
   void applyConfig();
   bool isReady() const;
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -240,7 +240,8 @@
 
 bool IngressSystem::fitsShutdown(const RequestRow &Row, const ServicePool *Pool,
                                  TimePoint Now) const {
-  return Now <= Shutdown.latestStart(Row.FullDeadline,
+  return !Shutdown.isSet() ||
+         Now <= Shutdown.latestStart(Row.FullDeadline,
                                      expectedLatency(Pool, Row.Route),
                                      Row.Idempotent, Now);
 }
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -270,6 +270,9 @@
 
 TimePoint OwnerSystem::latestStart(const Dispatch &Attempt, TimePoint Deadline,
                                    TimePoint Now) const {
+  if (!Shutdown.isSet()) {
+    return TimePoint::max();
+  }
   const auto Found = RouteTimes.find(Attempt.Route);
   const Duration Expected(
       Found == RouteTimes.end() ? 0 : static_cast<std::int64_t>(Found->second));
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -488,16 +488,23 @@
 
 void NodeRuntime::closePorts() {
   Driver->submit(ShutdownRequested{});
+  if (Settings.UpstreamIp.empty()) {
+    closeCallersPort();
+  }
+  checkShutdown();
+}
+
+void NodeRuntime::closeCallersPort() {
   CallerRequests->refuseNewRequests();
   Callers->drain();
-  checkShutdown();
 }
 
 void NodeRuntime::checkShutdown() {
   const NodeCore &Core = Driver->core();
-  // Requests still running on the upstream may call other services through the
-  // local port, so that port closes after them.
+  // Requests still running on the upstream may call other services, so the port
+  // that it uses closes after them.
   if (Core.owner().inFlight() == 0) {
+    closeCallersPort();
     LocalRequests->refuseNewRequests();
     Local->drain();
   }
--- a/tests/node/shutdown_test.cpp
+++ b/tests/node/shutdown_test.cpp
@@ -170,3 +170,35 @@
   }
   REQUIRE(EventLoop::now() - Start < 1'500ms);
 }
+
+// Guards against a request that fails because a call that its upstream makes
+// finds the port closed.
+TEST_CASE("an upstream that uses the callers' port can call until it has ended "
+          "its requests",
+          "[node][shutdown]") {
+  TwoNodes Site(300, [](std::vector<std::string> Seeds) {
+    NodeRuntimeSettings Settings = testSettings(std::move(Seeds));
+    Settings.UpstreamIp = "127.0.0.1";
+    return Settings;
+  });
+  // Serves the call while the owner does not take it any more.
+  TestUpstream Other;
+  REQUIRE(announce(Site.Ingress, Other.address(), 300));
+  const std::string Address = Site.Owner.Node.callerAddress();
+  REQUIRE(eventually([&] {
+    exchange(Address, "GET", "/x");
+    return Other.Runs > 0;
+  }));
+  Site.Upstream.Runs = 0;
+  std::vector<std::unique_ptr<RawClient>> Clients;
+  REQUIRE(eventually([&] {
+    Clients.push_back(std::make_unique<RawClient>(Address));
+    Clients.back()->send(slowRequest(600));
+    return Site.Upstream.Runs > 0;
+  }));
+  Site.Owner.Node.requestShutdown();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  REQUIRE(exchange(Address, "GET", "/nested").starts_with("HTTP/1.1 200"));
+  REQUIRE(Site.Owner.stop());
+  REQUIRE_THROWS_AS(RawClient(Address), Poco::Exception);
+}
