Wait until the holders of the memory test have reserved it

Cause: the test. Its log has one refusal, of /hold: the request of the third caller was read before the head of the second holder, so it was served, and the test waited for a refusal that could not come. Connections have no order.

The holders now wait for 100 Continue, which follows the reservation, before the third caller sends. The checks are unchanged.

--- a/tests/node/memory_test.cpp
+++ b/tests/node/memory_test.cpp
@@ -173,8 +173,12 @@
     Holders.push_back(std::make_unique<RawClient>(Address));
     Holders.back()->send(
         fmt::format("POST /hold HTTP/1.1\r\nHost: a\r\nContent-Length: {}"
-                    "\r\n\r\nx",
+                    "\r\nExpect: 100-continue\r\n\r\n",
                     LargeBody));
+    // The interim answer follows the reservation.
+    REQUIRE(Holders.back()
+                ->receiveUntil("100 Continue")
+                .starts_with("HTTP/1.1 100"));
   }
   RawClient Client(Address);
   const std::string Request =
