--- a/tests/platform/soak/operator_day.py
+++ b/tests/platform/soak/operator_day.py
@@ -187,8 +187,7 @@
                                self.reload_node]
 
     async def store_period(self):
-        """The store is silent, busy, limited, slow or resets connections; the
-        operator's next change comes right after it."""
+        """The store is silent, busy, limited, slow or resets connections."""
         if not self._reserve(("store",)):
             return
         kind = self.rng.choice(("silent", "silent", "busy", "limited", "slow",
@@ -201,17 +200,11 @@
         self.site.store.send_command(kind)
         await asyncio.sleep(duration)
         self.site.store.send_command("none")
-        window.end = time.monotonic()
-        await asyncio.sleep(self.rng.choice((0.0, 0.05, 0.5)))
-        self._change_now()
-        self.operator.store_serves.set()
-        # A later fault must not hide how the nodes come back.
-        await asyncio.sleep(self.rng.choice((0.0, 6.0)))
-        self._release(("store",))
+        await self._serve_again(window)
 
     async def freeze_store(self):
         """The process of the store is stopped; connections and calls wait in the
-        kernel. The operator's next change comes right after it."""
+        kernel."""
         if not self._reserve(("store",)):
             return
         duration = self.rng.uniform(1.0, 6.0)
@@ -221,10 +214,16 @@
         self.site.store.send(signal.SIGSTOP)
         await asyncio.sleep(duration)
         self.site.store.send(signal.SIGCONT)
+        await self._serve_again(window)
+
+    async def _serve_again(self, window):
+        """Lets the operator write again after a disturbance of the store, first a
+        change at once or soon."""
         window.end = time.monotonic()
         await asyncio.sleep(self.rng.choice((0.0, 0.05, 0.5)))
         self._change_now()
         self.operator.store_serves.set()
+        # A later fault must not hide how the nodes come back.
         await asyncio.sleep(self.rng.choice((0.0, 6.0)))
         self._release(("store",))
 
