--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -83,7 +83,7 @@
   void drain() { Draining = true; }
 
   /// @brief Announces the end of the node. From now on only attempts that end
-  /// in time are admitted, and queued ones that don't are refused. Those that
+  /// in time are admitted, and queued ones that do not are refused. Those that
   /// are left shortly before @p AnswerBy end then.
   void limitWork(TimePoint AnswerBy, TimePoint Now, Actions &Out);
 
--- a/include/hyssopford/net/http_server.hpp
+++ b/include/hyssopford/net/http_server.hpp
@@ -140,7 +140,7 @@
   void disableKeepAlive() { KeepAliveDisabled = true; }
 
   /// @brief Refuses the requests whose body is still arriving and that the
-  /// handler can't serve any more.
+  /// handler cannot serve any more.
   void recheckBodies();
 
   /// @brief Accepts the connections in the backlog, stops listening, closes
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -35,7 +35,7 @@
   /// answered; one that is being received is completed if none is before it.
   void drain();
 
-  /// @brief Refuses the request whose body is arriving if the handler can't
+  /// @brief Refuses the request whose body is arriving if the handler cannot
   /// serve it any more.
   void recheckBody();
 
--- a/tests/core/shutdown_limit_test.cpp
+++ b/tests/core/shutdown_limit_test.cpp
@@ -187,7 +187,7 @@
     Test.admit(3, 100ms, 400ms, "other");
     REQUIRE(all<ForwardToUpstream>(Test.Out).size() == 1);
   }
-  SECTION("a queued attempt that can't start in time is refused") {
+  SECTION("a queued attempt that cannot start in time is refused") {
     Test.admit(2, 10ms);
     Test.admit(3, 10ms, 1s);
     SECTION("at once") {
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -98,7 +98,7 @@
     REQUIRE(Client.receiveUntil("/y=").starts_with("HTTP/1.1 200"));
     REQUIRE(Test.requests() == 2);
   }
-  SECTION("a discarded body that can't be read ends the connection") {
+  SECTION("a discarded body that cannot be read ends the connection") {
     const std::string Chunk = "c350\r\n" + std::string(50'000, 'x') + "\r\n";
     Client.send("POST /discard HTTP/1.1\r\nHost: a\r\n"
                 "Transfer-Encoding: chunked\r\n\r\n" +
--- a/tests/platform/soak/report.py
+++ b/tests/platform/soak/report.py
@@ -81,10 +81,10 @@
         """Returns what happened to the node during a request."""
         if self._overlaps(self.down, outcome):
             return "killed"
-        if self._overlaps(self.ending, outcome):
-            return "terminated"
         if self._overlaps(self.pauses, outcome):
             return "paused"
+        if self._overlaps(self.ending, outcome):
+            return "terminated"
         return "undisturbed"
 
     def check_promises(self, run_counts):
