Decide deadline, idempotency and the limit of a shutdown in one place each

The time that a request has and whether it may run again were computed in ingress, keys and the operators' views; the owner limited the times of an attempt in two places and computed the latest start twice for each admission, and emptied its queue in two loops.

Change: timeLimit() and isIdempotent() beside findRoute(); limitTimes() and refuseQueued() in the owner; the expected wait of an admission is computed once. ShutdownLimit needs no case for 'not set', as its times are then later than any deadline; Step is named for what it is, ReplyMargin.

--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -118,11 +118,17 @@
   /// @}
 
 private:
+  /// @param LatestStart until when the attempt may start and still end before
+  /// the node does
   std::optional<OutcomeReason> refusalReason(const Dispatch &Attempt,
+                                             TimePoint LatestStart,
                                              TimePoint Now) const;
-  /// Until when an attempt may start and still end before the node does.
-  TimePoint latestStart(const Dispatch &Attempt, TimePoint Deadline,
-                        TimePoint Now) const;
+  /// Limits the times of an attempt to the end of the node, if it shuts down.
+  /// @return until when the attempt may start and still end before the node
+  /// does
+  TimePoint limitTimes(AdmittedAttempt &Row, TimePoint Now) const;
+  /// Ends all queued attempts as not-run.
+  void refuseQueued(OutcomeReason Reason, TimePoint Now, Actions &Out);
   /// Ends all attempts shortly before the end of the node.
   void endAll(TimePoint Now, Actions &Out);
   /// Cancels all running attempts; they end as unknown.
--- a/include/hyssopford/core/routing_config.hpp
+++ b/include/hyssopford/core/routing_config.hpp
@@ -133,4 +133,16 @@
 /// @return true for GET, HEAD, OPTIONS, TRACE, PUT and DELETE
 bool isIdempotentMethod(std::string_view Method);
 
+/// @brief Decides whether a request may run again, by its route or its method.
+/// @param Matched the route
+/// @param Method the request's method
+/// @return true if the request may run more than once
+bool isIdempotent(const Route &Matched, std::string_view Method);
+
+/// @brief Gives the time that a request has.
+/// @param Matched the route, whose deadline is the upper bound
+/// @param Stated remaining time stated by the caller, if any
+/// @return the time from the arrival of the request
+Duration timeLimit(const Route &Matched, std::optional<Duration> Stated);
+
 } // namespace hyssopford
--- a/include/hyssopford/core/shutdown_limit.hpp
+++ b/include/hyssopford/core/shutdown_limit.hpp
@@ -12,7 +12,7 @@
 class ShutdownLimit {
 public:
   /// Time in which the end of an attempt reaches the request that waits for it.
-  static constexpr Duration Step = 75ms;
+  static constexpr Duration ReplyMargin = 75ms;
   /// Multiples of the expected time that must be left to an attempt.
   static constexpr int IdempotentMargin = 2;
   /// The same for requests that must not be repeated: for these a refusal is
@@ -33,15 +33,11 @@
   TimePoint requestEnd() const { return RequestEnd; }
 
   /// @return when attempts that are queued or running at this node end
-  TimePoint attemptEnd() const {
-    return isSet() ? RequestEnd - Step : RequestEnd;
-  }
+  TimePoint attemptEnd() const { return RequestEnd - ReplyMargin; }
 
   /// @return the latest deadline of an attempt, so that an upstream that gives
   /// up at its deadline can still say so
-  TimePoint latestDeadline() const {
-    return isSet() ? attemptEnd() - Step : RequestEnd;
-  }
+  TimePoint latestDeadline() const { return attemptEnd() - ReplyMargin; }
 
   /// @brief Gives the time until which an attempt may start and still end
   /// before the node does: at its deadline, or because its expected time leaves
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -24,12 +24,6 @@
 /// Status of an upstream that timed out; a retry would time out as well.
 constexpr std::uint16_t GatewayTimeout = 504;
 
-/// Deadline of a request that arrives now.
-TimePoint deadlineOf(const Route &Matched, std::optional<Duration> Stated,
-                     TimePoint Now) {
-  return Now + std::min(Stated.value_or(Matched.Deadline), Matched.Deadline);
-}
-
 /// Expected time until an answer; 0 if it is not known.
 Duration expectedLatency(const ServicePool *Pool, const std::string &Route) {
   return Pool == nullptr ? Duration{0} : Pool->routeLatency(Route);
@@ -67,10 +61,9 @@
   Row.Span =
       hashPair(hashPair(Self.Node.Value, Self.Run.Value), Request.Id.Value);
   Row.Started = Now;
-  Row.FullDeadline = deadlineOf(Matched, Request.Deadline, Now);
+  Row.FullDeadline = Now + timeLimit(Matched, Request.Deadline);
   Row.Deadline = std::min(Row.FullDeadline, Shutdown.requestEnd());
-  Row.Idempotent =
-      Matched.Idempotent.value_or(isIdempotentMethod(Request.Method));
+  Row.Idempotent = isIdempotent(Matched, Request.Method);
   if (Matched.TargetLatency > Duration{0}) {
     // A caller that states less time than the route allows has spent the rest
     // on earlier tries.
@@ -223,11 +216,10 @@
 bool IngressSystem::mayStart(const Route &Matched, const std::string &Method,
                              std::optional<Duration> Stated,
                              TimePoint Now) const {
-  const bool Idempotent =
-      Matched.Idempotent.value_or(isIdempotentMethod(Method));
+  const bool Idempotent = isIdempotent(Matched, Method);
   const auto Fits = [&](const std::string &Service) {
     return Now <= Shutdown.latestStart(
-                      deadlineOf(Matched, Stated, Now),
+                      Now + timeLimit(Matched, Stated),
                       expectedLatency(Table.findPool(Service), Matched.Name),
                       Idempotent, Now);
   };
--- a/src/core/key_system.cpp
+++ b/src/core/key_system.cpp
@@ -34,8 +34,7 @@
 
 bool KeySystem::beginClaim(const CallerRequest &Request, const Route &Matched,
                            TimePoint Now, Actions &Out) {
-  if (Request.Key.empty() ||
-      Matched.Idempotent.value_or(isIdempotentMethod(Request.Method))) {
+  if (Request.Key.empty() || isIdempotent(Matched, Request.Method)) {
     return false;
   }
   RequestRow Row;
@@ -43,9 +42,7 @@
   Row.Matched = Matched;
   Row.Hash = requestHash(Request);
   Row.Deadline =
-      std::min(Now + std::min(Request.Deadline.value_or(Matched.Deadline),
-                              Matched.Deadline),
-               LatestDeadline);
+      std::min(Now + timeLimit(Matched, Request.Deadline), LatestDeadline);
   RequestRow &Stored =
       Requests.insert_or_assign(Request.Id, std::move(Row)).first->second;
   if (Request.Key.size() > MaxKeyLength || Deliveries.size() >= MaxDeliveries) {
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -96,12 +96,10 @@
   AdmittedAttempt Row{From, Attempt,
                       Now,  Now + Attempt.Remaining,
                       Now,  startDeadline(Attempt, Now)};
-  Row.StartDeadline =
-      std::min(Row.StartDeadline, latestStart(Attempt, Row.Deadline, Now));
-  Row.Deadline = std::min(Row.Deadline, Shutdown.latestDeadline());
-  const std::optional<OutcomeReason> Reason = Refusal == OutcomeReason::None
-                                                  ? refusalReason(Attempt, Now)
-                                                  : std::optional(Refusal);
+  const TimePoint LatestStart = limitTimes(Row, Now);
+  const std::optional<OutcomeReason> Reason =
+      Refusal == OutcomeReason::None ? refusalReason(Attempt, LatestStart, Now)
+                                     : std::optional(Refusal);
   if (Reason) {
     endQueued(Row, *Reason, Now, Out);
     return;
@@ -228,14 +226,19 @@
   RouteTimes.clear();
   Tracker.reset();
   NextSpeedProbe.reset();
-  while (const std::optional<AdmittedAttempt> Row = Queue.pop()) {
-    endQueued(*Row, OutcomeReason::NoUpstream, Now, Out);
-  }
+  refuseQueued(OutcomeReason::NoUpstream, Now, Out);
   if (Gone.Crashed) {
     abortRunning(OutcomeReason::UpstreamClosed, Now, Out);
   }
 }
 
+void OwnerSystem::refuseQueued(OutcomeReason Reason, TimePoint Now,
+                               Actions &Out) {
+  while (const std::optional<AdmittedAttempt> Row = Queue.pop()) {
+    endQueued(*Row, Reason, Now, Out);
+  }
+}
+
 void OwnerSystem::abortRunning(OutcomeReason Reason, TimePoint Now,
                                Actions &Out) {
   std::vector<AttemptId> Aborted;
@@ -254,35 +257,33 @@
   Shutdown.set(AnswerBy);
   std::vector<AdmittedAttempt> Kept;
   while (std::optional<AdmittedAttempt> Row = Queue.pop()) {
-    const TimePoint Latest = latestStart(Row->Attempt, Row->Deadline, Now);
-    if (Latest < Now) {
+    if (limitTimes(*Row, Now) < Now) {
       endQueued(*Row, OutcomeReason::DeadlineTooClose, Now, Out);
-      continue;
+    } else {
+      Kept.push_back(std::move(*Row));
     }
-    Row->Deadline = std::min(Row->Deadline, Shutdown.latestDeadline());
-    Row->StartDeadline = std::min(Row->StartDeadline, Latest);
-    Kept.push_back(std::move(*Row));
   }
   for (AdmittedAttempt &Row : Kept) {
     Queue.push(std::move(Row));
   }
 }
 
-TimePoint OwnerSystem::latestStart(const Dispatch &Attempt, TimePoint Deadline,
-                                   TimePoint Now) const {
+TimePoint OwnerSystem::limitTimes(AdmittedAttempt &Row, TimePoint Now) const {
   if (!Shutdown.isSet()) {
     return TimePoint::max();
   }
-  const auto Found = RouteTimes.find(Attempt.Route);
+  const auto Found = RouteTimes.find(Row.Attempt.Route);
   const Duration Expected(
       Found == RouteTimes.end() ? 0 : static_cast<std::int64_t>(Found->second));
-  return Shutdown.latestStart(Deadline, Expected, Attempt.Idempotent, Now);
+  const TimePoint Latest =
+      Shutdown.latestStart(Row.Deadline, Expected, Row.Attempt.Idempotent, Now);
+  Row.StartDeadline = std::min(Row.StartDeadline, Latest);
+  Row.Deadline = std::min(Row.Deadline, Shutdown.latestDeadline());
+  return Latest;
 }
 
 void OwnerSystem::endAll(TimePoint Now, Actions &Out) {
-  while (const std::optional<AdmittedAttempt> Row = Queue.pop()) {
-    endQueued(*Row, OutcomeReason::ShuttingDown, Now, Out);
-  }
+  refuseQueued(OutcomeReason::ShuttingDown, Now, Out);
   Interrupted += Running.size();
   abortRunning(OutcomeReason::ShuttingDown, Now, Out);
 }
@@ -350,6 +351,7 @@
 }
 
 std::optional<OutcomeReason> OwnerSystem::refusalReason(const Dispatch &Attempt,
+                                                        TimePoint LatestStart,
                                                         TimePoint Now) const {
   if (Draining || Upstream.State == UpstreamState::Draining) {
     return OutcomeReason::Draining;
@@ -360,8 +362,8 @@
   if (Attempt.Remaining <= Duration{0}) {
     return OutcomeReason::DeadlineExceeded;
   }
-  if (Now + expectedWait(Attempt.Class) >
-      latestStart(Attempt, Now + Attempt.Remaining, Now)) {
+  const Duration Wait = expectedWait(Attempt.Class);
+  if (Now + Wait > LatestStart) {
     return OutcomeReason::DeadlineTooClose;
   }
   if (Running.empty()) {
@@ -369,7 +371,6 @@
     // service time that was measured too long.
     return std::nullopt;
   }
-  const Duration Wait = expectedWait(Attempt.Class);
   const Duration Service(static_cast<std::int64_t>(
       Tracker.slownessPercent() != 0 ? routeServiceTime(Attempt.Route)
                                      : expectedServiceTime()));
--- a/src/core/routing_config.cpp
+++ b/src/core/routing_config.cpp
@@ -52,4 +52,12 @@
          Idempotent.end();
 }
 
+bool isIdempotent(const Route &Matched, std::string_view Method) {
+  return Matched.Idempotent.value_or(isIdempotentMethod(Method));
+}
+
+Duration timeLimit(const Route &Matched, std::optional<Duration> Stated) {
+  return std::min(Stated.value_or(Matched.Deadline), Matched.Deadline);
+}
+
 } // namespace hyssopford
--- a/src/node/operator_views.cpp
+++ b/src/node/operator_views.cpp
@@ -246,8 +246,7 @@
   if (Matched != nullptr) {
     Result["route"] = Matched->Name;
     Result["service"] = Matched->Service;
-    Result["idempotent"] =
-        Matched->Idempotent.value_or(isIdempotentMethod(Method));
+    Result["idempotent"] = isIdempotent(*Matched, Method);
     Result["priority"] = Matched->Class == Priority::High ? "high" : "normal";
     Result["deadline_ms"] = Matched->Deadline / 1ms;
   }
--- a/tests/core/shutdown_limit_test.cpp
+++ b/tests/core/shutdown_limit_test.cpp
@@ -16,7 +16,7 @@
 /// When the last request must be answered.
 constexpr Duration AnswerBy = 800ms;
 /// Latest deadline of an attempt.
-constexpr Duration LatestDeadline = AnswerBy - 2 * ShutdownLimit::Step;
+constexpr Duration LatestDeadline = AnswerBy - 2 * ShutdownLimit::ReplyMargin;
 
 /// An ingress that knows the latency of its route: some 10 to 30 ms.
 struct MeasuredIngress : LinkedIngress {
@@ -143,7 +143,7 @@
   MeasuredIngress Test;
   Test.start(callerRequest(1, GENERATE("GET", "POST")), 100ms);
   const TimePoint HedgeAt = *Test.Ingress.nextWakeup();
-  Test.Ingress.limitWork(HedgeAt + 2 * ShutdownLimit::Step + 1ms);
+  Test.Ingress.limitWork(HedgeAt + 2 * ShutdownLimit::ReplyMargin + 1ms);
   Test.Out.clear();
   Test.Ingress.tick(HedgeAt, Test.Out);
   REQUIRE(Test.Out.empty());
@@ -205,7 +205,7 @@
   SECTION("a running attempt is cancelled and reported as unknown in time") {
     Test.admit(2, 10ms);
     Test.Owner.limitWork(at(AnswerBy), at(20ms), Test.Out);
-    const TimePoint End = at(AnswerBy - ShutdownLimit::Step);
+    const TimePoint End = at(AnswerBy - ShutdownLimit::ReplyMargin);
     REQUIRE(*Test.Owner.nextWakeup() == End);
     Test.Out.clear();
     Test.Owner.tick(End, Test.Out);
