--- a/include/hyssopford/net/http_server.hpp
+++ b/include/hyssopford/net/http_server.hpp
@@ -60,6 +60,9 @@
 
 /// @brief Decision on a request after its head was read.
 struct HeadDecision {
+  /// Usual limit of the body of a refused request that is discarded, in bytes.
+  static constexpr std::uint64_t DiscardLimit = 1'048'576;
+
   /// Answer for a request that is refused before its body is read.
   std::optional<Payload> Refusal;
   /// Longest body accepted, or of a refused request discarded, in bytes.
--- a/include/hyssopford/net/tcp_stream.hpp
+++ b/include/hyssopford/net/tcp_stream.hpp
@@ -122,6 +122,8 @@
   void updateModes();
   void fail(std::string_view Reason, bool Orderly = false);
   void shutdownWrite();
+  /// Reads one byte without consuming it; returns as recv(2).
+  int peek() const;
 
   EventLoop &Loop;
   TcpStreamHandler &Handler;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -12,10 +12,6 @@
 /// Unsent bytes above which no further pipelined request is read.
 constexpr std::size_t UnsentLimit = 1'048'576;
 
-/// Longest body of a request that is refused during a drain which is read, so
-/// that the requests behind it are answered too.
-constexpr std::uint64_t DiscardedBody = 1'048'576;
-
 /// Removes the body of an answer, for answers of the node itself to HEAD.
 Payload withoutBody(const Payload &Answer) {
   const std::size_t End = Answer.bytes().find("\r\n\r\n");
@@ -78,8 +74,7 @@
 bool HttpServer::Connection::isIdle() const {
   // While the stream lingers, the end of the process would reset it and discard
   // the last answer if the caller sends more.
-  return Pipeline.empty() && Stream.pending() == 0 && !Closing &&
-         !Reader.started() && !Stream.hasArrived();
+  return Stream.pending() == 0 && !Closing && hasNoRequest();
 }
 
 void HttpServer::Connection::onData(std::string_view Bytes) {
@@ -140,6 +135,10 @@
     refuse(HttpFault{503, "shutting down"});
     return;
   }
+  close();
+}
+
+void HttpServer::Connection::close() {
   Closing = true;
   Stream.closeAfterWrite();
 }
@@ -178,7 +177,7 @@
   HeadDecision Decision = Server.Draining && !Pipeline.empty()
                               ? HeadDecision{Server.Handler.refusal(HttpFault{
                                                  503, "shutting down"}),
-                                             DiscardedBody, true}
+                                             HeadDecision::DiscardLimit, true}
                               : Server.Handler.onHead(Reader.request(), Facts);
   const bool HasBody =
       Facts.Framing == BodyFraming::Chunked ||
@@ -267,14 +266,16 @@
   if (!Pipeline.empty()) {
     Pipeline.back().KeepAlive = false;
   } else if (!Closing) {
-    Closing = true;
-    Stream.closeAfterWrite();
+    close();
   }
 }
 
+bool HttpServer::Connection::hasNoRequest() const {
+  return Pipeline.empty() && !Reader.started() && !Stream.hasArrived();
+}
+
 bool HttpServer::Connection::mayCloseNow() const {
-  return (Server.Draining || Server.KeepAliveDisabled) && Pipeline.empty() &&
-         !Reader.started() && !Stream.hasArrived();
+  return (Server.Draining || Server.KeepAliveDisabled) && hasNoRequest();
 }
 
 void HttpServer::Connection::sendAnswers() {
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -72,8 +72,12 @@
   /// Appends the current request of the reader.
   Exchange &appendExchange();
   void appendRefusal(const Payload &Answer, bool Close);
+  /// Closes the connection once what was written has been sent.
+  void close();
   /// Closes the connection after the answers that are due.
   void stopReading();
+  /// Whether no request is open, is being read or has arrived.
+  bool hasNoRequest() const;
   /// Whether a drain may close the connection after an answer: no other request
   /// has begun to arrive, which would end without an answer.
   bool mayCloseNow() const;
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -127,17 +127,15 @@
   if (!Open || Connecting || !Queue.empty()) {
     return false;
   }
-  char Byte = 0;
-  const auto Received = ::recv(Socket.impl()->sockfd(), &Byte, 1,
-                               MSG_PEEK | MSG_DONTWAIT); // NOLINT
-  return Received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return peek() < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-bool TcpStream::hasArrived() const {
+bool TcpStream::hasArrived() const { return Open && !Connecting && peek() > 0; }
+
+int TcpStream::peek() const {
   char Byte = 0;
-  return Open && !Connecting &&
-         ::recv(Socket.impl()->sockfd(), &Byte, 1,
-                MSG_PEEK | MSG_DONTWAIT) > 0; // NOLINT
+  return static_cast<int>(::recv(Socket.impl()->sockfd(), &Byte, 1,
+                                 MSG_PEEK | MSG_DONTWAIT)); // NOLINT
 }
 
 std::string TcpStream::peerAddress() const {
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -16,9 +16,6 @@
 constexpr Duration RefusalRetryAfter = 150ms;
 /// Memory charged for a request besides its body, in bytes.
 constexpr std::size_t RequestOverhead = 4'096;
-/// Longest body of a refused request that is read and discarded, so that its
-/// connection goes on.
-constexpr std::uint64_t DiscardedBody = 1'048'576;
 /// Largest body that reaches another node with its head, in bytes.
 constexpr std::uint64_t LargestBody = PeerPayloadLimit - 1'048'576;
 
@@ -51,7 +48,7 @@
                                    const HttpHeadFacts &Facts) {
   HeadDecision Decision;
   Decision.DiscardBody = true;
-  Decision.BodyLimit = DiscardedBody;
+  Decision.BodyLimit = HeadDecision::DiscardLimit;
   const RoutingConfig &Config = Driver.core().config();
   if (Refusing) {
     Decision.Refusal = refuseHead(Head, OutcomeReason::ShuttingDown);
--- a/tests/platform/soak/client.py
+++ b/tests/platform/soak/client.py
@@ -25,8 +25,6 @@
     sent: float = 0.0
     # Whether its connection had carried an answer before.
     kept: bool = False
-    # When the last byte of a body that is sent slowly was written.
-    completed: float = 0.0
 
 
 class Connection:
@@ -49,16 +47,9 @@
         connection after that many seconds without an answer."""
         outcome = Outcome(request_id, node, method == "POST", time.monotonic(),
                           0.0, timeout)
-        try:
-            await asyncio.wait_for(self._exchange(outcome, method, path, body),
-                                   leave_after or timeout + 2.0)
-        except asyncio.TimeoutError:
-            outcome.reason = "left" if leave_after else "no answer"
-        except (OSError, asyncio.IncompleteReadError, ValueError) as fault:
-            outcome.reason = outcome.reason or f"connection ended: {fault!r}"
-        outcome.ended = time.monotonic()
-        if outcome.reason:
-            self.disconnect()
+        await self._record(outcome, self._exchange(outcome, method, path, body),
+                           leave_after or timeout + 2.0,
+                           "left" if leave_after else "no answer")
         return outcome
 
     async def slow_request(self, node, path, request_id, body, timeout,
@@ -78,19 +69,25 @@
             await asyncio.wait([answer], timeout=body_s)
             if not answer.done():
                 self.writer.write(body[len(body) // 2:])
-                outcome.completed = time.monotonic()
             await answer
 
+        await self._record(outcome, exchange(), body_s + timeout + 2.0, "no answer")
+        outcome.timeout += body_s
+        self.disconnect()
+        return outcome
+
+    async def _record(self, outcome, exchange, limit, late):
+        """Awaits an exchange and records how it ended; late is the reason if it
+        takes longer than limit seconds."""
         try:
-            await asyncio.wait_for(exchange(), body_s + timeout + 2.0)
+            await asyncio.wait_for(exchange, limit)
         except asyncio.TimeoutError:
-            outcome.reason = "no answer"
+            outcome.reason = late
         except (OSError, asyncio.IncompleteReadError, ValueError) as fault:
             outcome.reason = outcome.reason or f"connection ended: {fault!r}"
         outcome.ended = time.monotonic()
-        outcome.timeout += body_s
-        self.disconnect()
-        return outcome
+        if outcome.reason:
+            self.disconnect()
 
     async def pipeline(self, node, requests, timeout):
         """Sends rows of method, path, identifier, body and whether the body is
