--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -5,8 +5,6 @@
 #include "smoothing.hpp"
 
 #include <algorithm>
-#include <fmt/format.h>
-#include <iterator>
 #include <utility>
 
 namespace hyssopford {
@@ -24,11 +22,6 @@
 /// Status of an upstream that timed out; a retry would time out as well.
 constexpr std::uint16_t GatewayTimeout = 504;
 
-/// Expected time until an answer; 0 if it is not known.
-Duration expectedLatency(const ServicePool *Pool, const std::string &Route) {
-  return Pool == nullptr ? Duration{0} : Pool->routeLatency(Route);
-}
-
 /// Whether the owner refuses all further attempts of the service in this run.
 bool closesCandidate(OutcomeReason Reason) {
   return Reason == OutcomeReason::Draining ||
@@ -202,42 +195,6 @@
   Table.setCandidates(std::move(All));
 }
 
-void IngressSystem::limitWork(TimePoint AnswerBy) {
-  Shutdown.set(AnswerBy);
-  for (auto &[Id, Row] : Requests) {
-    if (Row.Deadline > AnswerBy) {
-      Timers.erase(Timer{Row.Deadline, TimerKind::Deadline, Id});
-      Row.Deadline = AnswerBy;
-      Timers.insert(Timer{AnswerBy, TimerKind::Deadline, Id});
-    }
-  }
-}
-
-bool IngressSystem::mayStart(const Route &Matched, const std::string &Method,
-                             std::optional<Duration> Stated,
-                             TimePoint Now) const {
-  const bool Idempotent = isIdempotent(Matched, Method);
-  const auto Fits = [&](const std::string &Service) {
-    return Now <= Shutdown.latestStart(
-                      Now + timeLimit(Matched, Stated),
-                      expectedLatency(Table.findPool(Service), Matched.Name),
-                      Idempotent, Now);
-  };
-  if (Matched.Split.empty()) {
-    return Fits(Matched.Service);
-  }
-  return std::any_of(Matched.Split.begin(), Matched.Split.end(),
-                     [&](const auto &Part) { return Fits(Part.Service); });
-}
-
-bool IngressSystem::fitsShutdown(const RequestRow &Row, const ServicePool *Pool,
-                                 TimePoint Now) const {
-  return !Shutdown.isSet() ||
-         Now <= Shutdown.latestStart(Row.FullDeadline,
-                                     expectedLatency(Pool, Row.Route),
-                                     Row.Idempotent, Now);
-}
-
 void IngressSystem::tick(TimePoint Now, Actions &Out) {
   while (!Timers.empty() && Timers.begin()->At <= Now) {
     const Timer Due = *Timers.begin();
@@ -597,54 +554,6 @@
   eraseRequest(Row, Outcome::Answered, OutcomeReason::None, Now, Out);
 }
 
-void IngressSystem::appendStep(RequestRow &Row, const AttemptRow &Attempt,
-                               std::uint64_t Sequence, Outcome Result,
-                               OutcomeReason Reason, TimePoint Now) {
-  if (!Settings.ReportRequests) {
-    return;
-  }
-  if (!Row.Steps.empty()) {
-    Row.Steps += ",";
-  }
-  fmt::format_to(std::back_inserter(Row.Steps), "{}/{}/{}/{}/{}us", Sequence,
-                 toString(Attempt.Owner.Node), toString(Result),
-                 toString(Reason), (Now - Attempt.Sent).count());
-}
-
-void IngressSystem::reportRequest(const RequestRow &Row, Outcome Result,
-                                  OutcomeReason Reason, TimePoint Now,
-                                  Actions &Out) {
-  const bool IsRoutine = Result == Outcome::Answered && Row.Attempts <= 1 &&
-                         Row.HandBacks == 0 && !Row.FirstFailure;
-  if (!Settings.ReportRequests || (IsRoutine && Settings.ReportOneOf == 0)) {
-    return;
-  }
-  if (IsRoutine) {
-    if (++RoutineSinceReport < Settings.ReportOneOf) {
-      return;
-    }
-    RoutineSinceReport = 0;
-  }
-  const ServicePool *Pool = Table.findPool(Row.Service);
-  Out.emplace_back(Notice{
-      "request_ended",
-      {{"id", Row.Request.CallerRequestId},
-       {"route", Row.Route},
-       {"service", Row.Service},
-       {"outcome", toString(Result)},
-       {"reason", toString(Reason)},
-       {"config_version", std::to_string(Row.Request.ConfigVersion)},
-       {"elapsed_us", std::to_string((Now - Row.Started).count())},
-       {"deadline_us", std::to_string((Row.Deadline - Row.Started).count())},
-       {"target_us", std::to_string(Row.Target.count())},
-       {"call", Row.Request.IsNestedCall ? "yes" : "no"},
-       {"attempts", std::to_string(Row.Attempts)},
-       {"hand_backs", std::to_string(Row.HandBacks)},
-       {"candidates", std::to_string(Pool ? Pool->usable().size() : 0)},
-       {"of", std::to_string(Pool ? Pool->size() : 0)},
-       {"steps", Row.Steps}}});
-}
-
 void IngressSystem::eraseRequest(RequestRow &Row, Outcome Result,
                                  OutcomeReason Reason, TimePoint Now,
                                  Actions &Out) {
