Log whether a failed attempt was sent, its fingerprint and each crash

No change of logic.

core_tests "[quarantine]", net_tests "[upstream]" and node_tests pass as before.

--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -162,8 +162,10 @@
                   TimePoint Now, Actions &Out);
   void endQueued(const AdmittedAttempt &Row, OutcomeReason Reason,
                  TimePoint Now, Actions &Out);
+  /// @param WasSent whether the upstream may have received the request
   void reportAttempt(const char *Name, const AdmittedAttempt &Row,
-                     OutcomeReason Reason, TimePoint Now, Actions &Out) const;
+                     OutcomeReason Reason, TimePoint Now, Actions &Out,
+                     bool WasSent = false) const;
   void send(NodeId From, DispatchReply Reply, TimePoint Now, Actions &Out);
 
   NodeRun Self;
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -3,6 +3,7 @@
 #include "smoothing.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace hyssopford {
@@ -196,7 +197,8 @@
     return;
   }
   const AdmittedAttempt Row = takeRunning(Found);
-  reportAttempt("attempt_failed", Row, Failure.Reason, Now, Out);
+  reportAttempt("attempt_failed", Row, Failure.Reason, Now, Out,
+                Failure.BytesSent);
   endRunning(Row,
              makeReply(Failure.Attempt,
                        Failure.BytesSent ? Outcome::Unknown : Outcome::NotRun,
@@ -542,7 +544,7 @@
 
 void OwnerSystem::reportAttempt(const char *Name, const AdmittedAttempt &Row,
                                 OutcomeReason Reason, TimePoint Now,
-                                Actions &Out) const {
+                                Actions &Out, bool WasSent) const {
   if (!Settings.ReportAttempts) {
     return;
   }
@@ -552,6 +554,8 @@
        {"service", Row.Attempt.Service},
        {"route", Row.Attempt.Route},
        {"reason", toString(Reason)},
+       {"sent", WasSent ? "yes" : "no"},
+       {"fingerprint", fmt::format("{:016x}", Row.Attempt.Fingerprint)},
        {"config_version", std::to_string(ConfigVersion)},
        {"held_us", std::to_string((Now - Row.Arrived).count())},
        {"remaining_us", std::to_string((Row.Deadline - Now).count())},
--- a/src/core/quarantine_system.cpp
+++ b/src/core/quarantine_system.cpp
@@ -2,9 +2,24 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
+#include <string>
 
 namespace hyssopford {
 
+namespace {
+
+std::string joinFingerprints(const std::vector<std::uint64_t> &Fingerprints) {
+  std::string Joined;
+  for (const std::uint64_t Each : Fingerprints) {
+    fmt::format_to(std::back_inserter(Joined), "{}{:016x}",
+                   Joined.empty() ? "" : ",", Each);
+  }
+  return Joined;
+}
+
+} // namespace
+
 QuarantineSystem::QuarantineSystem(NodeRun Run, RandomSource &Source)
     : Self(Run), Random(Source) {}
 
@@ -292,7 +307,8 @@
     ++NextCrash;
   }
   LastCrashAt = Now;
-  const bool Alone = Running.size() == 1;
+  const std::size_t RunningCount = Running.size();
+  const bool Alone = RunningCount == 1;
   std::vector<std::uint64_t> Suspects;
   std::copy_if(Running.begin(), Running.end(), std::back_inserter(Suspects),
                [&](std::uint64_t Fingerprint) {
@@ -303,6 +319,10 @@
   if (Suspects.empty()) {
     Suspects = std::move(Running);
   }
+  Out.emplace_back(Notice{"upstream_crash_recorded",
+                          {{"crash", std::to_string(NextCrash)},
+                           {"running", std::to_string(RunningCount)},
+                           {"suspects", joinFingerprints(Suspects)}}});
   std::set<std::uint64_t> Changed;
   for (const std::uint64_t Fingerprint : Suspects) {
     const auto Lift = Lifts.find(Fingerprint);
