Reproduce requests that keep crashing upstreams

Callers saw requests reach upstreams six to nine times after they had crashed three, and 503 although they had run.

That a 503 promises 'not run' is now checked for safe requests too; the check for unsafe ones is as it was.

--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -161,6 +161,65 @@
   CHECK(fingerprintOf(First, Matched) == fingerprintOf(get(0), Matched));
 }
 
+// Guards against a quarantine that a change of the configuration forgets, so
+// that the request crashes further upstreams.
+TEST_CASE("a quarantine outlasts the name of its route",
+          "[quarantine][!shouldfail]") {
+  Scenario Case;
+  for (std::size_t Repeat = 0; Repeat < 10; ++Repeat) {
+    Case.submit(Repeat % Case.Cores.size(), DeadlyBody);
+    Case.wait(60ms);
+  }
+  REQUIRE(Case.Cores.UpstreamCrashes == 2);
+  RoutingConfig Renamed = Case.Cores.Config;
+  ++Renamed.Version;
+  Renamed.Routes[1].Name = "pages";
+  for (std::size_t Node = 0; Node < Case.Cores.size(); ++Node) {
+    REQUIRE(Case.Cores.core(Node).adopt(Renamed));
+  }
+  for (std::size_t Repeat = 0; Repeat < 40; ++Repeat) {
+    Case.submit(Repeat % Case.Cores.size(), DeadlyBody);
+    Case.wait(60ms);
+  }
+  CHECK(Case.Cores.UpstreamCrashes == 2);
+}
+
+// Guards against a page that stays rejected because it was running alone when
+// all upstreams lost power.
+TEST_CASE("a request that crashes nothing is served again after all upstreams "
+          "were lost",
+          "[quarantine][!shouldfail]") {
+  constexpr std::uint64_t PageBody = 7;
+  Scenario Case;
+  const auto RunningUpstreams = [&] {
+    std::size_t Count = 0;
+    for (std::size_t Node = 0; Node < Case.Cores.size(); ++Node) {
+      Count += Case.Cores.core(Node).owner().idle() ? 0 : 1;
+    }
+    return Count;
+  };
+  for (std::size_t Node = 0; RunningUpstreams() < 2; ++Node) {
+    REQUIRE(Node < 20);
+    Case.submit(Node % Case.Cores.size(), PageBody);
+    Case.wait(2ms);
+  }
+  for (std::size_t Node = 0; Node < Case.Cores.size(); ++Node) {
+    Case.Cores.crashUpstream(Node);
+  }
+  Case.wait(1s);
+  const auto IsRejected = [&] {
+    return !Case.Cores.core(0).quarantine().list(Case.Cores.now()).empty();
+  };
+  REQUIRE(IsRejected());
+  std::uint64_t Last = 0;
+  for (std::size_t Repeat = 0; Repeat < 100; ++Repeat) {
+    Last = Case.submit(Repeat % Case.Cores.size(), PageBody);
+    Case.wait(200ms);
+  }
+  CHECK_FALSE(IsRejected());
+  CHECK(Case.Cores.Replies.at(Last).Result == Outcome::Answered);
+}
+
 TEST_CASE("the table of fingerprints is bounded", "[quarantine]") {
   SeededRandomSource Random(1);
   QuarantineSystem System(NodeRun{NodeId{1}, Incarnation{1}}, Random);
--- a/tests/net/upstream_client_test.cpp
+++ b/tests/net/upstream_client_test.cpp
@@ -19,6 +19,8 @@
   std::vector<std::string> Answers;
   /// Time between the last answer and the close.
   int CloseAfterMs = 0;
+  /// Whether the upstream stops listening before it closes the connection.
+  bool Crashes = false;
 };
 
 /// An upstream that follows one script for each connection and counts
@@ -63,6 +65,9 @@
         Peer.sendBytes(Answer.data(), static_cast<int>(Answer.size()));
       }
       std::this_thread::sleep_for(std::chrono::milliseconds(Plan.CloseAfterMs));
+      if (Plan.Crashes) {
+        Listener.close();
+      }
     } catch (const Poco::Exception &) {
       // The client closed first.
     }
@@ -297,3 +302,17 @@
     REQUIRE_FALSE(Test.Events.Probes[1].Succeeded);
   }
 }
+
+// Guards against a request that is reported as not sent, and so is passed on to
+// other upstreams without limit, after it crashed the upstream.
+TEST_CASE("a request that crashes the upstream on a kept connection was sent",
+          "[upstream][!shouldfail]") {
+  // The upstream reads the second request and ends.
+  ScriptedUpstream Upstream({{{Ok, ""}, 20, true}});
+  Fixture Test(Upstream.address());
+  Test.run(true);
+  Test.run(true);
+  REQUIRE(Upstream.Requests == 2);
+  CHECK(Test.lastFailure().BytesSent);
+  CHECK(Test.lastFailure().Reason == OutcomeReason::UpstreamClosed);
+}
--- a/tests/platform/soak/client.py
+++ b/tests/platform/soak/client.py
@@ -42,12 +42,14 @@
         self.answers = 0
 
     async def request(self, node, method, path, request_id, body, timeout,
-                      leave_after=None):
+                      leave_after=None, fields=""):
         """Sends a request and waits for its answer. With leave_after, closes the
-        connection after that many seconds without an answer."""
+        connection after that many seconds without an answer. fields are further
+        header lines, each with its line end."""
         outcome = Outcome(request_id, node, method == "POST", time.monotonic(),
-                          0.0, timeout)
-        await self._record(outcome, self._exchange(outcome, method, path, body),
+                          0.0, timeout, path=path)
+        await self._record(outcome,
+                           self._exchange(outcome, method, path, body, fields),
                            leave_after or timeout + 2.0,
                            "left" if leave_after else "no answer")
         return outcome
@@ -160,9 +162,9 @@
         if fields.get("connection", "").lower() == "close":
             self.disconnect()
 
-    async def _exchange(self, outcome, method, path, body):
+    async def _exchange(self, outcome, method, path, body, fields=""):
         await self._connect(outcome)
-        self._write(outcome, method, path, body)
+        self._write(outcome, method, path, body, fields=fields)
         await self.writer.drain()
         await self._read(outcome)
 
--- a/tests/platform/soak/operator_day.py
+++ b/tests/platform/soak/operator_day.py
@@ -6,6 +6,7 @@
 import signal
 import time
 
+import crash_checks
 from client import Connection
 from deployment import Deployment, document, route
 from faults import FaultInjector
@@ -25,7 +26,7 @@
 FAMILIES = ("store", "partial", "compact", "watchers", "restarts", "pauses",
             "reuse", "large", "invalid")
 # Drawn apart from the others, so that the seeds of earlier runs keep theirs.
-LATER_FAMILIES = ("late", "frozen")
+LATER_FAMILIES = ("late", "frozen", "crashes")
 # Deadline of requests whose body takes up to MAX_BODY_S seconds to send.
 LATE_DEADLINE_S, MAX_BODY_S = 2.0, 6.0
 
@@ -186,6 +187,12 @@
                            for injection in by_family.get(family, [])] or [
                                self.reload_node]
 
+    def reserve_instance(self, machine):
+        return self._reserve(("instance", machine))
+
+    def release_instance(self, machine):
+        self._release(("instance", machine))
+
     async def store_period(self):
         """The store is silent, busy, limited, slow or resets connections."""
         if not self._reserve(("store",)):
@@ -437,6 +444,15 @@
         await asyncio.sleep(CALM_S)
         faults = OperatorDayFaults(site, random.Random(rng.random()), report,
                                    operator, families)
+        crashing = []
+        if "crashes" in families:
+            crash_rng = random.Random(f"crashing requests {options.seed}")
+            crashing = crash_checks.draw_requests(operator, crash_rng)
+            tasks += [asyncio.create_task(crash_checks.send_repeats(
+                site, random.Random(crash_rng.random()), report, request,
+                until - 2.0)) for request in crashing]
+            tasks.append(asyncio.create_task(crash_checks.restart_instances(
+                site, random.Random(crash_rng.random()), report, faults, until)))
         fault_end = options.seconds * 0.8
         await asyncio.gather(
             operator.run(until - 3.0, report.record_event),
@@ -445,11 +461,12 @@
     finally:
         await site.stop()
     total = report.check_promises(site.run_counts())
+    crashes = crash_checks.check(report, crashing, site.runs())
     lags = sorted(report.client_lags)
     print(f"seed {options.seed}: families {','.join(sorted(families))}; "
           f"{len(report.outcomes)} requests, {total} runs, "
           f"{len(operator.versions)} versions; client late by p99 "
           f"{lags[len(lags) * 99 // 100]:.3f} s, largest {lags[-1]:.3f} s; "
-          f"{report.summary()}")
+          f"{report.summary()}" + (f"; {crashes}" if crashes else ""))
     report.checks.check(operator, site, begun)
     return report
--- a/tests/platform/soak/report.py
+++ b/tests/platform/soak/report.py
@@ -4,6 +4,7 @@
 import time
 
 from client import NOT_RUN
+from crash_checks import CRASH_STATUS
 
 # The platform's limit of runs: requests * (1 + RETRY_RATIO) + RETRY_SLACK.
 RETRY_RATIO = 0.2
@@ -67,7 +68,8 @@
         """Checks that no process ended unless its end was expected."""
         for process in processes:
             status = process.child.poll()
-            if status is not None and not process.expected_end:
+            if status is not None and status != CRASH_STATUS and \
+                    not process.expected_end:
                 process.expected_end = True
                 self.record_violation(f"{process.log.name} ended unexpectedly "
                                       f"with status {status}")
@@ -98,8 +100,7 @@
             if outcome.unsafe and runs > 1:
                 self.record_violation(
                     f"{outcome.request_id} is unsafe and was run {runs} times")
-            if outcome.status in NOT_RUN and not outcome.signature and \
-                    outcome.unsafe and runs:
+            if outcome.status in NOT_RUN and not outcome.signature and runs:
                 self.record_violation(f"{outcome.request_id} was run, but its "
                                       f"caller got {outcome.status}")
             if outcome.status == 200:
