Do not count attempts that were not sent as seen in a crash

When an upstream ended, all forwarded attempts counted as run: those that still waited for a connection ended as unknown, which fails an unsafe request that could go to another upstream, and were suspected of the crash.

Cause: the core knows what it forwarded, not what was sent. Change: UpstreamGone names the attempts that were not sent; the owner ends them as not-run, the quarantine leaves them out.

Tests, both on parts that did not exist before: 'a crash leaves attempts that were not sent as not-run', 'an attempt that was not sent is not seen in a crash'.

--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -132,6 +132,9 @@
 struct UpstreamGone {
   /// True if it ended without deregistering.
   bool Crashed = false;
+  /// Attempts that were forwarded but not sent yet, so that it ran none of
+  /// them.
+  std::vector<AttemptId> Unsent{};
 
   friend bool operator==(const UpstreamGone &, const UpstreamGone &) = default;
 };
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -65,7 +65,7 @@
                          Actions &Out);
 
   /// @brief Handles the loss of the upstream. Queued attempts end as not-run;
-  /// after a crash, running ones end as unknown.
+  /// after a crash, running ones end as unknown unless they were not sent.
   void upstreamGone(const UpstreamGone &Gone, TimePoint Now, Actions &Out);
 
   /// @brief Handles the result of a speed probe.
@@ -131,8 +131,10 @@
   void refuseQueued(OutcomeReason Reason, TimePoint Now, Actions &Out);
   /// Ends all attempts shortly before the end of the node.
   void endAll(TimePoint Now, Actions &Out);
-  /// Cancels all running attempts; they end as unknown.
-  void abortRunning(OutcomeReason Reason, TimePoint Now, Actions &Out);
+  /// Cancels all running attempts; they end as unknown, those that were not
+  /// sent as not-run.
+  void abortRunning(OutcomeReason Reason, const std::vector<AttemptId> &Unsent,
+                    TimePoint Now, Actions &Out);
   Duration expectedWait(Priority Class) const;
   /// Current concurrency limit. While the upstream is stalled, only single
   /// trials start.
--- a/include/hyssopford/net/upstream_client.hpp
+++ b/include/hyssopford/net/upstream_client.hpp
@@ -121,6 +121,9 @@
   /// @return the number of attempts that the upstream may have received and
   /// whose connection is open
   std::size_t sentAttempts() const;
+  /// @return the attempts that wait for a connection, so that the upstream
+  /// cannot have received them
+  std::vector<AttemptId> unsentAttempts() const;
   std::uint64_t opened() const { return Opened; }
   std::uint64_t reused() const { return Reused; }
   /// @}
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -230,7 +230,7 @@
   NextSpeedProbe.reset();
   refuseQueued(OutcomeReason::NoUpstream, Now, Out);
   if (Gone.Crashed) {
-    abortRunning(OutcomeReason::UpstreamClosed, Now, Out);
+    abortRunning(OutcomeReason::UpstreamClosed, Gone.Unsent, Now, Out);
   }
 }
 
@@ -241,8 +241,9 @@
   }
 }
 
-void OwnerSystem::abortRunning(OutcomeReason Reason, TimePoint Now,
-                               Actions &Out) {
+void OwnerSystem::abortRunning(OutcomeReason Reason,
+                               const std::vector<AttemptId> &Unsent,
+                               TimePoint Now, Actions &Out) {
   std::vector<AttemptId> Aborted;
   for (const auto &[Id, Row] : Running) {
     Aborted.push_back(Id);
@@ -250,7 +251,12 @@
   std::sort(Aborted.begin(), Aborted.end());
   for (const AttemptId &Id : Aborted) {
     Out.emplace_back(CancelUpstream{Id});
-    upstreamFailed(UpstreamFailed{Id, Reason, true}, Now, Out);
+    const bool WasSent =
+        std::find(Unsent.begin(), Unsent.end(), Id) == Unsent.end();
+    upstreamFailed(UpstreamFailed{Id,
+                                  WasSent ? Reason : OutcomeReason::NoUpstream,
+                                  WasSent},
+                   Now, Out);
   }
 }
 
@@ -287,7 +293,7 @@
 void OwnerSystem::endAll(TimePoint Now, Actions &Out) {
   refuseQueued(OutcomeReason::ShuttingDown, Now, Out);
   Interrupted += Running.size();
-  abortRunning(OutcomeReason::ShuttingDown, Now, Out);
+  abortRunning(OutcomeReason::ShuttingDown, {}, Now, Out);
 }
 
 void OwnerSystem::setSuspected(bool Suspected, TimePoint Now, Actions &Out) {
--- a/src/core/quarantine_system.cpp
+++ b/src/core/quarantine_system.cpp
@@ -112,7 +112,9 @@
   }
   std::vector<std::uint64_t> Running;
   for (const auto &[Id, Row] : Attempts) {
-    if (Row.Running) {
+    const bool WasSent = std::find(Gone.Unsent.begin(), Gone.Unsent.end(),
+                                   Id) == Gone.Unsent.end();
+    if (Row.Running && WasSent) {
       Running.push_back(Row.Fingerprint);
     }
   }
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -109,6 +109,16 @@
                     [](const auto &Entry) { return Entry.second->isSent(); }));
 }
 
+std::vector<AttemptId> UpstreamClient::unsentAttempts() const {
+  std::vector<AttemptId> Unsent;
+  for (const auto &[Id, Connection] : ByAttempt) {
+    if (!Connection->isSent()) {
+      Unsent.push_back(Id);
+    }
+  }
+  return Unsent;
+}
+
 std::shared_ptr<UpstreamClient::Exchange>
 UpstreamClient::takeIdle(bool Idempotent) {
   const TimePoint Now = EventLoop::now();
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -152,7 +152,7 @@
              {"service", Old->Service},
              {"sequence", Old->Sequence},
              {"reason", "another start of the upstream announced itself"}});
-    Driver.submit(UpstreamGone{true});
+    Driver.submit(UpstreamGone{true, Client.unsentAttempts()});
   }
   Client.setUpstream(New.Address, New.HealthPath, New.Instance);
   if (Departed) {
@@ -308,7 +308,7 @@
              {"sequence", Current->Sequence},
              {"reason", Reason}});
     Current.reset();
-    Driver.submit(UpstreamGone{Crashed});
+    Driver.submit(UpstreamGone{Crashed, Client.unsentAttempts()});
   }
 }
 
--- a/tests/core/owner_system_test.cpp
+++ b/tests/core/owner_system_test.cpp
@@ -58,6 +58,24 @@
 
 } // namespace
 
+// Guards against a request that may run only once and ends as unknown although
+// it was never sent.
+TEST_CASE("a crash leaves attempts that were not sent as not-run", "[owner]") {
+  OwnerFixture Test;
+  Test.admit(dispatchOf(2), 10ms);
+  Test.admit(dispatchOf(3), 10ms);
+  Test.Out.clear();
+  Test.Owner.upstreamGone({true, {AttemptId{nodeRun(9), 3}}}, at(11ms),
+                          Test.Out);
+  const auto Replies = messages<DispatchReply>(Test.Out);
+  REQUIRE(Replies.size() == 2);
+  CHECK(Replies[0].Message.Result == Outcome::Unknown);
+  CHECK(Replies[0].Message.Reason == OutcomeReason::UpstreamClosed);
+  CHECK(Replies[1].Message.Result == Outcome::NotRun);
+  CHECK(Replies[1].Message.Reason == OutcomeReason::NoUpstream);
+  CHECK(all<CancelUpstream>(Test.Out).size() == 2);
+}
+
 TEST_CASE("admission", "[owner]") {
   OwnerFixture Test;
   Test.admit(dispatchOf(2), 10ms);
--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -220,6 +220,31 @@
   CHECK(Case.Cores.Replies.at(Last).Result == Outcome::Answered);
 }
 
+// Guards against innocent requests that count as seen in a crash although they
+// were still waiting for a connection.
+TEST_CASE("an attempt that was not sent is not seen in a crash",
+          "[quarantine]") {
+  constexpr std::uint64_t Sent = 1;
+  constexpr std::uint64_t Waiting = 2;
+  SeededRandomSource Random(1);
+  const NodeRun Self{NodeId{1}, Incarnation{1}};
+  QuarantineSystem System(Self, Random);
+  const TimePoint Now{1s};
+  for (const std::uint64_t Each : {Sent, Waiting}) {
+    Dispatch Attempt;
+    Attempt.Attempt = AttemptId{Self, Each};
+    Attempt.Fingerprint = Each;
+    Attempt.Remaining = 1s;
+    System.dispatch(Self, Attempt, Now);
+    REQUIRE(System.takeGated(Now).size() == 1);
+    System.attemptStarted(Attempt.Attempt);
+  }
+  Actions Out;
+  System.upstreamGone(UpstreamGone{true, {AttemptId{Self, Waiting}}}, Now, Out);
+  CHECK(System.isSuspect(Sent, Now));
+  CHECK_FALSE(System.isSuspect(Waiting, Now));
+}
+
 TEST_CASE("the table of fingerprints is bounded", "[quarantine]") {
   SeededRandomSource Random(1);
   QuarantineSystem System(NodeRun{NodeId{1}, Incarnation{1}}, Random);
