Suspect attempts that were cancelled right before a crash

An upstream may go on with a request for a while after its connection was closed, because its caller left, its hedge was answered or its time was over. If it crashed then, the attempt was unknown to the quarantine.

Test, failing on the code before: 'an attempt that was cancelled shortly before a crash is seen in it'. Attempts count for 500 ms; in crashes with other requests those that were answered within the last minute are left out as before.

--- a/include/hyssopford/core/quarantine_system.hpp
+++ b/include/hyssopford/core/quarantine_system.hpp
@@ -51,6 +51,9 @@
   /// Attempts that lost their connection within this time before a crash count
   /// as running when it happened.
   static constexpr Duration CrashWindow = 2s;
+  /// How long the upstream may go on with an attempt that was cancelled or timed
+  /// out.
+  static constexpr Duration CancelWindow = 500ms;
   /// Connections lost within this time of each other count as lost together.
   static constexpr Duration ResetWindow = 100ms;
   /// A fingerprint answered within this time is not suspected if other requests
@@ -184,6 +187,8 @@
   struct FailureRow {
     TimePoint At;
     std::uint64_t Fingerprint = 0;
+    /// Whether the upstream closed the connection; otherwise the node did.
+    bool ByUpstream = true;
   };
 
   /// Whether the crashes of a fingerprint suffice for a quarantine.
--- a/src/core/quarantine_system.cpp
+++ b/src/core/quarantine_system.cpp
@@ -64,6 +64,9 @@
   if (Reply.Result == Outcome::Unknown && isSuspect(Row.Fingerprint, Now)) {
     Reply.Reason = OutcomeReason::Quarantined;
   }
+  if (Reply.Result == Outcome::Unknown && Row.Running) {
+    Failures.push_back(FailureRow{Now, Row.Fingerprint, false});
+  }
   if (Reply.Result != Outcome::Answered || !Row.Running) {
     return;
   }
@@ -95,7 +98,7 @@
                    [](const auto &Entry) { return Entry.second.Running; });
   std::vector<std::uint64_t> Together;
   for (const FailureRow &Row : Failures) {
-    if (Row.At + ResetWindow >= Now) {
+    if (Row.ByUpstream && Row.At + ResetWindow >= Now) {
       Together.push_back(Row.Fingerprint);
     }
   }
@@ -119,7 +122,7 @@
     }
   }
   for (const FailureRow &Row : Failures) {
-    if (Row.At + CrashWindow >= Now) {
+    if (Row.At + (Row.ByUpstream ? CrashWindow : CancelWindow) >= Now) {
       Running.push_back(Row.Fingerprint);
     }
   }
--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -49,6 +49,26 @@
   Fleet Cores;
 };
 
+/// The quarantine of one owner; the fingerprint of an attempt is its sequence.
+struct OwnerSide {
+  AttemptId start(std::uint64_t Sequence) {
+    Dispatch Attempt;
+    Attempt.Attempt = AttemptId{Self, Sequence};
+    Attempt.Fingerprint = Sequence;
+    Attempt.Remaining = 1s;
+    System.dispatch(Self, Attempt, Now);
+    REQUIRE(System.takeGated(Now).size() == 1);
+    System.attemptStarted(Attempt.Attempt);
+    return Attempt.Attempt;
+  }
+
+  SeededRandomSource Random{1};
+  NodeRun Self{NodeId{1}, Incarnation{1}};
+  QuarantineSystem System{Self, Random};
+  TimePoint Now{1s};
+  Actions Out;
+};
+
 } // namespace
 
 TEST_CASE("a request that crashes upstreams is quarantined", "[quarantine]") {
@@ -224,25 +244,33 @@
 // were still waiting for a connection.
 TEST_CASE("an attempt that was not sent is not seen in a crash",
           "[quarantine]") {
-  constexpr std::uint64_t Sent = 1;
-  constexpr std::uint64_t Waiting = 2;
-  SeededRandomSource Random(1);
-  const NodeRun Self{NodeId{1}, Incarnation{1}};
-  QuarantineSystem System(Self, Random);
-  const TimePoint Now{1s};
-  for (const std::uint64_t Each : {Sent, Waiting}) {
-    Dispatch Attempt;
-    Attempt.Attempt = AttemptId{Self, Each};
-    Attempt.Fingerprint = Each;
-    Attempt.Remaining = 1s;
-    System.dispatch(Self, Attempt, Now);
-    REQUIRE(System.takeGated(Now).size() == 1);
-    System.attemptStarted(Attempt.Attempt);
+  OwnerSide Test;
+  const AttemptId Sent = Test.start(1);
+  const AttemptId Waiting = Test.start(2);
+  Test.System.upstreamGone(UpstreamGone{true, {Waiting}}, Test.Now, Test.Out);
+  CHECK(Test.System.isSuspect(Sent.Sequence, Test.Now));
+  CHECK_FALSE(Test.System.isSuspect(Waiting.Sequence, Test.Now));
+}
+
+// Guards against a request that crashes an upstream right after its caller left
+// or its hedge was answered, and is not suspected.
+TEST_CASE("an attempt that was cancelled shortly before a crash is seen in it",
+          "[quarantine]") {
+  OwnerSide Test;
+  const AttemptId Cancelled = Test.start(1);
+  DispatchReply Reply;
+  Reply.Attempt = Cancelled;
+  Reply.Result = Outcome::Unknown;
+  Reply.Reason = OutcomeReason::CancelledByCaller;
+  Test.System.attemptEnded(Reply, Test.Now, Test.Out);
+  SECTION("while the upstream may still run it") {
+    Test.System.upstreamGone(UpstreamGone{true}, Test.Now + 50ms, Test.Out);
+    CHECK(Test.System.isSuspect(Cancelled.Sequence, Test.Now + 50ms));
+  }
+  SECTION("not after that") {
+    Test.System.upstreamGone(UpstreamGone{true}, Test.Now + 600ms, Test.Out);
+    CHECK_FALSE(Test.System.isSuspect(Cancelled.Sequence, Test.Now + 600ms));
   }
-  Actions Out;
-  System.upstreamGone(UpstreamGone{true, {AttemptId{Self, Waiting}}}, Now, Out);
-  CHECK(System.isSuspect(Sent, Now));
-  CHECK_FALSE(System.isSuspect(Waiting, Now));
 }
 
 TEST_CASE("the table of fingerprints is bounded", "[quarantine]") {
