--- a/tests/net/message_codec_test.cpp
+++ b/tests/net/message_codec_test.cpp
@@ -46,7 +46,11 @@
           Cancel{Attempt},
           StatusQuery{Attempt, Incarnation{3}},
           StatusReply{Attempt, AttemptState::Finished},
-          Gossip{{Record, Record}}};
+          Gossip{{Record, Record}},
+          QuarantineNotice{{CrashSighting{16, Attempt.Ingress, 17, 18, true,
+                                          false, 19us, true},
+                            CrashSighting{20, Attempt.Ingress, 21, 22, false,
+                                          true, 23us, false}}}};
 }
 
 } // namespace
