--- a/tests/platform/soak/operator_day.py
+++ b/tests/platform/soak/operator_day.py
@@ -6,6 +6,7 @@
 import signal
 import time
 
+import blackout
 import crash_checks
 from client import Connection
 from deployment import Deployment, document, route
@@ -27,6 +28,7 @@
             "reuse", "large", "invalid")
 # Drawn apart from the others, so that the seeds of earlier runs keep theirs.
 LATER_FAMILIES = ("late", "frozen", "crashes")
+# Further families, "blackout" among them, are never drawn.
 # Deadline of requests whose body takes up to MAX_BODY_S seconds to send.
 LATE_DEADLINE_S, MAX_BODY_S = 2.0, 6.0
 
@@ -453,15 +455,22 @@
                 until - 2.0)) for request in crashing]
             tasks.append(asyncio.create_task(crash_checks.restart_instances(
                 site, random.Random(crash_rng.random()), report, faults, until)))
+        page = power = None
+        if "blackout" in families:
+            page = asyncio.create_task(blackout.ask_for_page(
+                site, operator, random.Random(rng.random()), report, until - 2.0))
+            power = asyncio.create_task(blackout.run(site, report, faults))
         fault_end = options.seconds * 0.8
         await asyncio.gather(
             operator.run(until - 3.0, report.record_event),
             faults.run(fault_end, options.gap))
-        await asyncio.gather(*tasks)
+        await asyncio.gather(*tasks, *([page, power] if page else []))
     finally:
         await site.stop()
     total = report.check_promises(site.run_counts())
     crashes = crash_checks.check(report, crashing, site.runs())
+    if page:
+        crashes += blackout.check(report, page.result(), power.result())
     lags = sorted(report.client_lags)
     print(f"seed {options.seed}: families {','.join(sorted(families))}; "
           f"{len(report.outcomes)} requests, {total} runs, "
