--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -161,13 +161,6 @@
                Actions &Out);
   void receive(NodeRun From, const StatusReply &Message, TimePoint Now,
                Actions &Out);
-  /// Refusal of a quarantined request; states when it may run again.
-  ReplyToCaller quarantineRefusal(RequestId Id, std::uint64_t Fingerprint,
-                                  TimePoint Now) const;
-  /// Owner that runs the trials of a fingerprint, if this node has a link to
-  /// it.
-  std::optional<NodeId> trialOwner(std::uint64_t Fingerprint,
-                                   const std::string &Service) const;
   void receive(NodeRun From, const QuarantineNotice &Message, TimePoint Now,
                Actions &Out);
   /// Passes a message to the system of membership, keys or configuration.
@@ -175,6 +168,13 @@
   void receive(NodeRun From, const Message &Received, TimePoint Now,
                Actions &Out);
 
+  /// Refusal of a quarantined request; states when it may run again.
+  ReplyToCaller quarantineRefusal(RequestId Id, std::uint64_t Fingerprint,
+                                  TimePoint Now) const;
+  /// Owner that runs the trials of a fingerprint, if this node has a link to
+  /// it.
+  std::optional<NodeId> trialOwner(std::uint64_t Fingerprint,
+                                   const std::string &Service) const;
   void startRequest(const CallerRequest &Input, const Route &Matched,
                     TimePoint Now, Actions &Out);
   /// Refuses dispatches of peers for a while if the process was paused.
--- a/include/hyssopford/net/upstream_client.hpp
+++ b/include/hyssopford/net/upstream_client.hpp
@@ -140,12 +140,12 @@
   void closeExpired();
   /// @brief Resumes the answers that wait for memory after a short time.
   void scheduleMemoryCheck();
+  void checkMemory();
   /// @brief Ends a failed attempt once it is known whether the upstream still
   /// listens.
   void confirmLoss(const UpstreamFailed &Failure);
   void startLossCheck();
   void finishLossCheck(bool IsRefused);
-  void checkMemory();
 
   EventLoop &Loop;
   UpstreamClientHandler &Handler;
