Close the input of a soak process that ended with a command left

Instances ended only by signal before, with their input unused. Sending a command ignored this already.

--- a/tests/platform/soak/deployment.py
+++ b/tests/platform/soak/deployment.py
@@ -58,6 +58,12 @@
         except OSError:
             pass  # The process has ended; watch_nodes reports that.
 
+    def close_commands(self):
+        try:
+            self.child.stdin.close()
+        except OSError:
+            pass  # A command was left when the process ended.
+
     def send(self, signal_number):
         if self.child.poll() is None:
             self.child.send_signal(signal_number)
@@ -192,8 +198,7 @@
         for process in self.processes():
             process.send(signal.SIGCONT)
             process.end(signal.SIGTERM)
-            if process.child.stdin:
-                process.child.stdin.close()
+            process.close_commands()
         for process in self.processes():
             if await process.wait(8) is None:
                 process.end(signal.SIGKILL)
