Do not take a version that the store never wrote as acknowledged at time zero

The check gave the version the acknowledgement time 0.

A version without an acknowledgement has none now, so no bound runs; those that the store wrote are checked as before.

--- a/tests/platform/soak/version_checks.py
+++ b/tests/platform/soak/version_checks.py
@@ -27,10 +27,10 @@
 @dataclasses.dataclass
 class Version:
     """A value that was written: the services of each route, or None if it is no
-    valid configuration."""
+    valid configuration. ack is infinite if the store did not execute the write."""
     number: int
     routes: dict
-    ack: float = 0.0
+    ack: float = float("inf")
 
 
 @dataclasses.dataclass
@@ -292,6 +292,8 @@
         for node, rows in by_node.items():
             rows.sort(key=lambda effect: effect.seen)
             for index, version in enumerate(self.versions[1:], 1):
+                if version.ack == float("inf"):
+                    continue
                 first = next((row for row in rows if row.oldest >= index), None)
                 if first is not None:
                     self._sort_delay(node, version.ack, first.seen, undisturbed,
@@ -306,6 +308,8 @@
         for node in range(site.machines):
             rows = self._versions_in_log(site, node)
             for version in self.versions[1:]:
+                if version.ack == float("inf"):
+                    continue
                 first = next((when for when, number in rows
                               if number >= version.number), None)
                 if first is not None:
