--- a/tests/platform/soak/blackout.py
+++ b/tests/platform/soak/blackout.py
@@ -17,7 +17,7 @@
 
 
 async def run(site, report, faults):
-    """Stops all instances without a word to anyone, then starts others.
+    """Stops all instances without closing their connections, then replaces them.
     Returns the time of their return."""
     await asyncio.sleep(AFTER_S)
     machines = [machine for machine in range(site.machines)
