Add the messages and settings that accounts and evacuation need

Two deployments need client accounts with allotments, limits for cold upstreams and the evacuation of failure domains. Several parts exchange the same data, so their messages, fields, reasons and settings come first.

Dispatch carries the account and how long its credential may be relied on; ConfigDigest carries the age of the proof that a version is the newest; new messages share allotments and spread evacuations.

--- /dev/null
+++ b/include/hyssopford/core/accounts/client_account.hpp
@@ -0,0 +1,35 @@
+/// @file
+/// @brief Client accounts as operators configured them.
+#pragma once
+
+#include "hyssopford/core/priority.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssopford {
+
+/// SHA-256 digest of an API key. Keys themselves are never kept.
+using KeyDigest = std::array<std::uint8_t, 32>;
+
+/// @brief A customer whose requests carry one of its API keys.
+struct ClientAccount {
+  /// Unique name, used in logs and metrics and stated to upstreams.
+  std::string Name;
+  /// Digests of the valid keys.
+  std::vector<KeyDigest> Keys;
+  /// Takes precedence over the class of the route.
+  std::optional<Priority> Class;
+  /// Requests a second that may start, over all nodes; 0 for no limit.
+  double RatePerSecond = 0.0;
+  /// Requests that may start at once on top of the rate.
+  double Burst = 0.0;
+
+  friend bool operator==(const ClientAccount &,
+                         const ClientAccount &) = default;
+};
+
+} // namespace hyssopford
--- a/include/hyssopford/core/action.hpp
+++ b/include/hyssopford/core/action.hpp
@@ -54,6 +54,8 @@
   Priority Class = Priority::Normal;
   bool IsExtra = false;
   Payload Request;
+  /// Name of the client account; empty for none.
+  std::string Account{};
 
   friend bool operator==(const ForwardToUpstream &,
                          const ForwardToUpstream &) = default;
--- a/include/hyssopford/core/config_message.hpp
+++ b/include/hyssopford/core/config_message.hpp
@@ -6,6 +6,7 @@
 #include "hyssopford/core/time.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace hyssopford {
 
@@ -17,6 +18,9 @@
   Duration NextWithin{0};
   /// Asks the receiver to read the store, because the sender gets no answer.
   bool Check = false;
+  /// Time since the sender's version was known to be the newest in the store;
+  /// empty if not stated.
+  std::optional<Duration> FreshAge{};
 
   friend bool operator==(const ConfigDigest &, const ConfigDigest &) = default;
 };
--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -194,12 +194,52 @@
                          const StartSettings &) = default;
 };
 
+/// @brief Settings of the proof that a configuration is recent.
+struct FreshnessSettings {
+  /// Age of the proof above which credentials are refused; 0 accepts them
+  /// without a proof.
+  Duration Limit{0};
+  /// Reserve below the limit for the time between the check and the start of a
+  /// request.
+  Duration Margin = 500ms;
+
+  friend bool operator==(const FreshnessSettings &,
+                         const FreshnessSettings &) = default;
+};
+
+/// @brief Settings of the allotments of client accounts.
+struct AllotmentSettings {
+  bool Enabled = false;
+
+  friend bool operator==(const AllotmentSettings &,
+                         const AllotmentSettings &) = default;
+};
+
+/// @brief Settings of the limits of cold upstreams.
+struct ColdSettings {
+  bool Enabled = false;
+
+  friend bool operator==(const ColdSettings &, const ColdSettings &) = default;
+};
+
+/// @brief Settings of the evacuation of failure domains.
+struct EvacuationSettings {
+  bool Enabled = false;
+
+  friend bool operator==(const EvacuationSettings &,
+                         const EvacuationSettings &) = default;
+};
+
 /// @brief All settings of the decision core.
 struct DecisionSettings {
   RoutingSettings Routing;
   AdmissionSettings Admission;
   ProbeSettings Probing;
   StartSettings Start;
+  FreshnessSettings Freshness;
+  AllotmentSettings Allotments;
+  ColdSettings Cold;
+  EvacuationSettings Evacuation;
 
   friend bool operator==(const DecisionSettings &,
                          const DecisionSettings &) = default;
--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -58,6 +58,13 @@
   std::optional<NodeId> OnlyOwner;
   /// Version of the configuration that chose the route. Set by the core.
   std::uint64_t ConfigVersion = 0;
+  /// Digest of the API key that the request carries, if any.
+  std::optional<KeyDigest> Credential;
+  /// Name of the client account; empty for none. Set by the core.
+  std::string Account;
+  /// Time for which the credential may be relied on; 0 without limit. Set by
+  /// the core.
+  Duration CredentialTime{0};
   TraceContext Trace;
   /// The request in the form that is sent to the upstream.
   Payload Request;
--- a/include/hyssopford/core/message.hpp
+++ b/include/hyssopford/core/message.hpp
@@ -2,7 +2,9 @@
 /// @brief Messages between nodes.
 #pragma once
 
+#include "hyssopford/core/allotments/allotment_message.hpp"
 #include "hyssopford/core/config_message.hpp"
+#include "hyssopford/core/evacuation/evacuation_message.hpp"
 #include "hyssopford/core/ids.hpp"
 #include "hyssopford/core/key_message.hpp"
 #include "hyssopford/core/load_report.hpp"
@@ -43,6 +45,11 @@
   bool MayHandBack = false;
   /// Time left until the latency target of the route; 0 if there is none.
   Duration Target{0};
+  /// Name of the client account; empty for none.
+  std::string Account;
+  /// Time left in which the attempt may start on the credential of its
+  /// request; 0 without limit.
+  Duration CredentialTime{0};
 
   friend bool operator==(const Dispatch &, const Dispatch &) = default;
 };
@@ -109,6 +116,7 @@
                  Gossip, Ping, PingRequest, Ack, SyncRequest, SyncReply,
                  ConfigDigest, ConfigRequest, ConfigPush, KeyClaim,
                  KeyClaimReply, KeyRelease, KeyOutcome, KeyAck, SealRequest,
-                 SealReply, RosterRequest, RosterUpdate, QuarantineNotice>;
+                 SealReply, RosterRequest, RosterUpdate, QuarantineNotice,
+                 AllotmentRequest, AllotmentGrant, EvacuationNotice>;
 
 } // namespace hyssopford
--- a/include/hyssopford/core/outcome.hpp
+++ b/include/hyssopford/core/outcome.hpp
@@ -47,9 +47,23 @@
   /// The upstream is slowed down for a short time; others may not be.
   UpstreamSlow,
   /// The node has no memory for the request.
-  NoMemory
+  NoMemory,
+  /// The request carries no valid credential of a client account.
+  UnknownCredential,
+  /// The node cannot prove that its configuration is recent enough to accept
+  /// credentials.
+  CredentialsStale,
+  /// The client account has used its allotment.
+  AllotmentExceeded,
+  /// The upstream is cold and gets no more requests for now.
+  ColdLimit,
+  /// The failure domain of the upstream is being evacuated.
+  Evacuated
 };
 
+/// The reason with the highest number.
+inline constexpr OutcomeReason LastOutcomeReason = OutcomeReason::Evacuated;
+
 /// @brief Tells faults of the upstream from other reasons.
 /// @param Value the reason why an attempt ended
 /// @return whether the upstream itself caused it
--- a/include/hyssopford/core/routing_config.hpp
+++ b/include/hyssopford/core/routing_config.hpp
@@ -2,7 +2,9 @@
 /// @brief Routing configuration as operators accepted it.
 #pragma once
 
+#include "hyssopford/core/accounts/client_account.hpp"
 #include "hyssopford/core/ids.hpp"
+#include "hyssopford/core/priority.hpp"
 #include "hyssopford/core/time.hpp"
 
 #include <cstddef>
@@ -14,18 +16,6 @@
 
 namespace hyssopford {
 
-/// @brief Priority class of a request, most urgent first.
-enum class Priority : std::uint8_t {
-  /// Requests between the organisations' own services.
-  High,
-  Normal,
-  Low,
-  Lowest
-};
-
-/// Number of priority classes.
-inline constexpr std::size_t PriorityCount = 4;
-
 /// @brief One part of a traffic split.
 struct ServiceShare {
   std::string Service;
@@ -60,6 +50,8 @@
   std::uint32_t AttemptLimit = 3;
   /// Largest request body in bytes.
   std::uint64_t BodyLimit = 1'048'576;
+  /// Whether requests need no credential of a client account.
+  bool IsPublic = false;
 
   friend bool operator==(const Route &, const Route &) = default;
 };
@@ -95,6 +87,10 @@
   std::string HealthPath = "/";
   /// Connections that an upstream accepts; 0 if not configured.
   std::uint32_t ConnectionLimit = 0;
+  /// Time for which an upstream is cold after its start.
+  Duration ColdTime{0};
+  /// Requests a second that a cold upstream tolerates; 0 for no limit.
+  double ColdRate = 0.0;
 
   friend bool operator==(const ServiceSettings &,
                          const ServiceSettings &) = default;
@@ -112,6 +108,9 @@
   std::optional<CallerLimits> Callers;
   /// Settings of services that have any.
   std::vector<ServiceSettings> Services;
+  /// Whether requests on routes that are not public need a credential.
+  bool HasAccounts = false;
+  std::vector<ClientAccount> Accounts;
 
   friend bool operator==(const RoutingConfig &,
                          const RoutingConfig &) = default;
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -436,6 +436,11 @@
   Message.MayHandBack = !Row.LastChance &&
                         Row.HandBacks + 1 < Settings.FreeHandBacks &&
                         Pool.usable().size() > Row.TriedOwners.size();
+  Message.Account = Row.Request.Account;
+  if (Row.Request.CredentialTime > Duration{0}) {
+    Message.CredentialTime =
+        std::max(Row.Started + Row.Request.CredentialTime - Now, Duration{1});
+  }
   if (Row.Target > Duration{0}) {
     Message.Target = std::max(Row.Started + Row.Target - Now, Duration{1});
   }
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -360,8 +360,12 @@
     Membership.receive(From, Received, Now, Out);
   } else if constexpr (requires { Keys.receive(From, Received, Now, Out); }) {
     Keys.receive(From, Received, Now, Out);
-  } else if (Configs) {
-    Configs->receive(From, Received, Now, Out);
+  } else if constexpr (requires {
+                         Configs->receive(From, Received, Now, Out);
+                       }) {
+    if (Configs) {
+      Configs->receive(From, Received, Now, Out);
+    }
   }
   if constexpr (requires { Received.ConfigVersion; }) {
     // Anti-entropy: pings go to random members and carry the configuration
--- a/src/core/outcome.cpp
+++ b/src/core/outcome.cpp
@@ -10,7 +10,7 @@
 constexpr std::array<const char *, 3> OutcomeNames{"answered", "not-run",
                                                    "unknown"};
 
-constexpr std::array<const char *, 26> ReasonNames{"none",
+constexpr std::array<const char *, 31> ReasonNames{"none",
                                                    "no-route",
                                                    "no-upstream",
                                                    "queue-full",
@@ -35,9 +35,14 @@
                                                    "upstream-refused",
                                                    "no-config",
                                                    "upstream-slow",
-                                                   "no-memory"};
-
-static_assert(static_cast<std::size_t>(OutcomeReason::NoMemory) + 1 ==
+                                                   "no-memory",
+                                                   "unknown-credential",
+                                                   "credentials-stale",
+                                                   "allotment-exceeded",
+                                                   "cold-limit",
+                                                   "evacuated"};
+
+static_assert(static_cast<std::size_t>(LastOutcomeReason) + 1 ==
               ReasonNames.size());
 
 } // namespace
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -524,9 +524,9 @@
                makeReply(Id, Outcome::Unknown, OutcomeReason::None), Out);
     TraceContext Trace = Attempt.Trace;
     Trace.ParentSpan = spanOf(Id, UpstreamSpanSeed);
-    Out.emplace_back(ForwardToUpstream{Id, Row->Deadline - Now,
-                                       Attempt.Idempotent, Trace, Attempt.Class,
-                                       Attempt.IsExtra, Attempt.Request});
+    Out.emplace_back(ForwardToUpstream{
+        Id, Row->Deadline - Now, Attempt.Idempotent, Trace, Attempt.Class,
+        Attempt.IsExtra, Attempt.Request, Attempt.Account});
     Running.emplace(Id, std::move(*Row));
   }
 }
--- a/src/net/codec/codec.hpp
+++ b/src/net/codec/codec.hpp
@@ -129,6 +129,19 @@
 std::optional<RosterUpdate> decode(const wire::RosterUpdate &Value);
 /// @}
 
+/// @name Allotments and evacuation
+/// @{
+flatbuffers::Offset<wire::AllotmentRequest>
+encode(Builder &Out, const AllotmentRequest &Value);
+flatbuffers::Offset<wire::AllotmentGrant> encode(Builder &Out,
+                                                 const AllotmentGrant &Value);
+flatbuffers::Offset<wire::EvacuationNotice>
+encode(Builder &Out, const EvacuationNotice &Value);
+std::optional<AllotmentRequest> decode(const wire::AllotmentRequest &Value);
+std::optional<AllotmentGrant> decode(const wire::AllotmentGrant &Value);
+std::optional<EvacuationNotice> decode(const wire::EvacuationNotice &Value);
+/// @}
+
 /// @name Quarantine
 /// @{
 flatbuffers::Offset<wire::QuarantineNotice>
--- a/src/net/codec/config_codec.cpp
+++ b/src/net/codec/config_codec.cpp
@@ -6,12 +6,16 @@
                                                const ConfigDigest &Value) {
   return wire::CreateConfigDigest(
       Out, Value.Version, static_cast<std::uint32_t>(Value.NextWithin.count()),
-      Value.Check);
+      Value.Check, Value.FreshAge ? Value.FreshAge->count() : -1);
 }
 
 std::optional<ConfigDigest> decode(const wire::ConfigDigest &Value) {
-  return ConfigDigest{Value.version(), Duration(Value.next_within_us()),
+  ConfigDigest Result{Value.version(), Duration(Value.next_within_us()),
                       Value.check()};
+  if (Value.fresh_age_us() >= 0) {
+    Result.FreshAge = Duration(Value.fresh_age_us());
+  }
+  return Result;
 }
 
 flatbuffers::Offset<wire::ConfigRequest> encode(Builder &Out,
--- a/src/net/codec/key_codec.cpp
+++ b/src/net/codec/key_codec.cpp
@@ -25,7 +25,7 @@
 
 bool decodeResult(const wire::KeyResult &Value, KeyResult &Result) {
   if (!decodeEnum(Value.result(), Outcome::Unknown, Result.Result) ||
-      !decodeEnum(Value.reason(), OutcomeReason::NoMemory, Result.Reason)) {
+      !decodeEnum(Value.reason(), LastOutcomeReason, Result.Reason)) {
     return false;
   }
   Result.Status = Value.status();
--- a/src/net/codec/message_codec.cpp
+++ b/src/net/codec/message_codec.cpp
@@ -82,6 +82,12 @@
     return decodeAs<wire::RosterUpdate>(Frame);
   case wire::Body::QuarantineNotice:
     return decodeAs<wire::QuarantineNotice>(Frame);
+  case wire::Body::AllotmentRequest:
+    return decodeAs<wire::AllotmentRequest>(Frame);
+  case wire::Body::AllotmentGrant:
+    return decodeAs<wire::AllotmentGrant>(Frame);
+  case wire::Body::EvacuationNotice:
+    return decodeAs<wire::EvacuationNotice>(Frame);
   default:
     return std::nullopt;
   }
--- a/src/net/codec/request_codec.cpp
+++ b/src/net/codec/request_codec.cpp
@@ -54,13 +54,16 @@
   const auto Request = encodeBytes(Out, Value.Request.bytes());
   const auto Service = Out.CreateString(Value.Service);
   const auto Route = Out.CreateString(Value.Route);
+  const auto Account = Value.Account.empty()
+                           ? flatbuffers::Offset<flatbuffers::String>()
+                           : Out.CreateString(Value.Account);
   const wire::AttemptId Attempt = encodeAttempt(Value.Attempt);
   const wire::TraceContext Trace = encodeTrace(Value.Trace);
   return wire::CreateDispatch(
       Out, &Attempt, Value.Owner.Value, Service, Route, Value.Remaining.count(),
       static_cast<std::uint8_t>(Value.Class), Value.Idempotent, Value.IsExtra,
       Value.Fingerprint, &Trace, Request, Value.MayHandBack,
-      Value.Target.count());
+      Value.Target.count(), Account, Value.CredentialTime.count());
 }
 
 std::optional<Dispatch> decode(const wire::Dispatch &Value,
@@ -81,6 +84,10 @@
   Result.Request = decodeBytes(*Value.request(), Source);
   Result.MayHandBack = Value.may_hand_back();
   Result.Target = Duration(Value.target_us());
+  if (Value.account() != nullptr) {
+    Result.Account = text(*Value.account());
+  }
+  Result.CredentialTime = Duration(Value.credential_us());
   return Result;
 }
 
@@ -102,7 +109,7 @@
                                     const Payload *Source) {
   DispatchReply Result;
   if (!decodeEnum(Value.result(), Outcome::Unknown, Result.Result) ||
-      !decodeEnum(Value.reason(), OutcomeReason::NoMemory, Result.Reason)) {
+      !decodeEnum(Value.reason(), LastOutcomeReason, Result.Reason)) {
     return std::nullopt;
   }
   Result.Attempt = decodeAttempt(*Value.attempt());
--- a/tests/net/message_codec_test.cpp
+++ b/tests/net/message_codec_test.cpp
@@ -22,6 +22,8 @@
   Request.IsExtra = true;
   Request.Fingerprint = 12;
   Request.Trace = {13, 14, 15, true};
+  Request.Account = "growers";
+  Request.CredentialTime = 16us;
   Request.Request = Payload(std::string("POST / HTTP/1.1\r\n\r\n\0x", 21));
   DispatchReply Reply;
   Reply.Attempt = Attempt;
@@ -50,7 +52,12 @@
           QuarantineNotice{{CrashSighting{16, Attempt.Ingress, 17, 18, true,
                                           false, 19us, true},
                             CrashSighting{20, Attempt.Ingress, 21, 22, false,
-                                          true, 23us, false}}}};
+                                          true, 23us, false}}},
+          ConfigDigest{24, 25us, true, 26us},
+          ConfigDigest{27, 28us, false, std::nullopt},
+          AllotmentRequest{"growers", 29, 30},
+          AllotmentGrant{"growers", 31, 32, 33us},
+          EvacuationNotice{34, 35, {"a", "b"}}};
 }
 
 } // namespace
