Ask further upstreams when busy ones hand a request back

Cause: after four hand-backs each further one was charged to the retry budget, although nothing had reached an upstream. With the budget empty, calls of running requests were refused after 40 ms of 490 ms while upstreams outside of the subset were free, and the runs that made them were lost.

Change: a hand-back never uses the retry budget or counts as an attempt. After four owners of the subset, two outside of it are asked, then the best of the busy ones must queue or refuse the request. A call of a running request waits as long as its deadline allows instead of its latency target.

core_tests "[hand_back],[slowdown],[overload]": 18 test cases passed.

--- a/include/hyssopford/core/candidate_table.hpp
+++ b/include/hyssopford/core/candidate_table.hpp
@@ -6,6 +6,7 @@
 #include "hyssopford/core/candidate.hpp"
 #include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/quantile_tracker.hpp"
+#include "hyssopford/core/random_source.hpp"
 #include "hyssopford/core/retry_budget.hpp"
 #include "hyssopford/core/selection_policy.hpp"
 
@@ -15,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -159,6 +161,17 @@
   /// @return its owner; empty if no trial is due
   std::optional<NodeRun> takeTrial(ServicePool &Pool, TimePoint Now);
 
+  /// @brief Chooses an upstream of a service outside of the subset at random,
+  /// in the own failure domain if possible.
+  /// @param Service the service
+  /// @param Excluded nodes that must not be chosen
+  /// @param Random source of random numbers
+  /// @return its owner; empty if there is none with a link
+  /// @note Complexity: linear in the number of upstreams of the service.
+  std::optional<NodeRun> chooseOutside(const std::string &Service,
+                                       std::span<const NodeId> Excluded,
+                                       RandomSource &Random) const;
+
   /// @brief Records that an attempt was sent.
   void attemptSent(NodeId Node, std::uint64_t Sequence, TimePoint Now);
 
--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -48,9 +48,12 @@
   double SiteBurst = 0.0;
   /// Tokens for retries with which the budget of a service starts.
   std::uint32_t ExtraInitial = 5;
-  /// Attempts of a request that owners may hand back unrun without counting as
-  /// attempts or using the retry budget. Further hand-backs do both.
+  /// Number of times that owners of the subset may hand a request back unrun
+  /// before one that is busy must queue or refuse it. Hand-backs are not
+  /// attempts and use no retry budget; with 0 they are and do.
   std::uint32_t FreeHandBacks = 0;
+  /// Upstreams outside of the subset that are asked before that.
+  std::uint32_t OutsideHandBacks = 0;
   /// Whether an idempotent request that an upstream answered with a 5xx status
   /// other than 504 is retried on another one, within the budget.
   bool RetryFailedAnswers = false;
--- a/include/hyssopford/core/ingress_system.hpp
+++ b/include/hyssopford/core/ingress_system.hpp
@@ -37,6 +37,9 @@
   /// Status queries sent to cancel a late attempt if it is still queued, so
   /// that it can be retried.
   std::uint64_t Recalls = 0;
+  /// Attempts sent to upstreams outside of the subset, as those of the subset
+  /// were busy.
+  std::uint64_t OutsideAttempts = 0;
   /// Replies to attempts that had already ended.
   std::uint64_t LateReplies = 0;
   /// Requests that the end of a shutdown left with an unknown outcome.
@@ -188,6 +191,8 @@
     std::uint32_t Attempts = 0;
     /// Hand-backs by owners that were not counted as attempts.
     std::uint32_t HandBacks = 0;
+    /// Attempts sent to upstreams outside of the subset.
+    std::uint32_t OutsideAttempts = 0;
     /// One entry for each attempt that ended, for the log.
     std::string Steps;
     /// Owners that handed the request back and may accept it later.
@@ -225,9 +230,16 @@
   void startAttempt(RequestRow &Row, TimePoint Now, Actions &Out);
   /// Sends another attempt after one ended or lost its link, or ends the
   /// request if no other attempt may follow.
-  /// @param IsFree whether the ended attempt was handed back within
-  /// RoutingSettings::FreeHandBacks, so that the retry uses no budget
-  void retry(RequestRow &Row, TimePoint Now, Actions &Out, bool IsFree = false);
+  /// @param IsHandBack whether an owner returned the ended attempt unrun, so
+  /// that the retry uses no budget
+  void retry(RequestRow &Row, TimePoint Now, Actions &Out,
+             bool IsHandBack = false);
+  /// @return the number of hand-backs after which a request is refused
+  std::uint32_t handBackLimit(const RequestRow &Row) const;
+  /// Chooses the next owner of a request that was handed back: another one of
+  /// the subset, then one outside of it, then the best one that is busy.
+  std::optional<NodeRun> chooseAfterHandBack(RequestRow &Row, ServicePool &Pool,
+                                             TimePoint Now);
   /// Retries a request that an upstream answered with a 5xx status.
   /// @return false if the answer must be passed on to the caller
   bool retryFailedAnswer(RequestRow &Row, const DispatchReply &Reply,
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -153,6 +153,9 @@
   /// @return whether an attempt may start now
   bool mayStartNow(TimePoint Now, Actions &Out);
   void handBackQueued(TimePoint Now, Actions &Out);
+  /// Longest time in the queue after which an answer is worth the wait.
+  /// @param Service expected service time
+  Duration longestWait(const Dispatch &Attempt, Duration Service) const;
   /// Time by which an attempt must start so that its answer is worth the wait.
   TimePoint startDeadline(const Dispatch &Attempt, TimePoint Now) const;
   /// Smoothed service time of a route in µs; that of all routes before its
--- a/src/core/candidate_table.cpp
+++ b/src/core/candidate_table.cpp
@@ -179,6 +179,32 @@
   return Pool.Views[At.Index].Owner;
 }
 
+std::optional<NodeRun>
+CandidateTable::chooseOutside(const std::string &Service,
+                              std::span<const NodeId> Excluded,
+                              RandomSource &Random) const {
+  const auto All = Known.find(Service);
+  if (All == Known.end()) {
+    return std::nullopt;
+  }
+  std::vector<NodeRun> Local;
+  std::vector<NodeRun> Others;
+  for (const Candidate &Each : All->second) {
+    const auto Link = Links.find(Each.Owner.Node);
+    const bool IsLinked = Link != Links.end() && Link->second == Each.Owner.Run;
+    const bool IsExcluded = std::find(Excluded.begin(), Excluded.end(),
+                                      Each.Owner.Node) != Excluded.end();
+    if (IsLinked && !IsExcluded && Each.State != UpstreamState::Draining &&
+        !Locations.contains(Each.Owner.Node)) {
+      (Each.FailureDomain == FailureDomain ? Local : Others)
+          .push_back(Each.Owner);
+    }
+  }
+  const std::vector<NodeRun> &From = Local.empty() ? Others : Local;
+  return From.empty() ? std::nullopt
+                      : std::optional(From[Random.below(From.size())]);
+}
+
 void CandidateTable::attemptSent(NodeId Node, std::uint64_t Sequence,
                                  TimePoint Now) {
   const auto Found = Locations.find(Node);
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -29,6 +29,12 @@
          Reason == OutcomeReason::WrongIncarnation;
 }
 
+/// Whether the owner has no room now and may have some later.
+bool isBusy(OutcomeReason Reason) {
+  return Reason == OutcomeReason::UpstreamSlow ||
+         Reason == OutcomeReason::QueueFull;
+}
+
 } // namespace
 
 IngressSystem::IngressSystem(NodeRun Run, RandomSource &Source,
@@ -120,18 +126,19 @@
     }
     return;
   }
-  const bool IsFree = Reply.Result == Outcome::NotRun &&
-                      Reply.Reason != OutcomeReason::UpstreamRefused &&
-                      Row.HandBacks < Settings.FreeHandBacks;
-  if (IsFree) {
+  // An attempt that an owner returned reached no upstream, so it is neither
+  // counted nor charged to the retry budget.
+  const bool IsHandBack = Settings.FreeHandBacks > 0 &&
+                          Reply.Result == Outcome::NotRun &&
+                          Reply.Reason != OutcomeReason::UpstreamRefused;
+  if (IsHandBack) {
     ++Row.HandBacks;
     --Row.Attempts;
-    if (Reply.Reason == OutcomeReason::UpstreamSlow ||
-        Reply.Reason == OutcomeReason::QueueFull) {
+    if (isBusy(Reply.Reason)) {
       Row.BusyOwners.push_back(Attempt.Owner.Node);
     }
   }
-  retry(Row, Now, Out, IsFree);
+  retry(Row, Now, Out, IsHandBack);
 }
 
 void IngressSystem::resolveStatus(const StatusReply &Reply, TimePoint Now,
@@ -287,7 +294,7 @@
 }
 
 void IngressSystem::retry(RequestRow &Row, TimePoint Now, Actions &Out,
-                          bool IsFree) {
+                          bool IsHandBack) {
   const auto InDoubt = [&](std::uint64_t Sequence) {
     return Attempts.at(Sequence).InDoubt;
   };
@@ -322,16 +329,14 @@
     GiveUp(OutcomeReason::ShuttingDown);
     return;
   }
-  std::optional<NodeRun> Chosen =
-      Pool == nullptr ? std::nullopt : chooseOwner(Row, *Pool, Now);
-  if (!Chosen && Pool != nullptr && IsFree && !Row.BusyOwners.empty()) {
-    // All candidates are busy or slow: the best one must not hand it back
-    // again.
-    for (const NodeId Each : std::exchange(Row.BusyOwners, {})) {
-      std::erase(Row.TriedOwners, Each);
-    }
-    Row.LastChance = true;
-    Chosen = chooseOwner(Row, *Pool, Now);
+  if (IsHandBack && Row.HandBacks > handBackLimit(Row)) {
+    GiveUp(Row.LastReason);
+    return;
+  }
+  std::optional<NodeRun> Chosen;
+  if (Pool != nullptr) {
+    Chosen = IsHandBack ? chooseAfterHandBack(Row, *Pool, Now)
+                        : chooseOwner(Row, *Pool, Now);
   }
   if (!Chosen && Pool != nullptr &&
       Row.LastReason == OutcomeReason::UpstreamClosed) {
@@ -343,15 +348,51 @@
     GiveUp(Row.LastReason);
     return;
   }
-  if (!IsFree && !Pool->Budget.takeRetry()) {
+  if (!IsHandBack && !Pool->Budget.takeRetry()) {
     ++Counters.RetriesDenied;
     GiveUp(OutcomeReason::RetryBudget);
     return;
   }
-  Counters.Retries += IsFree ? 0 : 1;
+  Counters.Retries += IsHandBack ? 0 : 1;
   dispatch(Row, *Pool, *Chosen, Now, Out);
 }
 
+std::uint32_t IngressSystem::handBackLimit(const RequestRow &Row) const {
+  return Settings.FreeHandBacks + Row.OutsideAttempts;
+}
+
+std::optional<NodeRun> IngressSystem::chooseAfterHandBack(RequestRow &Row,
+                                                          ServicePool &Pool,
+                                                          TimePoint Now) {
+  const bool SubsetAsked =
+      !Row.LastChance && Row.HandBacks >= Settings.FreeHandBacks;
+  if (!SubsetAsked) {
+    if (const auto Chosen = chooseOwner(Row, Pool, Now)) {
+      return Chosen;
+    }
+  }
+  if (!Row.LastChance && !Row.Request.OnlyOwner &&
+      Row.OutsideAttempts < Settings.OutsideHandBacks) {
+    // All that were asked are busy, but the subset is only a part of the
+    // service.
+    if (const auto Chosen =
+            Table.chooseOutside(Row.Service, Row.TriedOwners, Random)) {
+      ++Row.OutsideAttempts;
+      ++Counters.OutsideAttempts;
+      return Chosen;
+    }
+  }
+  if (Row.BusyOwners.empty()) {
+    return std::nullopt;
+  }
+  // The best candidate must not hand the request back again.
+  for (const NodeId Each : std::exchange(Row.BusyOwners, {})) {
+    std::erase(Row.TriedOwners, Each);
+  }
+  Row.LastChance = true;
+  return chooseOwner(Row, Pool, Now);
+}
+
 void IngressSystem::sendHedge(RequestRow &Row, TimePoint Now, Actions &Out) {
   ServicePool *Pool = Table.findPool(Row.Service);
   if (Pool == nullptr || Row.OpenAttempts.size() != 1 ||
@@ -433,9 +474,11 @@
   Message.Trace = Row.Request.Trace;
   Message.Trace.ParentSpan = Span;
   Message.Request = Row.Request.Request;
-  Message.MayHandBack = !Row.LastChance &&
-                        Row.HandBacks + 1 < Settings.FreeHandBacks &&
-                        Pool.usable().size() > Row.TriedOwners.size();
+  const bool MayAskOutside = Row.OutsideAttempts < Settings.OutsideHandBacks;
+  Message.MayHandBack =
+      !Row.LastChance &&
+      (Row.HandBacks + 1 < Settings.FreeHandBacks || MayAskOutside) &&
+      (Pool.usable().size() > Row.TriedOwners.size() || MayAskOutside);
   Message.Account = Row.Request.Account;
   if (Row.Request.CredentialTime > Duration{0}) {
     Message.CredentialTime =
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -385,9 +385,7 @@
   if (Wait + Service > Attempt.Remaining) {
     return OutcomeReason::DeadlineTooClose;
   }
-  // An attempt may wait longer if it still meets its latency target.
-  const Duration Longest =
-      std::max(Settings.QueueDelayMax, Attempt.Target - Service);
+  const Duration Longest = longestWait(Attempt, Service);
   if (Wait > Longest || Queue.size() >= Settings.QueueLengthMax ||
       (Attempt.MayHandBack && Wait > Settings.HandBackWait)) {
     return OutcomeReason::QueueFull;
@@ -455,8 +453,17 @@
   }
   const Duration Service(
       static_cast<std::int64_t>(routeServiceTime(Attempt.Route)));
-  return Now + Settings.ExpiryMargin +
-         std::max(Settings.QueueDelayMax, Attempt.Target - Service);
+  return Now + Settings.ExpiryMargin + longestWait(Attempt, Service);
+}
+
+Duration OwnerSystem::longestWait(const Dispatch &Attempt,
+                                  Duration Service) const {
+  // The refusal of a call loses the work of the run that made it, so a call may
+  // miss its latency target and waits as long as its deadline allows.
+  const bool IsCall =
+      Attempt.Class == Priority::High && Attempt.Target > Duration{0};
+  return std::max(Settings.QueueDelayMax,
+                  (IsCall ? Attempt.Remaining : Attempt.Target) - Service);
 }
 
 double OwnerSystem::routeServiceTime(const std::string &Route) const {
