Decide by the key of a request which client account it has

Configurations can name client accounts, but the core served every request that has a route.

AccountIndex finds the account of a key digest. NodeCore authorizes a request after it has found its route and before any other check: it sets the account and, unless an earlier hop has set it, the class of the account. A request with an account is not taken for a nested call, and its idempotency key is separate from those of other accounts.

--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -2,6 +2,8 @@
 /// @brief The decision core of one node.
 #pragma once
 
+#include "hyssopford/core/accounts/account_index.hpp"
+#include "hyssopford/core/accounts/authorization.hpp"
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/core/config_system.hpp"
 #include "hyssopford/core/decision_settings.hpp"
@@ -109,6 +111,18 @@
   /// @return the current configuration; version 0 before the first
   const RoutingConfig &config() const { return Config; }
 
+  /// @return the client accounts of the current configuration
+  const AccountIndex &accounts() const { return Accounts; }
+
+  /// @brief Decides whether a request may be served on its key.
+  /// @param Matched route of the request in the current configuration
+  /// @param Key digest of the key that the request carries, if any
+  /// @return the decision; its account is valid until the next input
+  Authorization authorize(const Route &Matched,
+                          const std::optional<KeyDigest> &Key) const {
+    return hyssopford::authorize(Config, Accounts, Matched, Key);
+  }
+
   /// @return the system of the requests for which this node is the ingress
   const IngressSystem &ingress() const { return Ingress; }
   /// @return the system of idempotency keys
@@ -193,6 +207,7 @@
   NodeRun Self;
   SeededRandomSource Random;
   RoutingConfig Config;
+  AccountIndex Accounts;
   TrafficSplit Splits;
   NestedCallDetector NestedCalls;
   MembershipSystem Membership;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -32,6 +32,24 @@
   return Reply;
 }
 
+/// Sets the account of a request and, unless an earlier hop has set the class,
+/// the class of the account.
+void setAccount(CallerRequest &Request, const ClientAccount *Account) {
+  Request.Account.clear();
+  if (Account == nullptr) {
+    return;
+  }
+  Request.Account = Account->Name;
+  if (!Request.Class) {
+    Request.Class = Account->Class;
+  }
+  if (!Request.Key.empty()) {
+    // An account must not get the answers to the idempotency keys of another.
+    // Names have no control characters, so the result is unambiguous.
+    Request.Key = Account->Name + '\n' + Request.Key;
+  }
+}
+
 } // namespace
 
 NodeCore::NodeCore(const NodeCoreSettings &Settings, const ConfigCodec *Codec)
@@ -91,6 +109,7 @@
     return false;
   }
   Config = std::move(NewConfig);
+  Accounts = AccountIndex(Config.Accounts);
   Quarantine.adopt(Config);
   Splits.adopt(Config);
   Membership.setConfigVersion(Config.Version);
@@ -129,6 +148,13 @@
     Out.emplace_back(refusal(Input.Id, OutcomeReason::NoRoute));
     return;
   }
+  // A configuration adopted since the header section was read may have revoked
+  // the key.
+  const Authorization Granted = authorize(*Matched, Input.Credential);
+  if (Granted.Refusal != OutcomeReason::None) {
+    Out.emplace_back(refusal(Input.Id, Granted.Refusal));
+    return;
+  }
   const std::uint64_t Fingerprint = fingerprintOf(Input);
   if (Quarantine.isBarred(Fingerprint, Now)) {
     Out.emplace_back(quarantineRefusal(Input.Id, Fingerprint, Now));
@@ -139,6 +165,7 @@
     Limited.Service = Splits.choose(Limited, Random);
   }
   CallerRequest Call = Input;
+  setAccount(Call, Granted.Account);
   const bool IsTrial = Quarantine.isQuarantined(Fingerprint, Now);
   if (IsTrial) {
     Call.OnlyOwner = trialOwner(Fingerprint, Limited.Service);
@@ -151,7 +178,9 @@
     Limited.AttemptLimit = 1;
   }
   Call.ConfigVersion = Config.Version;
-  if (Input.FromUpstreamAddress &&
+  // Requests with an account are never calls of the upstream: those carry no
+  // key.
+  if (Input.FromUpstreamAddress && Granted.Account == nullptr &&
       NestedCalls.observe(Limited.Name, !Owner.idle())) {
     // Refusing a call of a running request would waste the work done for it.
     Call.IsNestedCall = true;
