Authenticate requests by the keys of client accounts on the platform

The core decides by key digests, but nothing read keys or accounts.

So the key cannot reach the forwarded request, and a key of any bytes and any length up to the limit of the head gets the same 401; POCO's limit of 8 KiB a value answered 431 and control characters 400. CallerService refuses before the body, NodeCore decides again when the request is complete. The owner states the account to the instance; a caller's own account field is dropped on all routes.

The document of the operators is rewritten with digests when it is read, also when it comes from a node of an earlier release. Accounts are validated as a whole; errors name the field and quote neither keys nor the document, which the messages of the JSON parser did. Routes have the kinds upload and download and may be public; services state their cold limits. Log lines name the account, hyssopford_credential_refusals_total counts refusals.

--- a/include/hyssopford/config/compressing_codec.hpp
+++ b/include/hyssopford/config/compressing_codec.hpp
@@ -11,7 +11,7 @@
 public:
   std::string compressDocument(std::string_view Document) const final;
   std::optional<std::string>
-  decompressDocument(std::string_view Compressed) const final;
+  decompressDocument(std::string_view Compressed) const override;
 };
 
 } // namespace hyssopford
--- a/include/hyssopford/config/record_reader.hpp
+++ b/include/hyssopford/config/record_reader.hpp
@@ -53,6 +53,14 @@
                             std::uint64_t Min = 0,
                             std::uint64_t Max = MaxExactInteger);
 
+/// @brief Reads a number.
+/// @throws RecordFault if it is missing, no number, or outside of 0 to @p Max
+double numberOf(const Json &Object, const char *Name, double Max);
+
+/// @brief Reads a Boolean.
+/// @throws RecordFault if it is missing or neither true nor false
+bool booleanOf(const Json &Object, const char *Name);
+
 /// @brief Reads a duration in seconds, which may have a fraction.
 /// @throws RecordFault if it is missing, no number, or outside of @p Min to
 /// @p Max
--- a/include/hyssopford/net/edge_policy.hpp
+++ b/include/hyssopford/net/edge_policy.hpp
@@ -64,6 +64,11 @@
   virtual std::string
   callerRequestId(const Poco::Net::HTTPRequest &Head) const = 0;
 
+  /// @brief Names the field in which callers state the key of their client
+  /// account. The server replaces the field by HttpHeadFacts::Credential.
+  /// @return the name; empty if there is no such field
+  virtual std::string credentialField() const { return {}; }
+
   /// @brief Builds the request that is sent to an upstream.
   /// @param Request the request
   /// @param Trusted true for requests of the upstream on this VM
@@ -127,6 +132,7 @@
                                     bool Trusted) const override;
   std::string
   callerRequestId(const Poco::Net::HTTPRequest &Head) const override;
+  std::string credentialField() const override;
   Payload forwardedRequest(HttpRequest Request, bool Trusted) const override;
   std::string answerFields(const ReplyToCaller &Reply) const override;
   Payload refusal(const EdgeRefusal &Refused) const override;
--- a/include/hyssopford/net/http_head.hpp
+++ b/include/hyssopford/net/http_head.hpp
@@ -2,6 +2,8 @@
 /// @brief Strict validation of HTTP/1.1 message heads (start line and fields).
 #pragma once
 
+#include "hyssopford/core/accounts/client_account.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -20,6 +22,8 @@
   std::size_t Fields = 100;
   /// Longest body in bytes.
   std::uint64_t Body = 1'048'576;
+  /// Field of requests that holds the key of a client account; empty for none.
+  std::string CredentialField{};
 };
 
 /// @brief Why a message is refused.
@@ -49,6 +53,11 @@
   std::size_t TargetOffset = 0;
   /// Status code; responses only.
   int Status = 0;
+  /// True if the request has a credential field.
+  bool HasCredentialField = false;
+  /// Digest of the value of the credential field; empty if there is no such
+  /// field, more than one, or one without a value.
+  std::optional<KeyDigest> Credential;
 };
 
 /// @brief Checks the head of a request.
@@ -80,6 +89,12 @@
 bool splitFieldLine(std::string_view Line, std::string_view &Name,
                     std::string_view &Value);
 
+/// @brief Copies a head without the lines of one field.
+/// @param Head a head that passed the check
+/// @param Name name of the field
+/// @return the other lines
+std::string withoutField(std::string_view Head, std::string_view Name);
+
 /// @brief Compares ASCII texts, such as field names, ignoring case.
 bool equalsIgnoreCase(std::string_view Left, std::string_view Right);
 
--- a/include/hyssopford/node/caller_service.hpp
+++ b/include/hyssopford/node/caller_service.hpp
@@ -58,6 +58,10 @@
   /// @return the number of malformed requests refused since the start
   std::uint64_t refusedRequests() const { return RefusedRequests; }
 
+  /// @return the number of requests refused for their credential since the
+  /// start
+  std::uint64_t credentialRefusals() const { return CredentialRefusals; }
+
   HeadDecision onHead(const Poco::Net::HTTPRequest &Head,
                       const HttpHeadFacts &Facts) override;
   bool canServe(const Poco::Net::HTTPRequest &Head,
@@ -69,7 +73,9 @@
 
 private:
   TraceContext newTrace();
-  Payload refuseHead(const Poco::Net::HTTPRequest &Head, OutcomeReason Reason);
+  /// Account is the client account of the request, or nullptr.
+  Payload refuseHead(const Poco::Net::HTTPRequest &Head, OutcomeReason Reason,
+                     const ClientAccount *Account = nullptr);
 
   CoreDriver &Driver;
   const EdgePolicy &Edge;
@@ -80,6 +86,7 @@
   NodeTelemetry *Telemetry = nullptr;
   MemoryBudget *Memory = nullptr;
   std::uint64_t RefusedRequests = 0;
+  std::uint64_t CredentialRefusals = 0;
   TraceSampler Sampler{0};
   std::mt19937_64 TraceSource;
 };
--- a/scripts/check-platform-names.sh
+++ b/scripts/check-platform-names.sh
@@ -8,6 +8,7 @@
 NAMES+='|/hyssopford/(readiness|instances|kv-)|kv-(key|range|watch|txn|lease|keep)'
 NAMES+='|trafficSplit|targetLatencyS|timeoutS|maxAttempts|coldRemainingS'
 NAMES+='|heartbeatUrl|storeRevision|HYSSOPFORD_SETTINGS|op/config'
+NAMES+='|X-Credential|X-Tenant|X-Cold-Ms|apiKeys|coldPerS|op/evacuate'
 if git grep -nE "$NAMES" -- include src tools standins tests examples schema \
   ':!tests/platform'; then
   echo "names of the platform found outside platform/, tests/platform and deploy/" >&2
--- a/src/config/json_reader.cpp
+++ b/src/config/json_reader.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+/// Removes the quotation of the document from a message of the parser, because
+/// documents hold secrets and messages are logged.
+std::string_view withoutQuotation(std::string_view Message) {
+  return Message.substr(0, Message.find("; last read:"));
+}
+
 /// Finds keys that occur twice in one object. The depth is limited, so that a
 /// hostile document cannot exhaust memory.
 class DuplicateKeyScan final : public nlohmann::json_sax<Json> {
@@ -41,7 +47,8 @@
   bool parse_error(std::size_t Position, const std::string &,
                    const nlohmann::detail::exception &Fault) override {
     Faults.add(ErrorCode::NotJson, "",
-               fmt::format("not JSON at byte {}: {}", Position, Fault.what()));
+               fmt::format("not JSON at byte {}: {}", Position,
+                           withoutQuotation(Fault.what())));
     return false;
   }
 
--- a/src/config/record_reader.cpp
+++ b/src/config/record_reader.cpp
@@ -86,6 +86,25 @@
   return *Result;
 }
 
+double numberOf(const Json &Object, const char *Name, double Max) {
+  const Json &Value = memberOf(Object, Name);
+  if (Value.is_number()) {
+    const auto Stated = Value.get<double>();
+    if (Stated >= 0.0 && Stated <= Max) {
+      return Stated;
+    }
+  }
+  refuse(Name, fmt::format("a number from 0 to {}", Max));
+}
+
+bool booleanOf(const Json &Object, const char *Name) {
+  const Json &Value = memberOf(Object, Name);
+  if (!Value.is_boolean()) {
+    refuse(Name, "true or false");
+  }
+  return Value.get<bool>();
+}
+
 std::chrono::microseconds secondsOf(const Json &Object, const char *Name,
                                     std::chrono::microseconds Min,
                                     std::chrono::microseconds Max) {
--- a/src/net/default_edge_policy.cpp
+++ b/src/net/default_edge_policy.cpp
@@ -1,5 +1,7 @@
 #include "hyssopford/net/edge_policy.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <fmt/format.h>
 #include <utility>
 
@@ -9,6 +11,8 @@
 
 /// Value of Retry-After for requests that did not run.
 constexpr int RetryAfterSeconds = 1;
+constexpr int UnauthorizedStatus = 401;
+constexpr int TooManyRequestsStatus = 429;
 
 } // namespace
 
@@ -23,6 +27,10 @@
   return Head.get("X-Request-Id", "");
 }
 
+std::string DefaultEdgePolicy::credentialField() const {
+  return "Hyssopford-Credential";
+}
+
 Payload DefaultEdgePolicy::forwardedRequest(HttpRequest Request,
                                             bool Trusted) const {
   return buildForwardedRequest(std::move(Request), Trusted);
@@ -53,6 +61,11 @@
                                    toString(Refused.Result), Refused.Reason);
   if (Status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
     Fields += fmt::format("Retry-After: {}\r\n", RetryAfterSeconds);
+  } else if (Status == TooManyRequestsStatus) {
+    // Whole seconds (RFC 9110, section 10.2.3), rounded up.
+    const auto Wait = std::chrono::ceil<std::chrono::seconds>(
+        std::max<Duration>(Refused.RetryAfter, 1s));
+    Fields += fmt::format("Retry-After: {}\r\n", Wait.count());
   }
   const std::string Body =
       Refused.Detail.empty()
@@ -104,6 +117,10 @@
   switch (Reason) {
   case OutcomeReason::NoRoute:
     return 404;
+  case OutcomeReason::UnknownCredential:
+    return UnauthorizedStatus;
+  case OutcomeReason::AllotmentExceeded:
+    return TooManyRequestsStatus;
   case OutcomeReason::KeyReused:
     return 422;
   case OutcomeReason::DeadlineExceeded:
--- a/src/net/http_forward.cpp
+++ b/src/net/http_forward.cpp
@@ -17,6 +17,7 @@
 constexpr const char *TimeoutField = "Hyssopford-Timeout-Ms";
 constexpr const char *PriorityField = "Hyssopford-Priority";
 constexpr const char *ExtraField = "Hyssopford-Extra";
+constexpr const char *AccountField = "Hyssopford-Account";
 constexpr const char *TraceField = "traceparent";
 /// Upper bound for the timeout that a caller states: one day.
 constexpr std::int64_t MaximumTimeoutMs = 86'400'000;
@@ -167,6 +168,9 @@
   if (Attempt.IsExtra) {
     Lines += fmt::format("{}: 1\r\n", ExtraField);
   }
+  if (!Attempt.Account.empty()) {
+    Lines += fmt::format("{}: {}\r\n", AccountField, Attempt.Account);
+  }
   return Lines;
 }
 
--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -1,5 +1,7 @@
 #include "hyssopford/net/http_head.hpp"
 
+#include "hyssopford/net/key_digest.hpp"
+
 #include <algorithm>
 #include <charconv>
 
@@ -94,6 +96,14 @@
   return Target.find("%00") == std::string_view::npos;
 }
 
+/// Returns whether a header line is that of the field @p Name, without regard
+/// to its value.
+bool isLineOf(std::string_view Line, std::string_view Name) {
+  return !Name.empty() && Line.size() > Name.size() &&
+         Line[Name.size()] == ':' &&
+         equalsIgnoreCase(Line.substr(0, Name.size()), Name);
+}
+
 /// Checks the lines of a head and collects the fields that determine the body
 /// framing.
 class HeadChecker {
@@ -135,6 +145,10 @@
       if (Line.front() == ' ' || Line.front() == '\t') {
         return refuse(400, "folded header line");
       }
+      if (isLineOf(Line, Limits.CredentialField)) {
+        readCredential(Line.substr(Limits.CredentialField.size() + 1), Facts);
+        continue;
+      }
       std::string_view Name;
       std::string_view Value;
       if (!splitFieldLine(Line, Name, Value)) {
@@ -181,6 +195,16 @@
     return true;
   }
 
+  /// Reads a key, which may have any length and any bytes that a line may have:
+  /// a wrong key gets the same refusal whatever it looks like.
+  static void readCredential(std::string_view Text, HttpHeadFacts &Facts) {
+    const std::string_view Key = trim(Text);
+    const bool IsUsable = !Facts.HasCredentialField && !Key.empty();
+    Facts.HasCredentialField = true;
+    Facts.Credential =
+        IsUsable ? std::optional(digestOfKey(Key)) : std::nullopt;
+  }
+
   bool parseContentLength(std::string_view Value, HttpHeadFacts &Facts) {
     if (SeenLength) {
       return refuse(400, "repeated Content-Length");
@@ -390,6 +414,20 @@
   return isToken(Name) && std::all_of(Value.begin(), Value.end(), isFieldChar);
 }
 
+std::string withoutField(std::string_view Head, std::string_view Name) {
+  std::string Result;
+  Result.reserve(Head.size());
+  while (!Head.empty()) {
+    const std::size_t Size = std::min(Head.find('\n'), Head.size() - 1) + 1;
+    const std::string_view Line = Head.substr(0, Size);
+    if (!isLineOf(Line, Name)) {
+      Result.append(Line);
+    }
+    Head.remove_prefix(Size);
+  }
+  return Result;
+}
+
 bool equalsIgnoreCase(std::string_view Left, std::string_view Right) {
   return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
                     [](char A, char B) { return toLower(A) == toLower(B); });
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -139,6 +139,13 @@
     return false;
   }
   Facts = *Checked;
+  // The key goes no further than its digest, and POCO's parser would refuse
+  // some keys.
+  std::string Reduced;
+  if (Facts.HasCredentialField) {
+    Reduced = withoutField(Head, Limits.CredentialField);
+    Head = Reduced;
+  }
   try {
     Poco::MemoryInputStream Stream(Head.data(),
                                    static_cast<std::streamsize>(Head.size()));
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -38,6 +38,8 @@
     Server->reply(Reply.Id, Reply.Answer, Edge.answerFields(Reply));
     return;
   }
+  CredentialRefusals +=
+      Reply.Reason == OutcomeReason::UnknownCredential ? 1 : 0;
   EdgeRefusal Refused = makeRefusal(Reply.Reason);
   Refused.Result = Reply.Result;
   Refused.RetryAfter = Reply.RetryAfter;
@@ -64,8 +66,15 @@
     Decision.Refusal = refuseHead(Head, OutcomeReason::NoRoute);
     return Decision;
   }
+  const Authorization Granted =
+      Driver.core().authorize(*Matched, Facts.Credential);
+  if (Granted.Refusal != OutcomeReason::None) {
+    Decision.Refusal = refuseHead(Head, Granted.Refusal);
+    return Decision;
+  }
   if (!canServe(Head, Facts)) {
-    Decision.Refusal = refuseHead(Head, OutcomeReason::ShuttingDown);
+    Decision.Refusal =
+        refuseHead(Head, OutcomeReason::ShuttingDown, Granted.Account);
     return Decision;
   }
   Decision.BodyLimit = std::min(Matched->BodyLimit, LargestBody);
@@ -79,7 +88,8 @@
         static_cast<std::size_t>(Facts.ContentLength) + RequestOverhead,
         MemoryUse::Request);
     if (!Charge) {
-      Decision.Refusal = refuseHead(Head, OutcomeReason::NoMemory);
+      Decision.Refusal =
+          refuseHead(Head, OutcomeReason::NoMemory, Granted.Account);
       return Decision;
     }
     Decision.Memory = std::move(*Charge);
@@ -102,14 +112,17 @@
 }
 
 Payload CallerService::refuseHead(const Poco::Net::HTTPRequest &Head,
-                                  OutcomeReason Reason) {
+                                  OutcomeReason Reason,
+                                  const ClientAccount *Account) {
   if (Telemetry != nullptr) {
     Telemetry->log(LogLevel::Info, "request_refused",
                    {{"id", Edge.callerRequestId(Head)},
                     {"reason", toString(Reason)},
                     {"target", Head.getURI()},
+                    {"account", Account == nullptr ? "" : Account->Name},
                     {"config_version", Driver.core().config().Version}});
   }
+  CredentialRefusals += Reason == OutcomeReason::UnknownCredential ? 1 : 0;
   EdgeRefusal Refused = makeRefusal(Reason);
   Refused.RetryAfter = RefusalRetryAfter;
   return Edge.refusal(Refused);
@@ -132,6 +145,7 @@
   Input.BodyHash = hashBytes(Request.Body);
   Input.BodySize = Request.Body.size();
   Input.CredentialsHash = hashBytes(Request.Head.get("Authorization", ""));
+  Input.Credential = Request.Facts.Credential;
   Input.IsExtra = Hop.IsExtra;
   Input.Trace = Hop.Trace ? *Hop.Trace : newTrace();
   Input.ServeInShutdown = true;
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -72,8 +72,10 @@
 
 HttpServerSettings serverSettings(const NodeRuntimeSettings &Settings,
                                   const std::string &Address,
-                                  std::uint8_t Number) {
+                                  std::uint8_t Number,
+                                  std::string CredentialField = {}) {
   HttpServerSettings Result = Settings.Http;
+  Result.Limits.CredentialField = std::move(CredentialField);
   Result.Address = Address;
   Result.Number = Number;
   return Result;
@@ -175,10 +177,12 @@
       Settings.Tokens);
   Callers = std::make_unique<HttpServer>(
       Loop, *CallerRequests,
-      serverSettings(Settings, Settings.CallerAddress, CallerServerNumber));
+      serverSettings(Settings, Settings.CallerAddress, CallerServerNumber,
+                     Adapters.Edge->credentialField()));
   Local = std::make_unique<HttpServer>(
       Loop, *LocalRequests,
-      serverSettings(Settings, Settings.LocalAddress, LocalServerNumber));
+      serverSettings(Settings, Settings.LocalAddress, LocalServerNumber,
+                     Adapters.Edge->credentialField()));
   CallerRequests->setMemory(Memory);
   LocalRequests->setMemory(Memory);
   CallerRequests->attach(*Callers);
@@ -273,6 +277,9 @@
   Telemetry->set(MetricId::UpstreamConnections,
                  Upstream->active() + Upstream->idle());
   Telemetry->set(MetricId::RefusedRequests, CallerRequests->refusedRequests());
+  Telemetry->set(MetricId::CredentialRefusals,
+                 CallerRequests->credentialRefusals() +
+                     LocalRequests->credentialRefusals());
   Telemetry->set(MetricId::MemoryUsed, Memory.used());
   Telemetry->set(MetricId::MemoryPeak, Memory.peak());
   Telemetry->set(MetricId::MemoryLimit, Memory.limit());
--- a/tests/net/http_reader_test.cpp
+++ b/tests/net/http_reader_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// @brief Tests of the HTTP reader with valid messages.
 #include "hyssopford/net/http_reader.hpp"
+#include "hyssopford/net/key_digest.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -110,3 +111,41 @@
     REQUIRE(readMessage(Reader) == Progress::Failed);
   }
 }
+
+// Guards against keys that reach the forwarded request, and against refusals
+// that depend on what a wrong key looks like.
+TEST_CASE("the credential field is replaced by its digest", "[http]") {
+  HttpLimits Limits;
+  Limits.CredentialField = "X-Key";
+  const auto Read = [&](const std::string &Fields, HttpReader &Reader) {
+    Reader.feed("GET / HTTP/1.1\r\nHost: a\r\n" + Fields + "A: b\r\n\r\n");
+    REQUIRE(readMessage(Reader) == Progress::Complete);
+    CHECK_FALSE(Reader.request().has("X-Key"));
+    CHECK(Reader.request().get("A") == "b");
+    return Reader.facts().Credential;
+  };
+  const auto Credential = [&](const std::string &Fields) {
+    HttpReader Reader(HttpReader::Kind::Request, Limits);
+    return Read(Fields, Reader);
+  };
+  CHECK(Credential("x-KEY:  k 1\t\r\n") == digestOfKey("k 1"));
+  const std::string Odd =
+      std::string("\0\x01\x7f\xff", 4) + std::string(20'000, 'k');
+  CHECK(Credential("X-Key:" + Odd + "\r\n") == digestOfKey(Odd));
+  CHECK_FALSE(Credential("").has_value());
+  CHECK_FALSE(Credential("X-Key: \r\n").has_value());
+  CHECK_FALSE(Credential("X-Key: k\r\nX-Key: k\r\n").has_value());
+  CHECK_FALSE(Credential("X-Keys: k\r\n").has_value());
+
+  // The key of a request does not stay for the next one.
+  HttpReader Reader(HttpReader::Kind::Request, Limits);
+  CHECK(Read("X-Key: k\r\n", Reader).has_value());
+  Reader.next();
+  CHECK_FALSE(Read("", Reader).has_value());
+
+  HttpReader Long(HttpReader::Kind::Request, Limits);
+  Long.feed("GET / HTTP/1.1\r\nHost: a\r\nX-Key: " + std::string(40'000, 'k') +
+            "\r\n\r\n");
+  CHECK(readMessage(Long) == Progress::Failed);
+  CHECK(Long.fault().Status == 431);
+}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -1,9 +1,11 @@
 /// @file
 /// @brief Tests of the translation between the platform's formats and the types
 /// of the node.
+#include "account_rows.hpp"
 #include "announcements.hpp"
 #include "config_document.hpp"
 #include "edge_policy.hpp"
+#include "hyssopford/net/key_digest.hpp"
 #include "settings.hpp"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -184,6 +186,134 @@
   }
 }
 
+namespace {
+
+constexpr const char *FirstKey = "key-of-north-1";
+constexpr const char *SecondKey = "key-of-south-1";
+
+json configWithAccounts() {
+  json Config = goodConfig();
+  Config["tenants"] =
+      json::array({{{"name", "north"},
+                    {"apiKeys", {FirstKey, "key-of-north-2"}},
+                    {"priority", 2},
+                    {"perS", 40.5},
+                    {"burst", 8}},
+                   {{"name", "south"}, {"apiKeys", {SecondKey}}}});
+  Config["routes"][0]["public"] = true;
+  return Config;
+}
+
+} // namespace
+
+TEST_CASE("client accounts of configuration documents", "[platform]") {
+  const ConfigDocument Codec;
+  std::vector<Error> Errors;
+  Error Fault;
+  SECTION("accounts, public routes, kinds and cold limits are read") {
+    json Document = configWithAccounts();
+    Document["routes"][0]["kind"] = "download";
+    Document["routes"][1]["kind"] = "upload";
+    Document["services"][0]["coldS"] = 3;
+    Document["services"][0]["coldPerS"] = 16;
+    const auto Config = Codec.parseConfig(Document.dump(), 12, Errors);
+    REQUIRE(Config.has_value());
+    CHECK(Config->HasAccounts);
+    CHECK(Config->Routes[0].IsPublic);
+    CHECK_FALSE(Config->Routes[1].IsPublic);
+    CHECK(Config->Routes[0].Idempotent == true);
+    CHECK(Config->Routes[1].Idempotent == false);
+    CHECK(Config->Services[0].ColdTime == 3s);
+    CHECK(Config->Services[0].ColdRate == 16.0);
+    REQUIRE(Config->Accounts.size() == 2);
+    const ClientAccount North{
+        "north",
+        {digestOfKey(FirstKey), digestOfKey("key-of-north-2")},
+        priorityFromRank(2),
+        40.5,
+        8.0};
+    CHECK(Config->Accounts[0] == North);
+    CHECK(Config->Accounts[1] ==
+          ClientAccount{"south", {digestOfKey(SecondKey)}, {}, 0.0, 0.0});
+  }
+  SECTION("only a document without accounts needs no key") {
+    CHECK_FALSE(
+        Codec.parseConfig(goodConfig().dump(), 12, Errors)->HasAccounts);
+    json Document = goodConfig();
+    Document["tenants"] = json::array();
+    CHECK(Codec.parseConfig(Document.dump(), 12, Errors)->HasAccounts);
+  }
+  SECTION("no key is kept or passed to peers") {
+    const std::string Text = configWithAccounts().dump();
+    const auto Head = Codec.parseHead(Text, Fault);
+    REQUIRE(Head.has_value());
+    CHECK(Head->Document.find("key-of-") == std::string::npos);
+    CHECK(Codec.parseConfig(Head->Document, 12, Errors) ==
+          Codec.parseConfig(Text, 12, Errors));
+    CHECK(Codec.parseHead(Head->Document, Fault)->Document == Head->Document);
+    // A node of an earlier release sends the document as the store has it.
+    CHECK(Codec.decompressDocument(Codec.compressDocument(Text)) ==
+          Head->Document);
+    const std::string Plain = goodConfig().dump();
+    CHECK(Codec.parseHead(Plain, Fault)->Document == Plain);
+  }
+  SECTION("invalid accounts are refused with the field and without keys") {
+    const auto Refused = [&](auto Change, const std::string &Field) {
+      json Document = configWithAccounts();
+      Change(Document["tenants"]);
+      Errors.clear();
+      CHECK_FALSE(Codec.parseConfig(Document.dump(), 12, Errors).has_value());
+      REQUIRE(Errors.size() == 1);
+      INFO(Errors[0].Reason);
+      CHECK(Errors[0].Reason.find(Field) != std::string::npos);
+      CHECK(Errors[0].Reason.find("key-of-") == std::string::npos);
+    };
+    Refused([](json &Rows) { Rows[1]["name"] = ""; }, "/tenants/1/name");
+    Refused([](json &Rows) { Rows[1]["name"] = "north"; }, "/tenants/1/name");
+    // Such a name would add a field to the requests of instances.
+    Refused([](json &Rows) { Rows[1]["name"] = "a\r\nX-Other: 1"; },
+            "/tenants/1/name");
+    Refused([](json &Rows) { Rows[1]["apiKeys"].push_back(FirstKey); },
+            "/tenants/1/apiKeys/1");
+    Refused([](json &Rows) { Rows[1]["apiKeys"] = SecondKey; },
+            "/tenants/1/apiKeys");
+    Refused([](json &Rows) { Rows[1].erase("apiKeys"); }, "/tenants/1/apiKeys");
+    Refused([](json &Rows) { Rows[1]["keyDigests"] = {SecondKey}; },
+            "/tenants/1/keyDigests");
+    Refused([](json &Rows) { Rows[0]["perS"] = -1; }, "/tenants/0/perS");
+    Refused(
+        [](json &Rows) {
+          Rows = json::object({{"x", FirstKey}});
+        },
+        "/tenants");
+  }
+  SECTION("a document that is no JSON is refused without quoting it") {
+    std::string Text = configWithAccounts().dump();
+    Text.replace(Text.find("\",\"key-of-north-2"), 1, "\n");
+    CHECK_FALSE(Codec.parseHead(Text, Fault).has_value());
+    CHECK(Fault.Reason.find("not JSON") != std::string::npos);
+    CHECK(Fault.Reason.find("key-of-") == std::string::npos);
+  }
+}
+
+TEST_CASE("the account of a request in header fields", "[platform]") {
+  const PlatformEdgePolicy Edge("s");
+  Poco::Net::HTTPRequest Head("GET", "/p/x", "HTTP/1.1");
+  Head.add("Host", "h.example");
+  Head.add("X-Credential", FirstKey);
+  Head.add("x-tenant", "forged");
+  Head.add("X-Tenant", "forged too");
+  const Payload Forwarded = Edge.forwardedRequest(
+      HttpRequest{Head, HttpHeadFacts(), "", "1.2.3.4:5"}, false);
+  CHECK(Forwarded.bytes().find(FirstKey) == std::string_view::npos);
+  CHECK(Forwarded.bytes().find("forged") == std::string_view::npos);
+  ForwardToUpstream Attempt;
+  CHECK(Edge.attemptFields(Attempt, "i").find("X-Tenant") == std::string::npos);
+  Attempt.Account = "north";
+  CHECK(Edge.attemptFields(Attempt, "i").find("X-Tenant: north\r\n") !=
+        std::string::npos);
+}
+
 TEST_CASE("answers of instances", "[platform]") {
   const PlatformEdgePolicy Edge("s");
   const auto Classify = [&](const Poco::Net::HTTPResponse &Head,
@@ -283,6 +413,18 @@
     CHECK(Answer.starts_with("HTTP/1.1 503"));
     CHECK(Answer.find("Retry-After: 0.120\r\n") != std::string::npos);
   }
+  SECTION("an unknown key gives 401, a used allotment 429 with Retry-After") {
+    const std::string Unknown =
+        Refuse(Outcome::NotRun, OutcomeReason::UnknownCredential);
+    CHECK(Unknown.starts_with("HTTP/1.1 401"));
+    CHECK(Unknown.find("Retry-After") == std::string::npos);
+    const std::string Exceeded =
+        Refuse(Outcome::NotRun, OutcomeReason::AllotmentExceeded);
+    CHECK(Exceeded.starts_with("HTTP/1.1 429"));
+    CHECK(Exceeded.find("Retry-After: 0.120\r\n") != std::string::npos);
+    CHECK(Refuse(Outcome::NotRun, OutcomeReason::CredentialsStale)
+              .starts_with("HTTP/1.1 503"));
+  }
   SECTION("a missing configuration gives 503, a missing route 404") {
     CHECK(Refuse(Outcome::NotRun, OutcomeReason::NoConfig)
               .starts_with("HTTP/1.1 503"));
--- a/tests/platform/deployment_test.cpp
+++ b/tests/platform/deployment_test.cpp
@@ -288,6 +288,81 @@
   }
 }
 
+// Guards against keys that leave the ingress, and against callers that choose
+// the account that the instance sees.
+TEST_CASE("a node authenticates requests by the keys of client accounts",
+          "[platform][deployment][accounts]") {
+  PlatformStandins Site;
+  InstanceStandin &Instance = Site.addInstance();
+  TestNode First(Site, Instance);
+  const auto Put = [&](std::uint64_t Version, const char *Key) {
+    json Document = json::parse(configText(Version));
+    Document["routes"][0]["public"] = true;
+    Document["tenants"] = {{{"name", "north"}, {"apiKeys", {Key}}}};
+    Site.call([&] {
+      Site.Store->put("op/config", Document.dump());
+      return 0;
+    });
+  };
+  const auto Send = [&](const std::string &Path, const std::string &Key,
+                        const std::string &Id, std::size_t Length = 0) {
+    RawClient Client(First.Node->callerAddress());
+    Client.send(fmt::format(
+        "POST {} HTTP/1.1\r\nHost: a\r\n"
+        "Connection: close\r\nX-Attempt-Id: {}\r\n"
+        "X-Deadline-Ms: 2000\r\n{}X-Tenant: forged\r\n"
+        "Content-Length: {}\r\n\r\n",
+        Path, Id, Key.empty() ? "" : "X-Credential: " + Key + "\r\n", Length));
+    return Client.receiveAll();
+  };
+  // A node without configuration cannot tell wrong keys from right ones.
+  CHECK(Send("/write/x", "secret-1", "t0").starts_with("HTTP/1.1 503"));
+  Put(1, "secret-1");
+  REQUIRE(First.serves("t1"));
+
+  CHECK(Send("/write/x", "secret-1", "t2").starts_with("HTTP/1.1 200"));
+  auto Head = Site.call([&] { return Instance.lastHead(); });
+  CHECK(Head.get("X-Tenant") == "north");
+  CHECK_FALSE(Head.has("X-Credential"));
+  CHECK(Send("/read/x", "secret-1", "t3").starts_with("HTTP/1.1 200"));
+  Head = Site.call([&] { return Instance.lastHead(); });
+  CHECK_FALSE(Head.has("X-Tenant"));
+  CHECK_FALSE(Head.has("X-Credential"));
+
+  // The refusal does not wait for the body, which never comes here.
+  CHECK(Send("/write/x", "wrong", "t4", 100).starts_with("HTTP/1.1 401"));
+  CHECK(Send("/write/x", "", "t5").starts_with("HTTP/1.1 401"));
+  // Longer than POCO's limit of a value, and with bytes that fields must not
+  // have.
+  std::string Odd(12'000, 'k');
+  Odd[1] = '\0';
+  Odd[2] = '\x7f';
+  Odd[3] = '\xff';
+  const std::string Answer = Send("/write/x", Odd, "t6");
+  CHECK(Answer.starts_with("HTTP/1.1 401"));
+  CHECK(Answer.find("kkk") == std::string::npos);
+  CHECK(Site.call([&] { return Instance.runs().count("t6"); }) == 0);
+
+  Put(2, "secret-2");
+  CHECK(eventually([&] {
+    return Send("/write/x", "secret-1", "t7").starts_with("HTTP/1.1 401");
+  }));
+  CHECK(Send("/write/x", "secret-2", "t8").starts_with("HTTP/1.1 200"));
+  // Repeated, because the log limits the lines of an event per second.
+  CHECK(eventually([&] {
+    Send("/write/x", "secret-1", "t9");
+    return First.Log.contains("event=request_refused id=t9");
+  }));
+  CHECK(First.Log.contains("reason=unknown-credential"));
+  CHECK_FALSE(First.Log.contains("secret-"));
+  CHECK_FALSE(First.Log.contains("kkk"));
+  CHECK(eventually([&] {
+    return First.metrics("/metrics")
+               .find("hyssopford_credential_refusals_total ") !=
+           std::string::npos;
+  }));
+}
+
 // Guards against metrics that are recorded but not served, and against an
 // occupied metrics port that keeps a node from serving requests.
 TEST_CASE("a node serves its metrics", "[platform][deployment]") {
