--- a/src/config/routing_config_json.cpp
+++ b/src/config/routing_config_json.cpp
@@ -1,5 +1,6 @@
 #include "hyssopford/config/routing_config_json.hpp"
 
+#include "account_json.hpp"
 #include "json_reader.hpp"
 #include "text_rules.hpp"
 
@@ -48,6 +49,7 @@
   Reader.readInteger("try_limit", 1, MaxAttemptLimit, AttemptLimit);
   Result.AttemptLimit = static_cast<std::uint32_t>(AttemptLimit);
   Reader.readInteger("body_limit", 0, MaxBodyLimit, Result.BodyLimit);
+  Reader.readBoolean("public", Result.IsPublic);
   Reader.reportUnknownFields();
   return Result;
 }
@@ -163,6 +165,7 @@
     }
     checkLifts(Result.Lifts, Faults);
   }
+  readAccounts(Reader, Result, Faults);
   Reader.reportUnknownFields();
   if (Errors.size() != Before) {
     return std::nullopt;
@@ -184,7 +187,8 @@
              .count()},
         {"priority", Each.Class == Priority::High ? "high" : "normal"},
         {"try_limit", Each.AttemptLimit},
-        {"body_limit", Each.BodyLimit}};
+        {"body_limit", Each.BodyLimit},
+        {"public", Each.IsPublic}};
     if (Each.Idempotent) {
       Entry["idempotent"] = *Each.Idempotent;
     }
@@ -195,9 +199,12 @@
     Lifts.push_back({{"fingerprint", fmt::format("{:016x}", Each.Fingerprint)},
                      {"serial", Each.Serial}});
   }
-  const Json Document{{"routes", std::move(Routes)},
-                      {"drains", Config.Drains},
-                      {"quarantine_lifts", std::move(Lifts)}};
+  Json Document{{"routes", std::move(Routes)},
+                {"drains", Config.Drains},
+                {"quarantine_lifts", std::move(Lifts)}};
+  if (Config.HasAccounts) {
+    Document["accounts"] = renderAccounts(Config.Accounts);
+  }
   return Document.dump(2);
 }
 
--- a/src/config/text_rules.cpp
+++ b/src/config/text_rules.cpp
@@ -69,6 +69,13 @@
   return Rule;
 }
 
+const TextRule &keyDigestRule() {
+  static const std::regex Pattern("[0-9a-f]{64}");
+  static const TextRule Rule{
+      &Pattern, "a SHA-256 digest of 64 lower-case hexadecimal digits", 64};
+  return Rule;
+}
+
 const TextRule &filePathRule() {
   static const std::regex Pattern("/[!-~ ]*[!-~]");
   static const TextRule Rule{
--- a/src/config/text_rules.hpp
+++ b/src/config/text_rules.hpp
@@ -16,6 +16,7 @@
 const TextRule &addressRule();
 const TextRule &listenAddressRule();
 const TextRule &fingerprintRule();
+const TextRule &keyDigestRule();
 const TextRule &filePathRule();
 /// @}
 
--- a/tests/config/routing_config_json_test.cpp
+++ b/tests/config/routing_config_json_test.cpp
@@ -49,6 +49,11 @@
   Config.Routes = {Enrol};
   Config.Drains = {"192.0.2.7:7101"};
   Config.Lifts = {QuarantineLift{0xfedcba9876543210, 3}};
+  Config.Routes[0].IsPublic = true;
+  Config.HasAccounts = true;
+  ClientAccount Account{
+      "north", {KeyDigest{0x12, 0xff}}, Priority::High, 40.0, 8.0};
+  Config.Accounts = {Account};
 
   std::vector<Error> Errors;
   const auto Parsed =
@@ -107,6 +112,22 @@
         {"fingerprint": "00000000000000aa", "serial": 1}]})") ==
             std::vector<Fault>{{108, "/quarantine_lifts/1/fingerprint"}});
   }
+  SECTION("accounts with one name, or with one key") {
+    const std::string Key(64, 'a');
+    const std::string Other(64, 'b');
+    CHECK(faultsOf(R"({"routes": [], "accounts": [
+        {"name": "a", "key_digests": [")" +
+                   Other + R"("]},
+        {"name": "a", "key_digests": [")" +
+                   Key + R"("]},
+        {"name": "c", "key_digests": [")" +
+                   Key + R"(", "x"]},
+        {"name": "d", "key_digests": [")" +
+                   Key + R"("]}]})") ==
+          std::vector<Fault>{{107, "/accounts/2/key_digests/1"},
+                             {108, "/accounts/1/name"},
+                             {108, "/accounts/3/key_digests/0"}});
+  }
   SECTION("an empty method") {
     REQUIRE(faultsOf(R"({"routes": [{"name": "a", "service": "x",
         "methods": [""]}]})") ==
--- a/tests/config/routing_schema_test.cpp
+++ b/tests/config/routing_schema_test.cpp
@@ -19,6 +19,10 @@
   Config.Routes = {Full};
   Config.Drains = {"192.0.2.7:7101"};
   Config.Lifts = {QuarantineLift{1, 2}};
+  Config.HasAccounts = true;
+  ClientAccount Account{
+      "north", {KeyDigest{0x12, 0xff}}, Priority::High, 40.0, 8.0};
+  Config.Accounts = {Account};
 
   test::probeSchema(nlohmann::json::parse(
                         test::readRepositoryFile("schema/routing.schema.json")),
--- a/tests/net/http_forward_test.cpp
+++ b/tests/net/http_forward_test.cpp
@@ -1,5 +1,6 @@
 /// @file
 /// @brief Tests of the conversion of requests and answers for forwarding.
+#include "hyssopford/net/edge_policy.hpp"
 #include "hyssopford/net/http_forward.hpp"
 #include "hyssopford/net/http_reader.hpp"
 #include "hyssopford/telemetry/trace_parent.hpp"
@@ -122,3 +123,20 @@
   const std::string ToHead(buildForwardedAnswer(Head, "", true).bytes());
   REQUIRE(hasLine(ToHead, "Content-Length: 9"));
 }
+
+// Guards against an account of the caller's choice and against clients that
+// take a refusal for a temporary one.
+TEST_CASE("the account of a request in Hyssopford fields", "[http]") {
+  ForwardToUpstream Attempt;
+  CHECK(renderAttemptFields(Attempt).find("Account") == std::string::npos);
+  Attempt.Account = "north";
+  CHECK(renderAttemptFields(Attempt).find("Hyssopford-Account: north\r\n") !=
+        std::string::npos);
+  CHECK(statusOf(Outcome::NotRun, OutcomeReason::UnknownCredential) == 401);
+  EdgeRefusal Refused;
+  Refused.Code = OutcomeReason::AllotmentExceeded;
+  Refused.RetryAfter = 1'200ms;
+  const std::string Answer(defaultEdgePolicy().refusal(Refused).bytes());
+  CHECK(Answer.starts_with("HTTP/1.1 429"));
+  CHECK(Answer.find("Retry-After: 2\r\n") != std::string::npos);
+}
