List client accounts in the view of a node

Operators could not see which accounts a node has in force. GET /v1/node lists their names with the number of keys, and whether keys are required.

--- a/src/node/operator_views.cpp
+++ b/src/node/operator_views.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <utility>
 
 namespace hyssopford {
 
@@ -170,6 +171,10 @@
 
 json nodeView(const OperatorContext &Context) {
   const NodeCore &Core = Context.Driver.core();
+  json Accounts = json::array();
+  for (const ClientAccount &Each : Core.accounts().accounts()) {
+    Accounts.push_back({{"name", Each.Name}, {"keys", Each.Keys.size()}});
+  }
   const PeerLinkCounters &Counters = Context.Links.counters();
   json Result{{"node", toString(Core.self().Node)},
               {"incarnation", Core.self().Run.Value},
@@ -185,6 +190,9 @@
                 {"bytes_received", Counters.BytesReceived},
                 {"messages_dropped", Counters.MessagesDropped},
                 {"refused", Counters.Refused}}},
+              {"accounts",
+               {{"required", Core.config().HasAccounts},
+                {"entries", std::move(Accounts)}}},
               {"upstream_connections",
                {{"active", Context.Upstream.active()},
                 {"idle", Context.Upstream.idle()},
