Refuse keys on nodes whose configuration may be outdated

A node that is cut off or was frozen accepted revoked keys for as long as it ran. A store that came back with an older state left watches hanging at lost revisions, and would have proven the older version.

Each node holds since when its configuration is proven to be the newest, from answers of the store and from the age that peers state. Messages state when they were sent, so that time in buffers makes a proof older. All times use the boot-time clock. After a rise of Store-Era the revisions of the configuration, of open patches and of the directory are void.

--- a/include/hyssopford/core/admission_queue.hpp
+++ b/include/hyssopford/core/admission_queue.hpp
@@ -27,8 +27,13 @@
   /// Time after which an answer would come too late to be worth the wait.
   TimePoint StartDeadline = TimePoint::max();
 
+  /// Time from which the credential of the request may not be relied on.
+  TimePoint CredentialEnd = TimePoint::max();
+
   /// @return the time at which the attempt leaves the queue unstarted
-  TimePoint expiry() const { return std::min(Deadline, StartDeadline); }
+  TimePoint expiry() const {
+    return std::min({Deadline, StartDeadline, CredentialEnd});
+  }
 };
 
 /// @brief Priority queue with one FIFO queue for each class. The most urgent
--- a/include/hyssopford/core/config_message.hpp
+++ b/include/hyssopford/core/config_message.hpp
@@ -21,6 +21,9 @@
   /// Time since the sender's version was known to be the newest in the store;
   /// empty if not stated.
   std::optional<Duration> FreshAge{};
+  /// Time of the sender's clock at which FreshAge was stated. The receiver
+  /// finds from it how much longer than usual the message was under way.
+  Duration SentAt{0};
 
   friend bool operator==(const ConfigDigest &, const ConfigDigest &) = default;
 };
--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -11,10 +11,12 @@
 #include "hyssopford/core/patch_writer.hpp"
 #include "hyssopford/core/random_source.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hyssopford {
@@ -139,6 +141,16 @@
   /// @return the configuration that came into force since the last call, if any
   std::optional<RoutingConfig> takeAdopted();
 
+  /// @return the start of a call whose answer showed that no version higher
+  /// than the one in force was in the store then, since the last call of this
+  /// function
+  std::optional<TimePoint> takeProof() {
+    return std::exchange(Proof, std::nullopt);
+  }
+
+  /// @return whether this node is one of those that watch the store
+  bool watching() const { return Watching; }
+
   /// @return the version in force; 0 before the first
   std::uint64_t version() const { return Version; }
 
@@ -185,6 +197,8 @@
     /// Time after which the client has given it up.
     TimePoint Deadline;
     bool IsWatch = false;
+    /// Era of the store when the call started.
+    std::uint64_t Era = 0;
   };
 
   /// Takes over a version that a submission found in or wrote to the store.
@@ -204,6 +218,19 @@
   void readStore(TimePoint Now, Actions &Out);
   void receiveHead(const OpenCall &Call, const StoreResult &Result,
                    TimePoint Now, Actions &Out);
+  /// Handles a value that is not a head value or has a lower version than the
+  /// one in force.
+  void rejectHead(const OpenCall &Call, const StoreResult &Result,
+                  std::uint64_t HeadVersion, const std::string &Reason,
+                  TimePoint Now, Actions &Out);
+  /// Records the era that a result states. After a rise, the revisions held are
+  /// void.
+  /// @return false if the result is of an earlier era
+  bool noteEra(const StoreResult &Result, Actions &Out);
+  /// Records that the version in force was the newest when a call started.
+  void recordProof(const OpenCall &Call) {
+    Proof = std::max(Proof.value_or(Call.Start), Call.Start);
+  }
   /// Plans the call after the latest one, which failed or is overdue.
   void storeFailed(const OpenCall &Call, const std::string &Reason,
                    TimePoint Now, Actions &Out);
@@ -281,7 +308,13 @@
   TimePoint NextPlainRead;
   std::optional<TimePoint> StoreAnsweredAt;
   TimePoint LastTick;
+  /// Revision of the highest head value read in this era of the store; 0 for
+  /// none.
   std::uint64_t Revision = 0;
+  /// Version of the head value at this revision.
+  std::uint64_t StoredVersion = 0;
+  std::uint64_t Era = 0;
+  std::optional<TimePoint> Proof;
   Duration Backoff = MinBackoff;
   TimePoint NextStoreCall;
   std::optional<TimePoint> NextOlderNotice;
--- a/include/hyssopford/core/directory_system.hpp
+++ b/include/hyssopford/core/directory_system.hpp
@@ -94,6 +94,9 @@
   Step OpenStep = Step::None;
   std::uint64_t OpenCall = 0;
   TimePoint CallStart;
+  /// Era of the store, and that at the start of the call.
+  std::uint64_t Era = 0;
+  std::uint64_t CallEra = 0;
   /// @}
 
   /// @name Writer
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -9,6 +9,7 @@
 #include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/directory_system.hpp"
 #include "hyssopford/core/event.hpp"
+#include "hyssopford/core/freshness/freshness_system.hpp"
 #include "hyssopford/core/ingress_system.hpp"
 #include "hyssopford/core/key_system.hpp"
 #include "hyssopford/core/membership_system.hpp"
@@ -136,6 +137,9 @@
   /// @return the system of the members of the site
   const MembershipSystem &membership() const { return Membership; }
 
+  /// @return the system that decides whether credentials are accepted
+  const FreshnessSystem &freshness() const { return Freshness; }
+
   /// @return the configuration system, or nullptr without a codec
   const ConfigSystem *configSystem() const {
     return Configs ? &*Configs : nullptr;
@@ -177,6 +181,8 @@
                Actions &Out);
   void receive(NodeRun From, const QuarantineNotice &Message, TimePoint Now,
                Actions &Out);
+  void receive(NodeRun From, const ConfigDigest &Message, TimePoint Now,
+               Actions &Out);
   /// Passes a message to the system of membership, keys or configuration.
   template <typename Message>
   void receive(NodeRun From, const Message &Received, TimePoint Now,
@@ -189,6 +195,10 @@
   /// it.
   std::optional<NodeId> trialOwner(std::uint64_t Fingerprint,
                                    const std::string &Service) const;
+  /// Limits a request with a client account to the time for which its
+  /// credential may be relied on.
+  /// @return false if the request was refused
+  bool limitCredential(CallerRequest &Call, TimePoint Now, Actions &Out);
   void startRequest(const CallerRequest &Input, const Route &Matched,
                     TimePoint Now, Actions &Out);
   /// Refuses dispatches of peers for a while if the process was paused.
@@ -213,6 +223,7 @@
   MembershipSystem Membership;
   DirectorySystem Directory;
   std::optional<ConfigSystem> Configs;
+  FreshnessSystem Freshness;
   IngressSystem Ingress;
   OwnerSystem Owner;
   ProbeSystem Probes;
--- a/include/hyssopford/core/patch_writer.hpp
+++ b/include/hyssopford/core/patch_writer.hpp
@@ -76,6 +76,14 @@
   /// serves an older one.
   void setVersion(std::uint64_t Version) { InForce = Version; }
 
+  /// @brief Accepts lower revisions from now on, because the store has lost
+  /// what it had acknowledged.
+  void forgetRevisions() {
+    if (Current) {
+      Current->MinRevision = 0;
+    }
+  }
+
   /// @brief Runs the timers.
   void tick(TimePoint Now, Actions &Out);
 
--- a/include/hyssopford/core/store_call.hpp
+++ b/include/hyssopford/core/store_call.hpp
@@ -82,6 +82,10 @@
   std::uint64_t Lease = 0;
   /// Explanation if Status is Refused or NoAnswer.
   std::string Reason;
+  /// Era of the store when it answered; 0 if not stated. It rises each time the
+  /// store has lost what it had acknowledged; revisions are comparable only
+  /// within an era.
+  std::uint64_t Era = 0;
 
   friend bool operator==(const StoreResult &, const StoreResult &) = default;
 };
--- a/include/hyssopford/net/event_loop.hpp
+++ b/include/hyssopford/net/event_loop.hpp
@@ -89,7 +89,7 @@
   /// @brief Ends run() after the current iteration. Thread-safe.
   void stop();
 
-  /// @return the current monotonic time
+  /// @return the time since the VM booted, suspensions included
   static TimePoint now();
 
   /// @return by how much a timer was late at most since the last call; an idle
--- a/include/hyssopford/net/http_client.hpp
+++ b/include/hyssopford/net/http_client.hpp
@@ -22,6 +22,9 @@
   bool Sent = false;
   /// Why there was no response; empty otherwise.
   std::string Reason;
+  /// Value of the header field HttpClientSettings::KeptField; empty if the
+  /// response has none.
+  std::string Field{};
 
   friend bool operator==(const HttpCallResult &,
                          const HttpCallResult &) = default;
@@ -37,6 +40,8 @@
   std::size_t PoolSize = 2;
   /// Maximum size of a response body in bytes.
   std::size_t BodyLimit = 4'194'304;
+  /// Name of a header field of responses that results contain; empty for none.
+  std::string KeptField{};
 };
 
 /// @brief Makes calls on an event loop. Each running call has a connection of
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -103,6 +103,7 @@
 
 void ConfigSystem::receive(const StoreReplied &Reply, TimePoint Now,
                            Actions &Out) {
+  const bool IsCurrentEra = noteEra(Reply.Result, Out);
   if (isCallOf(StoreUser::Patch, Reply.Call)) {
     Writer.receive(Reply, Now, Out);
     takeStored(Now, Out);
@@ -114,8 +115,11 @@
     OpenCalls.erase(Found);
     const bool WasCurrent = CurrentCall == Reply.Call;
     CurrentCall = WasCurrent ? 0 : CurrentCall;
-    if (isAnswer(Reply.Result)) {
+    if (isAnswer(Reply.Result) && IsCurrentEra) {
       receiveHead(Call, Reply.Result, Now, Out);
+    } else if (!IsCurrentEra) {
+      // The state that the answer describes is lost.
+      NextStoreCall = CurrentCall == 0 ? Now + MinRetry : NextStoreCall;
     } else if (WasCurrent) {
       storeFailed(Call, Reply.Result.Reason, Now, Out);
     }
@@ -428,7 +432,7 @@
   CurrentCall = storeCallNumber(StoreUser::Config, ++LastCall);
   OpenCalls[CurrentCall] =
       OpenCall{Now, Now + Wait + ReadTimeout + ClientMargin,
-               std::holds_alternative<StoreWatch>(Operation)};
+               std::holds_alternative<StoreWatch>(Operation), Era};
   OverdueAt = Now + Wait + AnswerTime;
   NextStoreCall = TimePoint::max();
   Out.emplace_back(StoreCall{CurrentCall, std::move(Operation), ReadTimeout});
@@ -480,10 +484,17 @@
   Next(Watching ? Now : standsIn(Now) ? Now + StandInPeriod : TimePoint::max());
   if (Result.Status == StoreStatus::Missing) {
     const Duration Jitter(Random.below(Settings.MissingConfigPeriod.count()));
-    Next(Now + Settings.MissingConfigPeriod + Jitter);
+    // A store that lost the configuration is read as often as it was watched.
+    Next(Watching && Version != 0
+             ? Now + WatchTime
+             : Now + Settings.MissingConfigPeriod + Jitter);
     return;
   }
   if (Result.Status != StoreStatus::Done) {
+    if (Call.IsWatch && Call.Era == Era && Revision != 0 &&
+        StoredVersion >= Version) {
+      recordProof(Call);
+    }
     return;
   }
   Error LastError;
@@ -491,17 +502,14 @@
       Codec.parseHead(Result.Value, LastError);
   if (!Head || Head->Version < Version) {
     Next(Watching ? Now + WatchTime : TimePoint::max());
-    if (!NextOlderNotice || *NextOlderNotice <= Now) {
-      NextOlderNotice = Now + OlderNoticePeriod;
-      Out.emplace_back(
-          Notice{Head ? "config_store_older" : "config_store_unreadable",
-                 {{"store_version", std::to_string(Head ? Head->Version : 0)},
-                  {"in_force", std::to_string(Version)},
-                  {"reason", LastError.Reason}}});
-    }
+    rejectHead(Call, Result, Head ? Head->Version : 0, LastError.Reason, Now,
+               Out);
     return;
   }
-  Revision = std::max(Revision, Result.Revision);
+  if (Result.Revision >= Revision) {
+    Revision = Result.Revision;
+    StoredVersion = Head->Version;
+  }
   considerVersion(Candidate{Head->Version, Payload(Head->Document),
                             Origin{Call.IsWatch ? "store-watch" : "store-read",
                                    std::nullopt, Result.Revision}},
@@ -510,6 +518,55 @@
     Started = true;
     putInForce(*std::exchange(Pending, std::nullopt), Now, Out);
   }
+  if (Started && Version != 0) {
+    // A higher version that is still not in force is invalid and counts as not
+    // written: the last good one goes on.
+    recordProof(Call);
+  }
+}
+
+void ConfigSystem::rejectHead(const OpenCall &Call, const StoreResult &Result,
+                              std::uint64_t HeadVersion,
+                              const std::string &Reason, TimePoint Now,
+                              Actions &Out) {
+  if (HeadVersion != 0) {
+    // A watch from the revision of a higher version would hang.
+    Revision = 0;
+    StoredVersion = HeadVersion;
+  } else if (Call.Era == Era && Revision != 0 && Result.Revision > Revision &&
+             StoredVersion >= Version) {
+    // An unreadable value that follows the version in force counts as an
+    // invalid version.
+    recordProof(Call);
+  }
+  if (!NextOlderNotice || *NextOlderNotice <= Now) {
+    NextOlderNotice = Now + OlderNoticePeriod;
+    Out.emplace_back(Notice{HeadVersion != 0 ? "config_store_older"
+                                             : "config_store_unreadable",
+                            {{"store_version", std::to_string(HeadVersion)},
+                             {"in_force", std::to_string(Version)},
+                             {"reason", Reason}}});
+  }
+}
+
+bool ConfigSystem::noteEra(const StoreResult &Result, Actions &Out) {
+  if (Result.Era == 0 || Result.Era == Era) {
+    return true;
+  }
+  if (Result.Era < Era) {
+    return false;
+  }
+  if (StoreAnsweredAt) {
+    Out.emplace_back(Notice{"store_lost_history",
+                            {{"era", std::to_string(Result.Era)},
+                             {"version", std::to_string(Version)},
+                             {"revision", std::to_string(Revision)}}});
+  }
+  Era = Result.Era;
+  Revision = 0;
+  StoredVersion = 0;
+  Writer.forgetRevisions();
+  return true;
 }
 
 void ConfigSystem::storeFailed(const OpenCall &Call, const std::string &Reason,
--- a/src/core/directory_system.cpp
+++ b/src/core/directory_system.cpp
@@ -81,11 +81,27 @@
 }
 
 void DirectorySystem::receive(const StoreReplied &Reply, TimePoint Now) {
+  if (Reply.Result.Era > Era) {
+    // The store may have lost the lease or the value; another node may hold a
+    // lease with the same number.
+    Era = Reply.Result.Era;
+    Lease = 0;
+    Revision = 0;
+    WrittenValue.clear();
+    NextWrite = std::min(NextWrite, Now + RetryPeriod);
+  }
   if (OpenCall == 0 || Reply.Call != OpenCall) {
     return;
   }
   const Step Done = std::exchange(OpenStep, Step::None);
   OpenCall = 0;
+  const bool IsOldEra = Reply.Result.Era != 0 && Reply.Result.Era < Era;
+  const bool IsVoid =
+      (Done == Step::Renew || Done == Step::Write) && CallEra != Era;
+  if (Done != Step::Read && (IsOldEra || IsVoid)) {
+    NextWrite = Now + RetryPeriod;
+    return;
+  }
   if (Done == Step::Read) {
     finishRead(Reply.Result, Now);
   } else if (Done == Step::Write) {
@@ -136,6 +152,7 @@
   OpenStep = Next;
   OpenCall = storeCallNumber(StoreUser::Directory, ++LastCall);
   CallStart = Now;
+  CallEra = Era;
   Out.emplace_back(StoreCall{OpenCall, std::move(Operation)});
 }
 
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -302,8 +302,10 @@
     }
   };
   // A request that is suspected of crashing upstreams is not sent to another.
+  // Nor is one whose credential an owner has refused: others would do the same.
   const bool MayRunAgain =
       Row.LastReason != OutcomeReason::Quarantined &&
+      Row.LastReason != OutcomeReason::CredentialsStale &&
       (Row.Idempotent || (!Row.MayHaveRun && Row.OpenAttempts.empty()));
   if (!MayRunAgain) {
     GiveUp(Row.LastReason);
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -57,6 +57,7 @@
       Membership(ownRecord(Settings, Self), Settings.Seeds, Random,
                  Settings.Decisions.Start),
       Directory(Settings.Address, Random, Settings.Decisions.Start),
+      Freshness(Settings.Decisions.Freshness),
       Ingress(Self, Random, Settings.Decisions.Routing, Settings.Region,
               Settings.FailureDomain),
       Owner(Self, Settings.Decisions.Admission),
@@ -92,6 +93,7 @@
   if (Configs) {
     Configs->tick(Now, Produced);
   }
+  Freshness.tick(Now, Produced);
   syncSystems(Now, Produced);
   deliverLocal(Now, Produced, Out);
   // A run that was superseded ends only if it may restart.
@@ -112,6 +114,7 @@
   Accounts = AccountIndex(Config.Accounts);
   Quarantine.adopt(Config);
   Splits.adopt(Config);
+  Freshness.setVersion(Config.Version);
   Membership.setConfigVersion(Config.Version);
   Owner.setConfigVersion(Config.Version);
   CandidateRevision = 0;
@@ -124,7 +127,7 @@
   for (const std::optional<TimePoint> &Each :
        {Ingress.nextWakeup(), Owner.nextWakeup(), Probes.nextWakeup(),
         Membership.nextWakeup(), Directory.nextWakeup(), Keys.nextWakeup(),
-        Quarantine.nextWakeup(),
+        Quarantine.nextWakeup(), Freshness.nextWakeup(),
         Configs ? Configs->nextWakeup() : std::nullopt}) {
     if (Each && (!Next || *Each < *Next)) {
       Next = Each;
@@ -166,6 +169,9 @@
   }
   CallerRequest Call = Input;
   setAccount(Call, Granted.Account);
+  if (!limitCredential(Call, Now, Out)) {
+    return;
+  }
   const bool IsTrial = Quarantine.isQuarantined(Fingerprint, Now);
   if (IsTrial) {
     Call.OnlyOwner = trialOwner(Fingerprint, Limited.Service);
@@ -189,6 +195,22 @@
   startRequest(Call, Limited, Now, Out);
 }
 
+bool NodeCore::limitCredential(CallerRequest &Call, TimePoint Now,
+                               Actions &Out) {
+  if (Call.Account.empty() || !Freshness.enabled()) {
+    return true;
+  }
+  Call.CredentialTime = Freshness.timeLeft(Now);
+  if (Call.CredentialTime > Duration{0}) {
+    return true;
+  }
+  Freshness.countRefusal();
+  ReplyToCaller Reply = refusal(Call.Id, OutcomeReason::CredentialsStale);
+  Reply.RetryAfter = FreshnessSystem::RetryAfter;
+  Out.emplace_back(std::move(Reply));
+  return false;
+}
+
 ReplyToCaller NodeCore::quarantineRefusal(RequestId Id,
                                           std::uint64_t Fingerprint,
                                           TimePoint Now) const {
@@ -239,6 +261,7 @@
   if (Configs) {
     Configs->linkUp(Input.Peer, Now, Out);
   }
+  Freshness.linkUp(Input.Peer, Now, Out);
   Ingress.linkUp(Input.Peer, Now, Out);
   Keys.linkUp(Input.Peer, Now, Out);
   Quarantine.linkUp(Input.Peer, Now, Out);
@@ -249,6 +272,7 @@
   if (Configs) {
     Configs->linkDown(Input.Peer);
   }
+  Freshness.linkDown(Input.Peer);
   Ingress.linkDown(Input.Peer, Now, Out);
   Keys.linkDown(Input.Peer);
   Quarantine.linkDown(Input.Peer);
@@ -410,6 +434,14 @@
   Quarantine.receive(From, Message, Now, Out);
 }
 
+void NodeCore::receive(NodeRun From, const ConfigDigest &Message, TimePoint Now,
+                       Actions &Out) {
+  Freshness.receive(From, Message, Now, Out);
+  if (Configs) {
+    Configs->receive(From, Message, Now, Out);
+  }
+}
+
 void NodeCore::detectPause(TimePoint Now) {
   if (LastActive && Now - *LastActive > PauseLimit) {
     RefuseFramesUntil = Now + PauseGrace;
@@ -462,6 +494,9 @@
     if (auto Adopted = Configs->takeAdopted()) {
       adopt(std::move(*Adopted));
     }
+    if (const std::optional<TimePoint> Proof = Configs->takeProof()) {
+      Freshness.proveByStore(*Proof, Configs->watching(), Now, Out);
+    }
   }
   Membership.addContacts(Directory.takeContacts());
   Directory.setIsolated(Membership.linkedPeers().empty(), Now);
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -97,6 +97,9 @@
   AdmittedAttempt Row{From, Attempt,
                       Now,  Now + Attempt.Remaining,
                       Now,  startDeadline(Attempt, Now)};
+  if (Attempt.CredentialTime != Duration{0}) {
+    Row.CredentialEnd = Now + Attempt.CredentialTime;
+  }
   const TimePoint LatestStart = limitTimes(Row, Now);
   const std::optional<OutcomeReason> Reason =
       Refusal == OutcomeReason::None ? refusalReason(Attempt, LatestStart, Now)
@@ -312,10 +315,11 @@
   // run.
   while (const std::optional<AdmittedAttempt> Late =
              Queue.popExpired(Now + Settings.ExpiryMargin)) {
+    const TimePoint End = Now + Settings.ExpiryMargin;
     endQueued(*Late,
-              Late->Deadline <= Now + Settings.ExpiryMargin
-                  ? OutcomeReason::DeadlineExceeded
-                  : OutcomeReason::QueueFull,
+              Late->Deadline <= End        ? OutcomeReason::DeadlineExceeded
+              : Late->CredentialEnd <= End ? OutcomeReason::CredentialsStale
+                                           : OutcomeReason::QueueFull,
               Now, Out);
   }
   startQueued(Now, Out);
@@ -515,6 +519,10 @@
       endQueued(*Row, OutcomeReason::DeadlineExceeded, Now, Out);
       continue;
     }
+    if (Row->CredentialEnd <= Now) {
+      endQueued(*Row, OutcomeReason::CredentialsStale, Now, Out);
+      continue;
+    }
     Row->Started = Now;
     LastStart = Now;
     StartSum += Now.time_since_epoch().count();
--- a/src/net/codec/config_codec.cpp
+++ b/src/net/codec/config_codec.cpp
@@ -6,7 +6,8 @@
                                                const ConfigDigest &Value) {
   return wire::CreateConfigDigest(
       Out, Value.Version, static_cast<std::uint32_t>(Value.NextWithin.count()),
-      Value.Check, Value.FreshAge ? Value.FreshAge->count() : -1);
+      Value.Check, Value.FreshAge ? Value.FreshAge->count() : -1,
+      Value.SentAt.count());
 }
 
 std::optional<ConfigDigest> decode(const wire::ConfigDigest &Value) {
@@ -15,6 +16,7 @@
   if (Value.fresh_age_us() >= 0) {
     Result.FreshAge = Duration(Value.fresh_age_us());
   }
+  Result.SentAt = Duration(Value.sent_at_us());
   return Result;
 }
 
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <ctime>
 
 namespace hyssopford {
 
@@ -95,8 +96,13 @@
 }
 
 TimePoint EventLoop::now() {
+  // Unlike the steady clock, this one counts the time for which the VM was
+  // suspended.
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
   return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(Time.tv_sec) +
+      std::chrono::nanoseconds(Time.tv_nsec)));
 }
 
 void EventLoop::runTimers() {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -92,6 +92,9 @@
 
   void succeed() {
     HttpCallResult Result{Reader.facts().Status, Reader.takeBody(), true, ""};
+    if (const std::string &Name = Client.Settings.KeptField; !Name.empty()) {
+      Result.Field = Reader.response().get(Name, "");
+    }
     const bool Reusable = Stream.isOpen() && Reader.facts().KeepAlive &&
                           Stream.pending() == 0 && Reader.buffered() == 0;
     if (Reusable) {
--- a/src/node/node_telemetry.cpp
+++ b/src/node/node_telemetry.cpp
@@ -140,6 +140,9 @@
     Metrics.set(MetricId::ConfigStoreAge, {},
                 seconds(Now - *Core.configSystem()->storeAnsweredAt()));
   }
+  if (const std::optional<Duration> Age = Core.freshness().age(Now)) {
+    Metrics.set(MetricId::ProofAge, {}, seconds(*Age));
+  }
   set(MetricId::Quarantined, Core.quarantine().list(Now).size());
   Metrics.set(MetricId::PeerLinks, {}, static_cast<double>(Links));
   Metrics.set(MetricId::SpansExported, {},
--- a/src/telemetry/samples.cpp
+++ b/src/telemetry/samples.cpp
@@ -29,6 +29,8 @@
                static_cast<double>(Core.ingress().lateReplies()));
   Registry.set(MetricId::ConfigVersion, {},
                static_cast<double>(Core.config().Version));
+  Registry.set(MetricId::StaleCredentials, {},
+               static_cast<double>(Core.freshness().refused()));
   const LoadReport Load = Core.owner().load();
   Registry.set(MetricId::OwnerInFlight, {}, Load.InFlight);
   Registry.set(MetricId::OwnerQueued, {}, Load.Queued);
--- a/tests/core/owner_system_test.cpp
+++ b/tests/core/owner_system_test.cpp
@@ -287,3 +287,26 @@
     REQUIRE(Limit.value(at(4s)) == 10);
   }
 }
+
+// Guards against an attempt that starts on a credential which may be revoked.
+TEST_CASE("attempts do not start after the time of their credential",
+          "[owner][freshness]") {
+  OwnerFixture Test;
+  Test.admit(dispatchOf(2), 10ms);
+  Test.admit(dispatchOf(3), 10ms);
+  Dispatch Limited = dispatchOf(4);
+  Limited.CredentialTime = 5ms;
+  Test.admit(Limited, 10ms);
+  SECTION("when a slot becomes free") { Test.answer(2, 15ms); }
+  SECTION("when its time is over") {
+    REQUIRE(Test.Owner.nextWakeup() == at(15ms));
+    Test.Out.clear();
+    Test.Owner.tick(at(15ms), Test.Out);
+  }
+  CHECK(Test.started() == 0);
+  const auto Replies = messages<DispatchReply>(Test.Out);
+  REQUIRE_FALSE(Replies.empty());
+  CHECK(Replies.back().Message.Attempt.Sequence == 4);
+  CHECK(Replies.back().Message.Result == Outcome::NotRun);
+  CHECK(Replies.back().Message.Reason == OutcomeReason::CredentialsStale);
+}
--- a/tests/core/site_fake.cpp
+++ b/tests/core/site_fake.cpp
@@ -416,7 +416,9 @@
                            const StoreResult &Result, Duration Delay) {
   at(Now + Delay, [=, this] {
     if (!StoreSilent && Pending->Silences == StoreSilences) {
-      endCall(*Pending, Result);
+      StoreResult Stated = Result;
+      Stated.Era = StoreEra;
+      endCall(*Pending, Stated);
     }
   });
 }
--- a/tests/core/site_fake.hpp
+++ b/tests/core/site_fake.hpp
@@ -92,6 +92,9 @@
   /// Watches end without an event and with the current revision of the store,
   /// although the key has changed.
   bool HideChanges = false;
+  /// Era that the answers of the store state. A test replaces store() by a copy
+  /// and raises the era to let the store lose what it acknowledged.
+  std::uint64_t StoreEra = 0;
   /// Tells whether two nodes cannot reach each other.
   std::function<bool(std::size_t, std::size_t)> Blocked =
       [](std::size_t, std::size_t) { return false; };
--- a/tests/net/message_codec_test.cpp
+++ b/tests/net/message_codec_test.cpp
@@ -53,7 +53,7 @@
                                           false, 19us, true},
                             CrashSighting{20, Attempt.Ingress, 21, 22, false,
                                           true, 23us, false}}},
-          ConfigDigest{24, 25us, true, 26us},
+          ConfigDigest{24, 25us, true, 26us, 29us},
           ConfigDigest{27, 28us, false, std::nullopt},
           AllotmentRequest{"growers", 29, 30},
           AllotmentGrant{"growers", 31, 32, 33us},
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -170,3 +170,51 @@
     CHECK(Test.run(StoreRead{"a"}).Status == StoreStatus::Refused);
   }
 }
+
+// Guards against watches that hang at a revision which the store has lost.
+TEST_CASE("a store that comes back older states a higher era",
+          "[platform][store][freshness]") {
+  StoreFixture Test;
+  const auto Put = [&](const char *Value) {
+    Test.Thread.call([&] {
+      Test.Store->put("op/config", Value);
+      return 0;
+    });
+  };
+  Put("one");
+  const StoreResult First = Test.run(StoreRead{ConfigHeadKey});
+  REQUIRE(First.Era == 1);
+  const TimePoint Written = EventLoop::now();
+  Put("two");
+  const StoreResult Second = Test.run(StoreRead{ConfigHeadKey});
+  REQUIRE(Second.Value == "two");
+  const std::uint64_t Watch =
+      Test.start(StoreWatch{ConfigHeadKey, Second.Revision, 1s});
+  Test.run(StoreRead{"other"});
+  Test.Thread.call([&] {
+    Test.Store->returnToCopy(EventLoop::now() - Written);
+    return 0;
+  });
+  const StoreResult Answer = Test.await(Watch);
+  CHECK(Answer.Value == "one");
+  CHECK(Answer.Era == 2);
+  SECTION("a watch from the lost revision reads the key") {
+    CHECK(Test.run(StoreWatch{ConfigHeadKey, Second.Revision, 1s}).Value ==
+          "one");
+  }
+  SECTION("a watch from the revision of the copy reports changes") {
+    const std::uint64_t Next =
+        Test.start(StoreWatch{ConfigHeadKey, Answer.Revision, 1s});
+    Put("three");
+    CHECK(Test.await(Next).Value == "three");
+  }
+  SECTION("leases of the copy can be renewed, lost ones not") {
+    const StoreResult Lease = Test.run(StoreLease{0, 10s});
+    Test.Thread.call([&] {
+      Test.Store->returnToCopy(EventLoop::now() - Written);
+      return 0;
+    });
+    CHECK(Test.run(StoreLease{Lease.Lease, 10s}).Status ==
+          StoreStatus::Missing);
+  }
+}
