--- a/include/hyssopford/core/message.hpp
+++ b/include/hyssopford/core/message.hpp
@@ -117,6 +117,7 @@
                  ConfigDigest, ConfigRequest, ConfigPush, KeyClaim,
                  KeyClaimReply, KeyRelease, KeyOutcome, KeyAck, SealRequest,
                  SealReply, RosterRequest, RosterUpdate, QuarantineNotice,
-                 AllotmentRequest, AllotmentGrant, EvacuationNotice>;
+                 AllotmentRequest, AllotmentGrant, EvacuationNotice,
+                 ShareRequest, ShareReply>;
 
 } // namespace hyssopford
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "hyssopford/core/action.hpp"
+#include "hyssopford/core/allotments/allotment_system.hpp"
 #include "hyssopford/core/config_system.hpp"
 #include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/directory_system.hpp"
@@ -113,6 +114,8 @@
   const IngressSystem &ingress() const { return Ingress; }
   /// @return the system of idempotency keys
   const KeySystem &keys() const { return Keys; }
+  /// @return the system of the allotments of client accounts
+  const AllotmentSystem &allotments() const { return Allotments; }
   /// @return the system of fingerprints seen in crashes
   const QuarantineSystem &quarantine() const { return Quarantine; }
   /// @return the system of attempts at the upstream on this VM
@@ -177,13 +180,16 @@
                                    const std::string &Service) const;
   void startRequest(const CallerRequest &Input, const Route &Matched,
                     TimePoint Now, Actions &Out);
+  /// Starts a request that needs no further token.
+  void claimAndStart(const CallerRequest &Input, const Route &Matched,
+                     TimePoint Now, Actions &Out);
   /// Refuses dispatches of peers for a while if the process was paused.
   void detectPause(TimePoint Now);
   /// Passes the produced actions on to Out; messages to this node itself are
   /// handled at once.
   void deliverLocal(TimePoint Now, Actions &Produced, Actions &Out);
-  /// Starts requests whose idempotency keys were granted, and passes attempts
-  /// that the quarantine releases to the owner.
+  /// Starts requests that got a token or whose idempotency keys were granted,
+  /// and passes attempts that the quarantine releases to the owner.
   void startReleased(TimePoint Now, Actions &Out);
   /// Passes changes between the systems after each input.
   void syncSystems(TimePoint Now, Actions &Out);
@@ -201,6 +207,7 @@
   IngressSystem Ingress;
   OwnerSystem Owner;
   ProbeSystem Probes;
+  AllotmentSystem Allotments;
   KeySystem Keys;
   QuarantineSystem Quarantine;
   std::uint64_t CandidateRevision = 0;
@@ -210,6 +217,7 @@
   std::optional<TimePoint> LastActive;
   std::optional<TimePoint> RefuseFramesUntil;
   std::uint64_t NeededRevision = 0;
+  std::uint64_t NeededGrantersRevision = 0;
   std::optional<NodeId> NeededDeputy;
   bool ShuttingDown = false;
   bool ShutdownReported = false;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -42,8 +42,9 @@
       Ingress(Self, Random, Settings.Decisions.Routing, Settings.Region,
               Settings.FailureDomain),
       Owner(Self, Settings.Decisions.Admission),
-      Probes(Settings.Decisions.Probing), Keys(Self, Settings.Keys, Random),
-      Quarantine(Self, Random) {
+      Probes(Settings.Decisions.Probing),
+      Allotments(Self, Settings.Decisions.Allotments),
+      Keys(Self, Settings.Keys, Random), Quarantine(Self, Random) {
   if (Codec != nullptr) {
     Configs.emplace(*Codec, Random, Settings.Decisions.Start);
   }
@@ -69,6 +70,7 @@
   Probes.tick(Now, Produced);
   Membership.tick(Now, Produced);
   Quarantine.tick(Now, Produced);
+  Allotments.tick(Now, Produced);
   Keys.tick(Membership.members(), Config, Now, Produced);
   Directory.tick(Now, Produced);
   if (Configs) {
@@ -80,7 +82,7 @@
   const bool MayEnd =
       !Membership.superseded() || Membership.requiredIncarnation();
   if (ShuttingDown && MayEnd && !ShutdownReported && Owner.inFlight() == 0 &&
-      Ingress.inFlight() == 0 && Keys.idle()) {
+      Ingress.inFlight() == 0 && Allotments.waiting() == 0 && Keys.idle()) {
     ShutdownReported = true;
     Out.emplace_back(ShutdownComplete{});
   }
@@ -93,6 +95,7 @@
   Config = std::move(NewConfig);
   Quarantine.adopt(Config);
   Splits.adopt(Config);
+  Allotments.adopt(Config);
   Membership.setConfigVersion(Config.Version);
   Owner.setConfigVersion(Config.Version);
   CandidateRevision = 0;
@@ -105,7 +108,7 @@
   for (const std::optional<TimePoint> &Each :
        {Ingress.nextWakeup(), Owner.nextWakeup(), Probes.nextWakeup(),
         Membership.nextWakeup(), Directory.nextWakeup(), Keys.nextWakeup(),
-        Quarantine.nextWakeup(),
+        Quarantine.nextWakeup(), Allotments.nextWakeup(),
         Configs ? Configs->nextWakeup() : std::nullopt}) {
     if (Each && (!Next || *Each < *Next)) {
       Next = Each;
@@ -194,13 +197,21 @@
 
 void NodeCore::startRequest(const CallerRequest &Input, const Route &Matched,
                             TimePoint Now, Actions &Out) {
+  if (!Allotments.acquire(Input, Matched, Now, Out)) {
+    claimAndStart(Input, Matched, Now, Out);
+  }
+}
+
+void NodeCore::claimAndStart(const CallerRequest &Input, const Route &Matched,
+                             TimePoint Now, Actions &Out) {
   if (!Keys.beginClaim(Input, Matched, Now, Out)) {
     Ingress.start(Input, Matched, Now, Out);
   }
 }
 
 void NodeCore::on(const CallerGone &Input, TimePoint Now, Actions &Out) {
-  if (!Keys.callerGone(Input.Id, Now, Out)) {
+  if (!Allotments.callerGone(Input.Id) &&
+      !Keys.callerGone(Input.Id, Now, Out)) {
     Ingress.cancel(Input.Id, Now, Out);
   }
 }
@@ -211,6 +222,7 @@
     Configs->linkUp(Input.Peer, Now, Out);
   }
   Ingress.linkUp(Input.Peer, Now, Out);
+  Allotments.linkUp(Input.Peer.Node, Now, Out);
   Keys.linkUp(Input.Peer, Now, Out);
   Quarantine.linkUp(Input.Peer, Now, Out);
 }
@@ -221,6 +233,7 @@
     Configs->linkDown(Input.Peer);
   }
   Ingress.linkDown(Input.Peer, Now, Out);
+  Allotments.linkDown(Input.Peer, Now, Out);
   Keys.linkDown(Input.Peer);
   Quarantine.linkDown(Input.Peer);
 }
@@ -317,6 +330,7 @@
   ShuttingDown = true;
   Owner.drain();
   Membership.leave(Now, Out);
+  Allotments.leave(Out);
   Keys.leave(Now);
 }
 
@@ -360,6 +374,10 @@
     Membership.receive(From, Received, Now, Out);
   } else if constexpr (requires { Keys.receive(From, Received, Now, Out); }) {
     Keys.receive(From, Received, Now, Out);
+  } else if constexpr (requires {
+                         Allotments.receive(From, Received, Now, Out);
+                       }) {
+    Allotments.receive(From, Received, Now, Out);
   } else if constexpr (requires {
                          Configs->receive(From, Received, Now, Out);
                        }) {
@@ -420,6 +438,9 @@
 }
 
 void NodeCore::startReleased(TimePoint Now, Actions &Out) {
+  for (const AllottedRequest &Each : Allotments.takeAllotted()) {
+    claimAndStart(Each.Request, Each.Matched, Now, Out);
+  }
   for (const ClaimedRequest &Each : Keys.takeClaimed()) {
     Ingress.start(Each.Request, Each.Matched, Now, Out);
   }
@@ -438,12 +459,19 @@
   Directory.setIsolated(Membership.linkedPeers().empty(), Now);
   updateDuties(Now, Out);
   updateCandidates();
+  Allotments.sync(
+      {Membership.members(), Membership.revision(), Membership.settled()}, Now,
+      Out);
   const std::optional<NodeId> Deputy =
       Configs ? Configs->deputy() : std::nullopt;
-  if (NeededRevision != Ingress.neededRevision() || NeededDeputy != Deputy) {
+  if (NeededRevision != Ingress.neededRevision() || NeededDeputy != Deputy ||
+      NeededGrantersRevision != Allotments.neededRevision()) {
     NeededRevision = Ingress.neededRevision();
+    NeededGrantersRevision = Allotments.neededRevision();
     NeededDeputy = Deputy;
     std::set<NodeId> Needed = Ingress.neededPeers();
+    Needed.insert(Allotments.neededPeers().begin(),
+                  Allotments.neededPeers().end());
     if (Deputy) {
       Needed.insert(*Deputy);
     }
--- a/src/net/codec/codec.hpp
+++ b/src/net/codec/codec.hpp
@@ -135,10 +135,16 @@
 encode(Builder &Out, const AllotmentRequest &Value);
 flatbuffers::Offset<wire::AllotmentGrant> encode(Builder &Out,
                                                  const AllotmentGrant &Value);
+flatbuffers::Offset<wire::ShareRequest> encode(Builder &Out,
+                                               const ShareRequest &Value);
+flatbuffers::Offset<wire::ShareReply> encode(Builder &Out,
+                                             const ShareReply &Value);
 flatbuffers::Offset<wire::EvacuationNotice>
 encode(Builder &Out, const EvacuationNotice &Value);
 std::optional<AllotmentRequest> decode(const wire::AllotmentRequest &Value);
 std::optional<AllotmentGrant> decode(const wire::AllotmentGrant &Value);
+std::optional<ShareRequest> decode(const wire::ShareRequest &Value);
+std::optional<ShareReply> decode(const wire::ShareReply &Value);
 std::optional<EvacuationNotice> decode(const wire::EvacuationNotice &Value);
 /// @}
 
--- a/src/net/codec/message_codec.cpp
+++ b/src/net/codec/message_codec.cpp
@@ -86,6 +86,10 @@
     return decodeAs<wire::AllotmentRequest>(Frame);
   case wire::Body::AllotmentGrant:
     return decodeAs<wire::AllotmentGrant>(Frame);
+  case wire::Body::ShareRequest:
+    return decodeAs<wire::ShareRequest>(Frame);
+  case wire::Body::ShareReply:
+    return decodeAs<wire::ShareReply>(Frame);
   case wire::Body::EvacuationNotice:
     return decodeAs<wire::EvacuationNotice>(Frame);
   default:
--- a/tests/net/message_codec_test.cpp
+++ b/tests/net/message_codec_test.cpp
@@ -56,8 +56,10 @@
           ConfigDigest{24, 25us, true, 26us},
           ConfigDigest{27, 28us, false, std::nullopt},
           AllotmentRequest{"growers", 29, 30},
-          AllotmentGrant{"growers", 31, 32, 33us},
-          EvacuationNotice{34, 35, {"a", "b"}}};
+          AllotmentGrant{"growers", 31, 32, 33us, true},
+          EvacuationNotice{34, 35, {"a", "b"}},
+          ShareRequest{36, 37, true},
+          ShareReply{38, 39, 40, 41us}};
 }
 
 } // namespace
