--- a/include/hyssopford/core/allotments/allotment_granter.hpp
+++ b/include/hyssopford/core/allotments/allotment_granter.hpp
@@ -24,8 +24,11 @@
 /// a bucket are the limits of its account times the sum of the shares.
 class AllotmentGranter {
 public:
-  /// Time between two requests to a member that lends its share.
+  /// Most time between two requests to a member that does not lend its share.
+  /// One that does is asked twice in the time of a lease, and a bit more often.
   static constexpr Duration RenewPeriod = 300ms;
+  /// Time in which the members answer the first requests for their shares.
+  static constexpr Duration CollectTime = 20ms;
   /// Least time between two requests to a member that does not.
   static constexpr Duration RetryPeriod = 50ms;
   /// Time after the last request of an ingress for which a node that is not
@@ -45,7 +48,10 @@
   void adopt(const RoutingConfig &Config, TimePoint Now);
 
   /// @brief Sets the members that can lend shares.
-  void setMembers(const std::map<NodeId, MemberRecord> &Members);
+  /// @param Members the member table
+  /// @param Count the members that this node counts
+  void setMembers(const std::map<NodeId, MemberRecord> &Members,
+                  std::uint32_t Count);
 
   /// @brief States whether this node is first in rank for a slot.
   void setFirst(std::uint32_t Slot, bool IsFirst, TimePoint Now, Actions &Out);
@@ -113,6 +119,8 @@
     TimePoint Announced;
   };
 
+  /// Members that the node itself and the lenders of a slot count.
+  std::uint32_t membersOf(const Slot &Row) const;
   bool isActive(const Slot &Row, TimePoint Now) const {
     return !Left && (Row.First || Row.ActiveUntil > Now);
   }
@@ -120,7 +128,9 @@
   void settle(Bucket &Row, TimePoint Now) const;
   /// Adds the tokens of the time before a change of the shares of a slot.
   void settleSlot(std::uint32_t Number, TimePoint Now);
-  Duration retryAfter(Bucket &Row, TimePoint Now) const;
+  /// Time until the next token.
+  /// @param IsPartial whether some tokens were granted with it
+  Duration retryAfter(Bucket &Row, bool IsPartial, TimePoint Now) const;
   void requestShares(std::uint32_t Number, TimePoint Now, Actions &Out);
 
   NodeRun Self;
@@ -130,6 +140,7 @@
   std::array<Slot, AllotmentSlots> Slots;
   std::map<std::string, Bucket, std::less<>> Buckets;
   std::set<NodeId> Members;
+  std::uint32_t MemberCount = 0;
   std::set<NodeId> Links;
 };
 
--- a/include/hyssopford/core/allotments/allotment_message.hpp
+++ b/include/hyssopford/core/allotments/allotment_message.hpp
@@ -45,6 +45,8 @@
   std::uint32_t Slot = 0;
   /// Number of the request at its sender.
   std::uint64_t Sequence = 0;
+  /// Members that the sender counts. A restarted receiver may know fewer.
+  std::uint32_t Members = 0;
   /// True if the sender no longer grants from the share.
   bool Release = false;
 
--- a/src/core/allotments/allotment_granter.cpp
+++ b/src/core/allotments/allotment_granter.cpp
@@ -57,9 +57,10 @@
   Buckets = std::move(Adopted);
 }
 
-void AllotmentGranter::setMembers(
-    const std::map<NodeId, MemberRecord> &Records) {
+void AllotmentGranter::setMembers(const std::map<NodeId, MemberRecord> &Records,
+                                  std::uint32_t Count) {
   Members.clear();
+  MemberCount = Count;
   for (const auto &[Node, Record] : Records) {
     if (Record.State == MemberState::Alive ||
         Record.State == MemberState::Suspect) {
@@ -116,12 +117,14 @@
   Answer.HasShares = share(Row.Slot, Now) > MostShares;
   Row.Level -= Answer.Count;
   Granted += Answer.Count;
-  Answer.RetryAfter =
-      Answer.Count < Message.Count ? retryAfter(Row, Now) : Duration{0};
+  Answer.RetryAfter = Answer.Count < Message.Count
+                          ? retryAfter(Row, Answer.Count > 0, Now)
+                          : Duration{0};
   return Answer;
 }
 
-Duration AllotmentGranter::retryAfter(Bucket &Row, TimePoint Now) const {
+Duration AllotmentGranter::retryAfter(Bucket &Row, bool IsPartial,
+                                      TimePoint Now) const {
   const Slot &Own = Slots.at(Row.Slot);
   const double Share = share(Row.Slot, Now);
   if (Share < CompleteShare) {
@@ -135,7 +138,9 @@
     }
     const bool Collecting =
         !Own.Since || *Own.Since + ShareLender::LeaseTime > Now;
-    if (Soon == TimePoint::max() && (Collecting || Share <= 0.0)) {
+    if (!Own.Since || *Own.Since + CollectTime > Now) {
+      Soon = Now + CollectTime;
+    } else if (Soon == TimePoint::max() && (Collecting || Share <= 0.0)) {
       Soon = Now + RenewPeriod;
     }
     if (Soon != TimePoint::max()) {
@@ -145,6 +150,9 @@
   const double Rate = Row.Rate * Share;
   const TimePoint Next =
       Now + durationOf(std::max(1.0 - Row.Level, 0.0) / Rate);
+  if (IsPartial) {
+    return std::max(Next - Now, RetryAfterMin);
+  }
   // Each refused request is told a later token than the one before, so that
   // they do not all return for the same one.
   TimePoint Told = std::max(Next, Row.Announced);
@@ -172,20 +180,23 @@
   const bool HadLease = Each.Until > Now;
   const bool Lent = Message.Members > 0 && isActive(Row, Now);
   Each.Members = Lent ? Message.Members : 0;
-  Each.Until = Lent ? Each.Sent + ShareLender::LeaseTime : Now;
+  const Duration Lease = ShareLender::leaseTime(Message.Members);
+  Each.Until = Lent ? Each.Sent + Lease : Now;
   if (!Lent) {
     // A renewal is declined in favour of a preceding granter, which gets the
     // share at once.
     Each.FreeAt = Now + std::clamp(Message.RetryAfter, RetryPeriod,
-                                   ShareLender::LeaseTime);
+                                   ShareLender::LeaseTimeMax);
     Each.NextRequest =
         Now + std::clamp(Message.RetryAfter, RetryPeriod, RenewPeriod);
     if (HadLease || Message.Members > 0) {
       Out.emplace_back(SendToPeer{
-          From.Node, ShareRequest{Message.Slot, NextSequence++, true}});
+          From.Node, ShareRequest{Message.Slot, NextSequence++, 0, true}});
     }
   } else {
     Each.FreeAt = TimePoint{};
+    // The loss of one renewal does not end the lease.
+    Each.NextRequest = Each.Sent + Lease * 3 / 7;
   }
   settleSlot(Message.Slot, Now);
   Row.NextRequest = std::min(Row.NextRequest, Each.NextRequest);
@@ -204,7 +215,7 @@
     // An unanswered request may have been accepted.
     if (Each.Members > 0 || Each.Sequence != 0) {
       Out.emplace_back(
-          SendToPeer{Node, ShareRequest{Number, NextSequence++, true}});
+          SendToPeer{Node, ShareRequest{Number, NextSequence++, 0, true}});
     }
   }
   Row.Lenders.clear();
@@ -245,6 +256,7 @@
   if (!Row.Since) {
     Row.Since = Now;
   }
+  const std::uint32_t All = membersOf(Row);
   for (const NodeId Node : Members) {
     if (Node != Self.Node && !Links.contains(Node)) {
       continue;
@@ -254,13 +266,24 @@
       Each.Sequence = NextSequence++;
       Each.Sent = Now;
       Each.NextRequest = Now + RenewPeriod;
-      Out.emplace_back(
-          SendToPeer{Node, ShareRequest{Number, Each.Sequence, false}});
+      Out.emplace_back(SendToPeer{
+          Node, ShareRequest{Number, Each.Sequence,
+                             Node == Self.Node ? All : MemberCount, false}});
     }
     Row.NextRequest = std::min(Row.NextRequest, Each.NextRequest);
   }
 }
 
+std::uint32_t AllotmentGranter::membersOf(const Slot &Row) const {
+  std::uint32_t Most = MemberCount;
+  for (const auto &[Node, Each] : Row.Lenders) {
+    if (Node != Self.Node) {
+      Most = std::max(Most, Each.Members);
+    }
+  }
+  return Most;
+}
+
 std::optional<TimePoint> AllotmentGranter::nextWakeup() const {
   std::optional<TimePoint> Next;
   for (const Slot &Row : Slots) {
--- a/src/core/allotments/allotment_system.cpp
+++ b/src/core/allotments/allotment_system.cpp
@@ -91,7 +91,7 @@
   if (Changed) {
     SeenRevision = Seen.Revision;
     Members.observe(Seen.Records, Now);
-    Granter.setMembers(Seen.Records);
+    Granter.setMembers(Seen.Records, Members.count(Now));
   }
   if (PendingConfig) {
     Granter.adopt(*PendingConfig, Now);
--- a/src/core/allotments/share_lender.cpp
+++ b/src/core/allotments/share_lender.cpp
@@ -1,7 +1,14 @@
 #include "hyssopford/core/allotments/share_lender.hpp"
 
+#include <algorithm>
+
 namespace hyssopford {
 
+Duration ShareLender::leaseTime(std::uint32_t Members) {
+  return std::clamp(LeaseTime * Members / LeaseTimeMembers, LeaseTime,
+                    LeaseTimeMax);
+}
+
 std::optional<ShareReply> ShareLender::answer(NodeRun From,
                                               const ShareRequest &Message,
                                               std::uint32_t Members,
@@ -20,10 +27,12 @@
   if (Members == 0) {
     return Reply;
   }
+  const std::uint32_t Counted = std::max(Members, Message.Members);
+  const Duration Lease = leaseTime(Counted);
   // An earlier run of the same node has ended, so its leases have as well.
   const bool IsHolder =
       Slot.Holder.Node == From.Node && Slot.Holder.Run <= From.Run;
-  if (Slot.Contender && Slot.ContenderSeen + LeaseTime <= Now) {
+  if (Slot.Contender && Slot.ContenderSeen + Lease <= Now) {
     Slot.Contender.reset();
   }
   if (Slot.Until > Now && !IsHolder) {
@@ -37,13 +46,13 @@
     return Reply;
   }
   if (Slot.Contender && precedes(Message.Slot, *Slot.Contender, From.Node)) {
-    Reply.RetryAfter = LeaseTime;
+    Reply.RetryAfter = Lease;
     return Reply;
   }
   Slot.Holder = From;
-  Slot.Until = Now + LeaseTime;
+  Slot.Until = Now + Lease;
   Slot.Contender.reset();
-  Reply.Members = Members;
+  Reply.Members = Counted;
   Reply.RetryAfter = Duration{0};
   return Reply;
 }
--- a/src/net/codec/allotment_codec.cpp
+++ b/src/net/codec/allotment_codec.cpp
@@ -29,11 +29,12 @@
 flatbuffers::Offset<wire::ShareRequest> encode(Builder &Out,
                                                const ShareRequest &Value) {
   return wire::CreateShareRequest(Out, Value.Slot, Value.Sequence,
-                                  Value.Release);
+                                  Value.Members, Value.Release);
 }
 
 std::optional<ShareRequest> decode(const wire::ShareRequest &Value) {
-  return ShareRequest{Value.slot(), Value.sequence(), Value.release()};
+  return ShareRequest{Value.slot(), Value.sequence(), Value.members(),
+                      Value.release()};
 }
 
 flatbuffers::Offset<wire::ShareReply> encode(Builder &Out,
--- a/tests/core/allotment_test.cpp
+++ b/tests/core/allotment_test.cpp
@@ -277,3 +277,48 @@
   CHECK_FALSE(Off.acquire(Request, Route{}, Site.Now, Out));
   CHECK(Out.empty());
 }
+
+// Guards against a request that is started without a token, started twice, or
+// lost between the systems of a node.
+TEST_CASE("A node starts requests of limited accounts with tokens",
+          "[allotments]") {
+  NodeCoreSettings Settings;
+  Settings.Address = "10.0.0.1:1";
+  Settings.Run = Incarnation{1};
+  Settings.Decisions.Allotments.Enabled = true;
+  NodeCore Core(Settings);
+  RoutingConfig Config = limits(1.0, 2.0);
+  Route Matched;
+  Matched.Name = "orders";
+  Matched.Service = "orders";
+  Matched.PathPrefix = "/";
+  Config.Routes.push_back(Matched);
+  REQUIRE(Core.adopt(Config));
+  TimePoint Now{1h};
+  Actions Out;
+  for (int Step = 0; Step < 6'000; ++Step, Now += 1ms) {
+    Core.tick(Now, Out);
+  }
+  Out.clear();
+  for (std::uint64_t Id = 1; Id <= 4; ++Id) {
+    CallerRequest Request;
+    Request.Id = RequestId{Id};
+    Request.Path = "/";
+    Request.Method = "GET";
+    Request.Account = Id == 4 ? "" : Name;
+    Core.handle(Request, Now, Out);
+  }
+  std::map<std::uint64_t, OutcomeReason> Reasons;
+  for (const Action &Each : Out) {
+    if (const auto *Reply = std::get_if<ReplyToCaller>(&Each)) {
+      CHECK(Reasons.emplace(Reply->Id.Value, Reply->Reason).second);
+    }
+  }
+  // Without an upstream, started requests end with another reason.
+  REQUIRE(Reasons.size() == 4);
+  CHECK(Reasons[1] == OutcomeReason::NoUpstream);
+  CHECK(Reasons[2] == OutcomeReason::NoUpstream);
+  CHECK(Reasons[3] == OutcomeReason::AllotmentExceeded);
+  CHECK(Reasons[4] == OutcomeReason::NoUpstream);
+  CHECK(Core.allotments().counters().Messages == 0);
+}
--- a/tests/net/message_codec_test.cpp
+++ b/tests/net/message_codec_test.cpp
@@ -58,7 +58,7 @@
           AllotmentRequest{"growers", 29, 30},
           AllotmentGrant{"growers", 31, 32, 33us, true},
           EvacuationNotice{34, 35, {"a", "b"}},
-          ShareRequest{36, 37, true},
+          ShareRequest{36, 37, 42, true},
           ShareReply{38, 39, 40, 41us}};
 }
 
