--- a/src/core/allotments/allotment_holder.cpp
+++ b/src/core/allotments/allotment_holder.cpp
@@ -183,9 +183,10 @@
     Row.Held.push_back({Message.Count, Answered.Sent + TokenTime});
     startWaiting(Row, Now);
   }
-  if (!Row.Waiting.empty() && Message.RetryAfter > Duration{0}) {
+  if (Message.RetryAfter > Duration{0}) {
     // A granter without most of the shares cannot tell what the other one has.
-    const bool AskOther = !Message.HasShares && !Answered.Second;
+    const bool AskOther =
+        !Row.Waiting.empty() && !Message.HasShares && !Answered.Second;
     if (!AskOther || !askRank(Row, 1 - Answered.Rank, true, Now, Out)) {
       Row.NothingUntil = Now + Message.RetryAfter;
       if (Message.RetryAfter > ShortWait) {
--- a/src/core/allotments/allotment_system.cpp
+++ b/src/core/allotments/allotment_system.cpp
@@ -145,11 +145,9 @@
 }
 
 std::uint32_t AllotmentSystem::countToLend(TimePoint Now) {
-  // An earlier run of this node may have lent its share just before it ended,
-  // and a table that still grows counts too few members.
-  const bool MayLend = Started && *Started + ShareLender::LeaseTime <= Now &&
-                       (Settled || (!HasMet && *Started + AloneTime <= Now)) &&
-                       !Left;
+  // A table that still grows counts too few members.
+  const bool IsAlone = !HasMet && Started && *Started + AloneTime <= Now;
+  const bool MayLend = (Settled || IsAlone) && !Left;
   return MayLend ? Members.count(Now) : 0;
 }
 
--- a/src/telemetry/samples.cpp
+++ b/src/telemetry/samples.cpp
@@ -41,6 +41,15 @@
   Registry.set(MetricId::Keys, {}, static_cast<double>(Core.keys().records()));
   Registry.set(MetricId::KeyCapacity, {},
                static_cast<double>(Core.keys().capacity()));
+  const AllotmentCounters Tokens = Core.allotments().counters();
+  Registry.set(MetricId::AllotmentTokens, {"asked"},
+               static_cast<double>(Tokens.Asked));
+  Registry.set(MetricId::AllotmentTokens, {"granted"},
+               static_cast<double>(Tokens.Granted));
+  Registry.set(MetricId::AllotmentTokens, {"expired"},
+               static_cast<double>(Tokens.Expired));
+  Registry.set(MetricId::AllotmentMessages, {},
+               static_cast<double>(Tokens.Messages));
   std::array<std::uint64_t, MemberStates.size()> Counts{};
   for (const auto &[Id, Record] : Core.membership().members()) {
     ++Counts.at(static_cast<std::size_t>(Record.State));
