--- a/tests/core/allotment_test.cpp
+++ b/tests/core/allotment_test.cpp
@@ -293,6 +293,12 @@
   Matched.Service = "orders";
   Matched.PathPrefix = "/";
   Config.Routes.push_back(Matched);
+  Matched.Name = "status";
+  Matched.PathPrefix = "/status";
+  Matched.IsPublic = true;
+  Config.Routes.push_back(Matched);
+  Config.HasAccounts = true;
+  Config.Accounts[0].Keys.push_back(KeyDigest{1});
   REQUIRE(Core.adopt(Config));
   TimePoint Now{1h};
   Actions Out;
@@ -303,9 +309,11 @@
   for (std::uint64_t Id = 1; Id <= 4; ++Id) {
     CallerRequest Request;
     Request.Id = RequestId{Id};
-    Request.Path = "/";
+    Request.Path = Id == 4 ? "/status" : "/";
     Request.Method = "GET";
-    Request.Account = Id == 4 ? "" : Name;
+    if (Id != 4) {
+      Request.Credential = KeyDigest{1};
+    }
     Core.handle(Request, Now, Out);
   }
   std::map<std::uint64_t, OutcomeReason> Reasons;
