--- a/tests/bench/allotment_bench.cpp
+++ b/tests/bench/allotment_bench.cpp
@@ -29,7 +29,8 @@
     }
     Config.Accounts.push_back({"free", {}, std::nullopt, 0.0, 0.0});
     System.adopt(Config);
-    const std::map<NodeId, MemberRecord> Members{{Self.Node, {Self}}};
+    std::map<NodeId, MemberRecord> Members;
+    Members[Self.Node].Id = Self;
     Actions Out;
     System.sync({Members, 1, true}, Now, Out);
   }
@@ -65,7 +66,7 @@
         answer(Tokens, RetryAfter);
       }
       Actions Out;
-      Out.reserve(2 * BatchCalls);
+      Out.reserve(BatchCalls);
       const auto Start = std::chrono::steady_clock::now();
       for (int Call = 0; Call < BatchCalls; ++Call) {
         Waited += System.acquire(Request, Matched, Now, Out) ? 1 : 0;
--- a/tests/core/allotment_site.cpp
+++ b/tests/core/allotment_site.cpp
@@ -133,7 +133,7 @@
 }
 
 void AllotmentSite::input(std::size_t Index,
-                          std::function<void(Node &, Actions &)> Work) {
+                          const std::function<void(Node &, Actions &)> &Work) {
   Node &Own = Nodes[Index];
   if (!Own.Up) {
     return;
--- a/tests/core/allotment_site.hpp
+++ b/tests/core/allotment_site.hpp
@@ -81,7 +81,8 @@
   void at(TimePoint Due, std::function<void()> Work) {
     Queue.emplace(Key{Due, NextEvent++}, std::move(Work));
   }
-  void input(std::size_t Index, std::function<void(Node &, Actions &)> Work);
+  void input(std::size_t Index,
+             const std::function<void(Node &, Actions &)> &Work);
   void carryOut(std::size_t Index, Actions &Out);
   void send(std::size_t From, const SendToPeer &Message);
 
--- a/tests/core/allotment_test.cpp
+++ b/tests/core/allotment_test.cpp
@@ -101,9 +101,10 @@
     // Half of the faults hit a granter or its replacement.
     const auto Granters =
         allotmentGranters(Site.Nodes[0].View, allotmentSlotOf(Name));
-    const std::size_t Index = Site.Random.below(2) == 0
-                                  ? Site.indexOf(Granters[Site.Random.below(2)])
-                                  : Site.Random.below(Count);
+    const std::size_t Index =
+        Site.Random.below(2) == 0
+            ? Site.indexOf(Granters[Site.Random.below(Granters.size())])
+            : Site.Random.below(Count);
     AllotmentSite::Node &Each = Site.Nodes[Index];
     switch (Site.Random.below(6)) {
     case 0:
