Limit the starts at cold upstreams

ColdMeter, used by OwnerSystem, allows at most ServiceSettings::ColdRate starts in any sliding second while the upstream is cold. Requests, health probes and speed probes count, also those of the second before. Attempts wait while they can end in time; others are handed back with cold-limit. The cold time begins with a new run or a return after a crash (ColdTime), with the time that an announcement states, or with X-Cold-Ms in an answer to a probe. Load reports carry the rate and the remaining time in new fields of DispatchReply; the routing policy charges cold candidates and compares all of them if its sample holds only cold ones. When all candidates are cold, refused callers get Retry-After times that the share of the ingress in the rates allows. Without ColdSettings::Enabled or a rate nothing changes.

Not run: the other tests, and real processes.

--- a/include/hyssopford/core/candidate.hpp
+++ b/include/hyssopford/core/candidate.hpp
@@ -18,6 +18,8 @@
   std::string Region;
   std::uint32_t Slots = 1;
   UpstreamState State = UpstreamState::Serving;
+  /// Starts a second that it gets while State is Cold; 0 for no limit.
+  double ColdRate = 0.0;
 
   friend bool operator==(const Candidate &, const Candidate &) = default;
 };
--- a/include/hyssopford/core/candidate_table.hpp
+++ b/include/hyssopford/core/candidate_table.hpp
@@ -4,6 +4,7 @@
 
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/core/candidate.hpp"
+#include "hyssopford/core/cold/cold_returns.hpp"
 #include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/quantile_tracker.hpp"
 #include "hyssopford/core/retry_budget.hpp"
@@ -53,6 +54,8 @@
   /// Budget of retries and hedges.
   RetryBudget Budget;
   ServiceMean Mean;
+  /// Returns of callers that cold upstreams refused.
+  ColdReturns Returns;
   TimePoint LastUse;
 
 private:
@@ -150,6 +153,13 @@
   /// @return the pool; nullptr if no upstream of the service is known
   ServicePool *usePool(const std::string &Service, TimePoint Now);
 
+  /// @return the number of known upstreams of a service, also outside the
+  /// subset of this ingress
+  std::size_t knownCount(const std::string &Service) const {
+    const auto Found = Known.find(Service);
+    return Found == Known.end() ? 0 : Found->second.size();
+  }
+
   /// @brief Finds the pool of a service without marking it as used.
   ServicePool *findPool(const std::string &Service);
   /// @copydoc findPool
--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -134,6 +134,11 @@
   std::string Service;
   std::uint32_t Slots = 1;
   UpstreamState State = UpstreamState::Serving;
+  /// How long it states that it stays cold; 0 if it states none.
+  Duration ColdTime{0};
+  /// True if it has started, or returned after a crash, since the previous
+  /// announcement.
+  bool IsNewRun = false;
 
   friend bool operator==(const UpstreamAnnounced &,
                          const UpstreamAnnounced &) = default;
@@ -158,6 +163,9 @@
   ProbePurpose Purpose = ProbePurpose::Health;
   /// As UpstreamAnswered::SlownessPercent.
   std::uint32_t SlownessPercent = 0;
+  /// How long the answer states that the upstream stays cold; 0 if it does not
+  /// state it.
+  Duration ColdTime{0};
 
   friend bool operator==(const ProbeFinished &,
                          const ProbeFinished &) = default;
--- a/include/hyssopford/core/load_report.hpp
+++ b/include/hyssopford/core/load_report.hpp
@@ -25,6 +25,10 @@
   /// True if the upstream was slowed down: a request started at the time of
   /// the report would run slowly.
   bool Slow = false;
+  /// Starts a second that the upstream gets while it is cold; 0 if it is not.
+  double ColdRate = 0.0;
+  /// How long it stays cold from the time of the report.
+  Duration ColdTime{0};
 
   friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -187,6 +187,9 @@
   void startReleased(TimePoint Now, Actions &Out);
   /// Passes changes between the systems after each input.
   void syncSystems(TimePoint Now, Actions &Out);
+  /// Starts a second that the upstream of a member gets because its record
+  /// states that it is cold; 0 for no limit.
+  double coldRateOf(const MemberRecord &Record) const;
   void updateCandidates();
   void updateDuties(TimePoint Now, Actions &Out);
 
@@ -203,6 +206,7 @@
   ProbeSystem Probes;
   KeySystem Keys;
   QuarantineSystem Quarantine;
+  ColdSettings Cold;
   std::uint64_t CandidateRevision = 0;
   std::uint64_t DutyRevision = 0;
   /// Whether the duties were derived from the table at DutyRevision.
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -4,6 +4,7 @@
 
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/core/admission_queue.hpp"
+#include "hyssopford/core/cold/cold_meter.hpp"
 #include "hyssopford/core/concurrency_limit.hpp"
 #include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/event.hpp"
@@ -32,7 +33,9 @@
 
   /// @param Self this run of this node
   /// @param Settings settings of admission
-  explicit OwnerSystem(NodeRun Self, const AdmissionSettings &Settings = {});
+  /// @param Cold settings of the limits of cold upstreams
+  explicit OwnerSystem(NodeRun Self, const AdmissionSettings &Settings = {},
+                       const ColdSettings &Cold = {});
   /// @}
 
   /// @name Inputs
@@ -72,6 +75,20 @@
   void finishSpeedProbe(const ProbeFinished &Result, TimePoint Now,
                         Actions &Out);
 
+  /// @brief Handles what a probe answer states about the upstream being cold.
+  /// @param Remaining how long it stays cold; 0 if the answer states none
+  void stateCold(Duration Remaining, TimePoint Now, Actions &Out);
+
+  /// @brief Records a health probe that is sent to the upstream; a cold
+  /// upstream counts it like a request.
+  void healthProbeSent(TimePoint Now) { Cold.recordStart(Now); }
+
+  /// @brief Sets the settings of services, of which the limits of cold
+  /// upstreams apply.
+  void setServices(const std::vector<ServiceSettings> &Services) {
+    Cold.setServices(Services);
+  }
+
   /// @brief Sets whether the upstream is suspected to have failed; see
   /// ProbeSystem::suspected.
   void setSuspected(bool Suspected, TimePoint Now, Actions &Out);
@@ -110,6 +127,9 @@
   /// unknown outcome
   std::uint64_t interrupted() const { return Interrupted; }
 
+  /// @return the number of attempts handed back because the upstream is cold
+  std::uint64_t coldHandBacks() const { return ColdHandBacks; }
+
   /// @return whether the upstream runs no attempt
   bool idle() const { return Running.empty(); }
 
@@ -136,6 +156,13 @@
   void abortRunning(OutcomeReason Reason, const std::vector<AttemptId> &Unsent,
                     TimePoint Now, Actions &Out);
   Duration expectedWait(Priority Class) const;
+  /// Whether a cold upstream cannot start an attempt in time.
+  /// @param Ahead number of queued attempts that start before it
+  bool isTooLateWhileCold(const Dispatch &Attempt, std::size_t Ahead,
+                          Duration Remaining, TimePoint Now) const;
+  /// Reports the begin and the end of the cold time. At its begin, hands back
+  /// the queued attempts that can no longer start in time.
+  void updateCold(TimePoint Now, Actions &Out);
   /// Current concurrency limit. While the upstream is stalled, only single
   /// trials start.
   std::uint32_t currentLimit() const;
@@ -189,6 +216,10 @@
   std::int64_t StartSum = 0;
   /// Smoothed service time of each route in µs.
   std::unordered_map<std::string, double> RouteTimes;
+  ColdMeter Cold;
+  /// Whether the begin of the current cold time was reported.
+  bool ColdReported = false;
+  std::uint64_t ColdHandBacks = 0;
   SpeedTracker Tracker;
   bool SpeedProbeRunning = false;
   /// When the speed is probed again during a slowdown.
--- a/include/hyssopford/core/selection_policy.hpp
+++ b/include/hyssopford/core/selection_policy.hpp
@@ -21,6 +21,8 @@
   /// Announced slots.
   std::uint32_t Slots = 1;
   UpstreamState State = UpstreamState::Serving;
+  /// Starts a second that it gets while State is Cold; 0 for no limit.
+  double ColdRate = 0.0;
   /// Index of the failure domain in Selection::RoundTrips.
   std::size_t Domain = 0;
   /// True if the upstream is in the failure domain of this node.
@@ -40,6 +42,17 @@
   /// When the latest failure was observed.
   TimePoint FailedAt;
 
+  /// @brief Gives the limit of a cold upstream, as its latest report states it
+  /// or, before the first report, its member record.
+  /// @param Now the current time
+  /// @return starts a second; 0 if the upstream has no such limit
+  double coldRate(TimePoint Now) const {
+    if (Report.Sequence == 0) {
+      return ColdRate;
+    }
+    return Now < ReportedAt + Report.ColdTime ? Report.ColdRate : 0.0;
+  }
+
   friend bool operator==(const CandidateView &,
                          const CandidateView &) = default;
 };
--- a/include/hyssopford/net/edge_policy.hpp
+++ b/include/hyssopford/net/edge_policy.hpp
@@ -117,6 +117,11 @@
   /// does not state it
   virtual std::uint32_t
   slownessPercentOf(const Poco::Net::HTTPResponse &Head) const = 0;
+
+  /// @brief Reads from a response to a probe how long the upstream stays cold.
+  /// @param Head the response
+  /// @return the time; 0 if it is not cold or the response does not state it
+  virtual Duration coldTimeOf(const Poco::Net::HTTPResponse &Head) const = 0;
   /// @}
 };
 
@@ -140,6 +145,7 @@
                                    bool IsFirst) const override;
   std::uint32_t
   slownessPercentOf(const Poco::Net::HTTPResponse &Head) const override;
+  Duration coldTimeOf(const Poco::Net::HTTPResponse &Head) const override;
 };
 
 /// @return the shared instance of DefaultEdgePolicy
--- a/include/hyssopford/node/upstream_registry.hpp
+++ b/include/hyssopford/node/upstream_registry.hpp
@@ -48,6 +48,8 @@
   std::string Address;
   std::string HealthPath = "/health";
   UpstreamState State = UpstreamState::Serving;
+  /// How long it states that it stays cold; 0 if it states none.
+  Duration ColdTime{0};
   /// Time after which the upstream is considered gone unless it renews its
   /// announcement.
   Duration TimeToLive = 3s;
@@ -121,6 +123,9 @@
   UpstreamClient &Client;
   NodeTelemetry &Log;
 
+  /// Whether the upstream has started since the previous announcement, as far
+  /// as this node can tell.
+  bool isNewRun(const Announcement &New) const;
   AnnouncementResult depart(const std::string &Instance);
   bool isOvertaken(const Announcement &New) const;
   bool holds(const Announcement &New) const;
@@ -136,6 +141,8 @@
   /// The latest announcement with a start number; kept after the upstream has
   /// gone to detect overtaken announcements.
   std::optional<Announcement> Latest;
+  /// Whether the core was not told yet that the upstream has started.
+  bool NewRun = false;
   /// The start in Latest sent a departure.
   bool Departed = false;
   /// The announcement with the highest acknowledged sequence of each start
--- a/src/core/candidate_table.cpp
+++ b/src/core/candidate_table.cpp
@@ -333,6 +333,7 @@
     View.Owner = Each.Owner;
     View.Slots = Each.Slots;
     View.State = Each.State;
+    View.ColdRate = Each.ColdRate;
     View.Domain = domainIndex(Each.FailureDomain);
     View.IsLocalDomain = Each.FailureDomain == FailureDomain;
     const auto Link = Links.find(Each.Owner.Node);
--- a/src/core/estimated_delay_policy.cpp
+++ b/src/core/estimated_delay_policy.cpp
@@ -73,6 +73,14 @@
       Compare(Index);
     }
   }
+  if (Best && Input.Candidates[*Best].coldRate(Input.Now) > 0.0) {
+    // The sample holds only cold candidates, but others may exist.
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      if (!Input.excluded(Index)) {
+        Compare(Index);
+      }
+    }
+  }
   return Best;
 }
 
@@ -116,6 +124,11 @@
     Score += Settings.SlowdownWeight * MeanService *
              std::exp(-micros(Age) / micros(Settings.SlowdownDuration));
   }
+  if (const double ColdRate = View.coldRate(Input.Now); ColdRate > 0.0) {
+    // One start interval for each request ahead, and one for the place in the
+    // limit that this one takes from requests that have no other upstream.
+    Score += (View.Report.Queued + View.SentSince + 1.0) * 1e6 / ColdRate;
+  }
   if (View.Outstanding > 0) {
     // A missing reply is the only sign of a sudden stall.
     const double Pending = micros(Input.Now - View.OldestSent);
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -127,7 +127,8 @@
     ++Row.HandBacks;
     --Row.Attempts;
     if (Reply.Reason == OutcomeReason::UpstreamSlow ||
-        Reply.Reason == OutcomeReason::QueueFull) {
+        Reply.Reason == OutcomeReason::QueueFull ||
+        Reply.Reason == OutcomeReason::ColdLimit) {
       Row.BusyOwners.push_back(Attempt.Owner.Node);
     }
   }
@@ -545,6 +546,12 @@
     const Duration Spread = Settings.RetryAfterMax - Settings.RetryAfterMin;
     Reply.RetryAfter =
         Settings.RetryAfterMin + Duration(Random.below(Spread.count() + 1));
+    ServicePool *Pool = Table.findPool(Row.Service);
+    if (Pool != nullptr && Row.LastReason == OutcomeReason::ColdLimit) {
+      Reply.RetryAfter +=
+          Pool->Returns.reserve(Pool->usable(), Table.knownCount(Row.Service),
+                                Table.memberCount(), Now);
+    }
   }
   Reply.Reason = Reason;
   Reply.Attempts = Row.Attempts;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -41,9 +41,9 @@
       Directory(Settings.Address, Random, Settings.Decisions.Start),
       Ingress(Self, Random, Settings.Decisions.Routing, Settings.Region,
               Settings.FailureDomain),
-      Owner(Self, Settings.Decisions.Admission),
+      Owner(Self, Settings.Decisions.Admission, Settings.Decisions.Cold),
       Probes(Settings.Decisions.Probing), Keys(Self, Settings.Keys, Random),
-      Quarantine(Self, Random) {
+      Quarantine(Self, Random), Cold(Settings.Decisions.Cold) {
   if (Codec != nullptr) {
     Configs.emplace(*Codec, Random, Settings.Decisions.Start);
   }
@@ -95,6 +95,7 @@
   Splits.adopt(Config);
   Membership.setConfigVersion(Config.Version);
   Owner.setConfigVersion(Config.Version);
+  Owner.setServices(Config.Services);
   CandidateRevision = 0;
   updateCandidates();
   return true;
@@ -266,6 +267,7 @@
     Owner.finishSpeedProbe(Input, Now, Out);
     return;
   }
+  Owner.stateCold(Input.ColdTime, Now, Out);
   Probes.finish(Input, Now, Out);
   Owner.setSuspected(Probes.suspected(), Now, Out);
 }
@@ -403,6 +405,10 @@
     if (const auto *Forward = std::get_if<ForwardToUpstream>(&Each)) {
       Quarantine.attemptStarted(Forward->Attempt, Now, Produced);
     }
+    const auto *Probe = std::get_if<ProbeUpstream>(&Each);
+    if (Probe != nullptr && Probe->Purpose == ProbePurpose::Health) {
+      Owner.healthProbeSent(Now);
+    }
     auto *Message = std::get_if<SendToPeer>(&Each);
     if (Message != nullptr) {
       if (auto *Reply = std::get_if<DispatchReply>(&Message->Message)) {
@@ -482,6 +488,16 @@
   }
 }
 
+double NodeCore::coldRateOf(const MemberRecord &Record) const {
+  if (!Cold.Enabled || Record.Upstream != UpstreamState::Cold) {
+    return 0.0;
+  }
+  const auto Found = std::find_if(
+      Config.Services.begin(), Config.Services.end(),
+      [&](const ServiceSettings &Each) { return Each.Name == Record.Service; });
+  return Found == Config.Services.end() ? 0.0 : Found->ColdRate;
+}
+
 void NodeCore::updateCandidates() {
   if (CandidateRevision == Membership.revision()) {
     return;
@@ -497,9 +513,9 @@
                         (Record.State == MemberState::Alive ||
                          Record.State == MemberState::Suspect);
     if (Offers && !Drained) {
-      Candidates.push_back(Candidate{Record.Id, Record.Service,
-                                     Record.FailureDomain, Record.Region,
-                                     Record.Slots, Record.Upstream});
+      Candidates.push_back(Candidate{
+          Record.Id, Record.Service, Record.FailureDomain, Record.Region,
+          Record.Slots, Record.Upstream, coldRateOf(Record)});
     }
   }
   Ingress.setCandidates(std::move(Candidates));
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -66,9 +66,10 @@
 
 } // namespace
 
-OwnerSystem::OwnerSystem(NodeRun Run, const AdmissionSettings &Chosen)
-    : Self(Run), Settings(Chosen), Tracker(Chosen), Limit(Chosen),
-      Queue(Chosen.HighBurst),
+OwnerSystem::OwnerSystem(NodeRun Run, const AdmissionSettings &Chosen,
+                         const ColdSettings &ColdLimits)
+    : Self(Run), Settings(Chosen), Cold(ColdLimits), Tracker(Chosen),
+      Limit(Chosen), Queue(Chosen.HighBurst),
       Finished(FinishedRetention, Chosen.FinishedBytesMax) {}
 
 void OwnerSystem::admit(NodeId From, const Dispatch &Attempt, TimePoint Now,
@@ -76,6 +77,7 @@
   LastInput = Now;
   const AttemptId Id = Attempt.Attempt;
   Finished.dropExpired(Now);
+  updateCold(Now, Out);
   if (const DispatchReply *Known = Finished.find(Id)) {
     Out.emplace_back(SendToPeer{From, *Known});
     return;
@@ -216,12 +218,17 @@
     Tracker.reset();
   }
   Upstream = Announced;
+  Cold.announce(Announced.Service, Announced.IsNewRun, Now);
+  Cold.state(Announced.ColdTime, Now);
+  updateCold(Now, Out);
   Limit.setSlots(Announced.Slots, Announced.State == UpstreamState::Cold, Now);
   startQueued(Now, Out);
 }
 
 void OwnerSystem::upstreamGone(const UpstreamGone &Gone, TimePoint Now,
                                Actions &Out) {
+  Cold.announce("", false, Now);
+  updateCold(Now, Out);
   Upstream = UpstreamAnnounced{"", 0, UpstreamState::None};
   Limit = ConcurrencyLimit(Settings);
   ServiceTime = 0.0;
@@ -308,12 +315,14 @@
     endAll(Now, Out);
     return;
   }
+  updateCold(Now, Out);
   // Refused early enough for the ingress to tell the caller that it did not
   // run.
   while (const std::optional<AdmittedAttempt> Late =
              Queue.popExpired(Now + Settings.ExpiryMargin)) {
     endQueued(*Late,
-              Late->Deadline <= Now + Settings.ExpiryMargin
+              Cold.isCold(Now) ? OutcomeReason::ColdLimit
+              : Late->Deadline <= Now + Settings.ExpiryMargin
                   ? OutcomeReason::DeadlineExceeded
                   : OutcomeReason::QueueFull,
               Now, Out);
@@ -332,6 +341,12 @@
   if (Next && NextSpeedProbe) {
     Next = std::min(*Next, *NextSpeedProbe);
   }
+  if (Next && Cold.startTime(0, LastInput) > LastInput) {
+    Next = std::min(*Next, Cold.startTime(0, LastInput));
+  }
+  if (ColdReported) {
+    Next = std::min(Next.value_or(Cold.end()), Cold.end());
+  }
   if (Shutdown.isSet() && inFlight() > 0) {
     Next =
         std::min(Next.value_or(Shutdown.attemptEnd()), Shutdown.attemptEnd());
@@ -346,7 +361,10 @@
                     Limit.value(LastInput),
                     Duration(static_cast<std::int64_t>(expectedServiceTime())),
                     Duration{0},
-                    Tracker.state(LastInput) == SpeedState::Slow};
+                    Tracker.state(LastInput) == SpeedState::Slow,
+                    Cold.isCold(LastInput) ? Cold.rate() : 0.0,
+                    Cold.isCold(LastInput) ? Cold.end() - LastInput
+                                           : Duration{0}};
 }
 
 std::vector<const Dispatch *> OwnerSystem::running() const {
@@ -370,6 +388,13 @@
   if (Attempt.Remaining <= Duration{0}) {
     return OutcomeReason::DeadlineExceeded;
   }
+  if (Cold.isCold(Now) &&
+      (Now > LatestStart ||
+       isTooLateWhileCold(Attempt, Queue.countAhead(Attempt.Class),
+                          std::min(Attempt.Remaining, LatestStart - Now),
+                          Now))) {
+    return OutcomeReason::ColdLimit;
+  }
   const Duration Wait = expectedWait(Attempt.Class);
   if (Now + Wait > LatestStart) {
     return OutcomeReason::DeadlineTooClose;
@@ -385,9 +410,12 @@
   if (Wait + Service > Attempt.Remaining) {
     return OutcomeReason::DeadlineTooClose;
   }
-  // An attempt may wait longer if it still meets its latency target.
+  // An attempt may wait longer if it still meets its latency target. While the
+  // upstream is cold, isTooLateWhileCold has decided on the wait.
   const Duration Longest =
-      std::max(Settings.QueueDelayMax, Attempt.Target - Service);
+      Cold.isCold(Now)
+          ? Attempt.Remaining
+          : std::max(Settings.QueueDelayMax, Attempt.Target - Service);
   if (Wait > Longest || Queue.size() >= Settings.QueueLengthMax ||
       (Attempt.MayHandBack && Wait > Settings.HandBackWait)) {
     return OutcomeReason::QueueFull;
@@ -467,6 +495,7 @@
 void OwnerSystem::finishSpeedProbe(const ProbeFinished &Result, TimePoint Now,
                                    Actions &Out) {
   SpeedProbeRunning = false;
+  stateCold(Result.ColdTime, Now, Out);
   if (Result.Succeeded || Result.SlownessPercent != 0) {
     Tracker.observe(Result.SlownessPercent, Now);
   }
@@ -482,9 +511,14 @@
     NextSpeedProbe.reset();
     return true;
   }
+  if (State == SpeedState::Unknown && Cold.isCold(Now)) {
+    // A probe would take the place of a request in the limit.
+    return true;
+  }
   if (State == SpeedState::Unknown) {
     if (!SpeedProbeRunning) {
       SpeedProbeRunning = true;
+      Cold.recordStart(Now);
       Out.emplace_back(
           ProbeUpstream{Settings.SpeedProbeTimeout, ProbePurpose::Speed});
     }
@@ -501,10 +535,65 @@
   }
 }
 
+bool OwnerSystem::isTooLateWhileCold(const Dispatch &Attempt, std::size_t Ahead,
+                                     Duration Remaining, TimePoint Now) const {
+  const Duration Wait = Cold.startTime(Ahead, Now) - Now;
+  if (Wait <= Duration{0}) {
+    return false;
+  }
+  const Duration Service(
+      static_cast<std::int64_t>(routeServiceTime(Attempt.Route)));
+  // The limit on the expected wait does not apply: to wait for a start that the
+  // meter allows costs the upstream nothing.
+  const bool MissesTarget =
+      Attempt.Target > Duration{0} &&
+      Wait > std::max(Settings.QueueDelayMax, Attempt.Target - Service);
+  return Wait + Service + Settings.ExpiryMargin > Remaining || MissesTarget ||
+         Ahead >= Settings.QueueLengthMax ||
+         (Attempt.MayHandBack && Wait > Settings.HandBackWait);
+}
+
+void OwnerSystem::stateCold(Duration Remaining, TimePoint Now, Actions &Out) {
+  Cold.state(Remaining, Now);
+  updateCold(Now, Out);
+}
+
+void OwnerSystem::updateCold(TimePoint Now, Actions &Out) {
+  LastInput = Now;
+  const bool IsCold = Cold.isCold(Now);
+  if (IsCold == ColdReported) {
+    return;
+  }
+  ColdReported = IsCold;
+  if (!IsCold) {
+    Out.emplace_back(
+        Notice{"upstream_cold_ended", {{"service", Upstream.Service}}});
+    return;
+  }
+  Out.emplace_back(
+      Notice{"upstream_cold",
+             {{"service", Upstream.Service},
+              {"rate", fmt::format("{}", Cold.rate())},
+              {"remaining_us", std::to_string((Cold.end() - Now).count())}}});
+  std::vector<AdmittedAttempt> Kept;
+  while (std::optional<AdmittedAttempt> Row = Queue.pop()) {
+    if (isTooLateWhileCold(Row->Attempt, Kept.size(), Row->Deadline - Now,
+                           Now)) {
+      endQueued(*Row, OutcomeReason::ColdLimit, Now, Out);
+    } else {
+      Kept.push_back(std::move(*Row));
+    }
+  }
+  for (AdmittedAttempt &Row : Kept) {
+    Queue.push(std::move(Row));
+  }
+}
+
 void OwnerSystem::startQueued(TimePoint Now, Actions &Out) {
   LastInput = Now;
   while (Running.size() < currentLimit()) {
-    if (Queue.size() == 0 || !mayStartNow(Now, Out)) {
+    if (Queue.size() == 0 || Cold.startTime(0, Now) > Now ||
+        !mayStartNow(Now, Out)) {
       return;
     }
     std::optional<AdmittedAttempt> Row = Queue.pop();
@@ -517,6 +606,7 @@
     }
     Row->Started = Now;
     LastStart = Now;
+    Cold.recordStart(Now);
     StartSum += Now.time_since_epoch().count();
     const Dispatch &Attempt = Row->Attempt;
     const AttemptId Id = Attempt.Attempt;
@@ -543,6 +633,7 @@
                             TimePoint Now, Actions &Out) {
   DispatchReply Reply = makeReply(Row.Attempt.Attempt, Outcome::NotRun, Reason);
   Reply.Held = std::max(Now - Row.Arrived, Duration{1});
+  ColdHandBacks += Reason == OutcomeReason::ColdLimit ? 1 : 0;
   reportSpan(Row, SpanKind::Queue, Row.Arrived, Now, Reply, Out);
   reportAttempt("attempt_refused", Row, Reason, Now, Out);
   send(Row.From, std::move(Reply), Now, Out);
--- a/src/net/codec/request_codec.cpp
+++ b/src/net/codec/request_codec.cpp
@@ -1,5 +1,7 @@
 #include "codec.hpp"
 
+#include <algorithm>
+#include <cmath>
 #include <string_view>
 
 namespace hyssopford::codec {
@@ -22,6 +24,9 @@
 
 namespace {
 
+/// Longest cold time that is read; keeps sums of times from overflowing.
+constexpr Duration ColdTimeMax = 3'600s;
+
 wire::TraceContext encodeTrace(const TraceContext &Value) {
   return {Value.TraceHigh, Value.TraceLow, Value.ParentSpan, Value.Sampled};
 }
@@ -102,7 +107,7 @@
   return wire::CreateDispatchReply(
       Out, &Attempt, static_cast<std::uint8_t>(Value.Result),
       static_cast<std::uint8_t>(Value.Reason), Value.Status, &Load, Answer,
-      Value.Held.count());
+      Value.Held.count(), Value.Load.ColdRate, Value.Load.ColdTime.count());
 }
 
 std::optional<DispatchReply> decode(const wire::DispatchReply &Value,
@@ -116,13 +121,18 @@
   Result.Status = Value.status();
   Result.Held = Duration(Value.held_us());
   const wire::LoadReport &Load = *Value.load();
-  Result.Load = LoadReport{Load.sequence(),
-                           Load.in_flight(),
-                           Load.queued(),
-                           Load.limit(),
-                           Duration(Load.service_time_us()),
-                           Duration(Load.age_us()),
-                           Load.slow()};
+  Result.Load = LoadReport{
+      Load.sequence(),
+      Load.in_flight(),
+      Load.queued(),
+      Load.limit(),
+      Duration(Load.service_time_us()),
+      Duration(Load.age_us()),
+      Load.slow(),
+      std::isfinite(Value.cold_rate()) && Value.cold_rate() > 0.0
+          ? Value.cold_rate()
+          : 0.0,
+      std::clamp(Duration(Value.cold_us()), Duration{0}, ColdTimeMax)};
   Result.Answer = decodeBytes(*Value.answer(), Source);
   return Result;
 }
--- a/src/net/default_edge_policy.cpp
+++ b/src/net/default_edge_policy.cpp
@@ -92,6 +92,11 @@
   return 0;
 }
 
+Duration
+DefaultEdgePolicy::coldTimeOf(const Poco::Net::HTTPResponse & /*Head*/) const {
+  return Duration{0};
+}
+
 const EdgePolicy &defaultEdgePolicy() {
   static const DefaultEdgePolicy Policy;
   return Policy;
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -236,6 +236,8 @@
       Reader.response().has("Retry-After");
   Answer.SlownessPercent = Client.Edge.slownessPercentOf(Reader.response());
   const bool WasProbe = isProbe();
+  const Duration ColdTime =
+      WasProbe ? Client.Edge.coldTimeOf(Reader.response()) : Duration{0};
   const bool Ran = Kind == AnswerKind::Answer;
   const bool MayRun = Kind == AnswerKind::UnprovenNotRun;
   // The refusal of a request may come again when the same request is sent once
@@ -269,7 +271,8 @@
   }
   if (WasProbe) {
     Receiver.onProbed(ProbeFinished{Status >= 200 && Status < 400, Elapsed,
-                                    ProbedFor, Answer.SlownessPercent});
+                                    ProbedFor, Answer.SlownessPercent,
+                                    ColdTime});
   } else if (Ran) {
     Receiver.onAnswered(std::move(Answer));
   } else {
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -137,6 +137,7 @@
     noteSequence(New);
     return AnnouncementResult::Holds;
   }
+  NewRun = NewRun || isNewRun(New);
   remember(New);
   Loop.cancel(Expiry);
   Expiry = Loop.after(New.TimeToLive, [this] {
@@ -163,12 +164,22 @@
     return AnnouncementResult::Applied;
   }
   if (!Old || OtherStart || Old->Service != New.Service ||
-      Old->Slots != New.Slots || Old->State != Current->State) {
+      Old->Slots != New.Slots || Old->State != Current->State ||
+      New.ColdTime > Duration{0}) {
     submitState();
   }
   return AnnouncementResult::Applied;
 }
 
+bool UpstreamRegistry::isNewRun(const Announcement &New) const {
+  if (New.Start == 0) {
+    return !Current;
+  }
+  // A later announcement of a start that this node does not know comes from an
+  // upstream that ran before the node, and states itself whether it is cold.
+  return Latest ? !isSameStart(*Latest, New) : New.Sequence <= 1;
+}
+
 AnnouncementResult UpstreamRegistry::depart(const std::string &Instance) {
   if (Latest && Latest->Instance == Instance) {
     startDraining();
@@ -189,10 +200,13 @@
            {"service", Current->Service},
            {"state", States[static_cast<std::size_t>(Current->State)]},
            {"slots", Current->Slots},
+           {"cold_ms", Current->ColdTime / 1ms},
+           {"new_run", NewRun ? "yes" : "no"},
            {"start", Current->Start},
            {"sequence", Current->Sequence}});
-  Driver.submit(
-      UpstreamAnnounced{Current->Service, Current->Slots, Current->State});
+  Driver.submit(UpstreamAnnounced{Current->Service, Current->Slots,
+                                  Current->State, Current->ColdTime,
+                                  std::exchange(NewRun, false)});
 }
 
 bool UpstreamRegistry::isOvertaken(const Announcement &New) const {
--- a/src/telemetry/samples.cpp
+++ b/src/telemetry/samples.cpp
@@ -34,6 +34,9 @@
   Registry.set(MetricId::OwnerQueued, {}, Load.Queued);
   Registry.set(MetricId::OwnerLimit, {}, Load.Limit);
   Registry.set(MetricId::OwnerServiceSeconds, {}, seconds(Load.ServiceTime));
+  Registry.set(MetricId::OwnerColdRate, {}, Load.ColdRate);
+  Registry.set(MetricId::OwnerHandBacks, {toString(OutcomeReason::ColdLimit)},
+               static_cast<double>(Core.owner().coldHandBacks()));
   Registry.set(MetricId::ExtraCalls, {"retry"},
                static_cast<double>(Core.ingress().counters().Retries));
   Registry.set(MetricId::ExtraCalls, {"hedge"},
--- a/tests/net/message_codec_test.cpp
+++ b/tests/net/message_codec_test.cpp
@@ -30,7 +30,7 @@
   Reply.Result = Outcome::NotRun;
   Reply.Reason = OutcomeReason::ShuttingDown;
   Reply.Status = 503;
-  Reply.Load = {1, 2, 3, 4, 5us, 6us};
+  Reply.Load = {1, 2, 3, 4, 5us, 6us, true, 16.5, 7us};
   Reply.Answer = Payload("answer");
   MemberRecord Record;
   Record.Id = {NodeId{1}, Incarnation{2}};
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -116,6 +116,7 @@
     json Report = goodReport();
     Report["coldRemainingS"] = 1.5;
     CHECK(decode(Report.dump(), Fault)->State == UpstreamState::Cold);
+    CHECK(decode(Report.dump(), Fault)->ColdTime == 1500ms);
   }
   SECTION("a draining state and a deregistration are read") {
     json Report = goodReport();
@@ -256,6 +257,18 @@
     Head.set("X-Attempt-Id", "t1");
     CHECK(Classify(Head) == AnswerKind::Answer);
   }
+  SECTION("the remaining cold time is read, if it is valid") {
+    auto Head = response(200);
+    CHECK(Edge.coldTimeOf(Head) == Duration{0});
+    Head.set("X-Cold-Ms", "1250");
+    CHECK(Edge.coldTimeOf(Head) == 1250ms);
+    Head.set("X-Cold-Ms", "9000000000000000");
+    CHECK(Edge.coldTimeOf(Head) == 3600s);
+    for (const char *Bad : {"-5", "x", "0", "1.5"}) {
+      Head.set("X-Cold-Ms", Bad);
+      CHECK(Edge.coldTimeOf(Head) == Duration{0});
+    }
+  }
   SECTION("the speed is the fourth value of X-Server-Load, if it is valid") {
     auto Head = response(200);
     CHECK(Edge.slownessPercentOf(Head) == 0);
