Evacuate failure domains

EvacuationSystem keeps the set of evacuated failure domains. The owner in an evacuated failure domain starts nothing and hands its queue back (evacuated, not run); ingress nodes pass by its candidates and refuse a service without others at once, with a Retry-After of at least 1 s.

--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -152,6 +152,10 @@
                                          : std::nullopt;
   }
 
+  /// @return whether this node calls the store regularly: as a watching node,
+  /// in place of one, or because it has no links
+  bool readsStore(TimePoint Now) const { return Watching || standsIn(Now); }
+
   /// @return whether the start is over
   bool started() const { return Started; }
 
--- a/include/hyssopford/core/ingress_system.hpp
+++ b/include/hyssopford/core/ingress_system.hpp
@@ -19,6 +19,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace hyssopford {
@@ -114,6 +115,12 @@
   /// @brief Replaces the table of candidates.
   void setCandidates(std::vector<Candidate> All);
 
+  /// @brief Sets the services that have upstreams in evacuated failure domains
+  /// only; their requests are refused at once.
+  void setEvacuatedServices(std::set<std::string> Services) {
+    EvacuatedServices = std::move(Services);
+  }
+
   /// @brief Runs the timers.
   void tick(TimePoint Now, Actions &Out);
   /// @}
@@ -263,6 +270,7 @@
   RandomSource &Random;
   RoutingSettings Settings;
   CandidateTable Table;
+  std::set<std::string> EvacuatedServices;
   ShutdownLimit Shutdown;
   std::unique_ptr<SelectionPolicy> Policy;
   std::uint64_t NextSequence = 1;
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -6,6 +6,7 @@
 #include "hyssopford/core/config_system.hpp"
 #include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/directory_system.hpp"
+#include "hyssopford/core/evacuation/evacuation_system.hpp"
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/ingress_system.hpp"
 #include "hyssopford/core/key_system.hpp"
@@ -122,6 +123,9 @@
   /// @return the system of the members of the site
   const MembershipSystem &membership() const { return Membership; }
 
+  /// @return the system of evacuated failure domains
+  const EvacuationSystem &evacuations() const { return Evacuations; }
+
   /// @return the configuration system, or nullptr without a codec
   const ConfigSystem *configSystem() const {
     return Configs ? &*Configs : nullptr;
@@ -163,6 +167,8 @@
                Actions &Out);
   void receive(NodeRun From, const QuarantineNotice &Message, TimePoint Now,
                Actions &Out);
+  void receive(NodeRun From, const EvacuationNotice &Message, TimePoint Now,
+               Actions &Out);
   /// Passes a message to the system of membership, keys or configuration.
   template <typename Message>
   void receive(NodeRun From, const Message &Received, TimePoint Now,
@@ -207,6 +213,9 @@
   KeySystem Keys;
   QuarantineSystem Quarantine;
   ColdSettings Cold;
+  EvacuationSystem Evacuations;
+  /// EvacuationSystem::changes() at which the candidates were derived.
+  std::uint64_t EvacuationChanges = 0;
   std::uint64_t CandidateRevision = 0;
   std::uint64_t DutyRevision = 0;
   /// Whether the duties were derived from the table at DutyRevision.
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -89,6 +89,10 @@
     Cold.setServices(Services);
   }
 
+  /// @brief Sets whether the failure domain of this node is evacuated. While it
+  /// is, nothing starts and queued attempts are handed back.
+  void setEvacuated(bool Value, TimePoint Now, Actions &Out);
+
   /// @brief Sets whether the upstream is suspected to have failed; see
   /// ProbeSystem::suspected.
   void setSuspected(bool Suspected, TimePoint Now, Actions &Out);
@@ -130,6 +134,9 @@
   /// @return the number of attempts handed back because the upstream is cold
   std::uint64_t coldHandBacks() const { return ColdHandBacks; }
 
+  /// @return the number of attempts handed back because of an evacuation
+  std::uint64_t evacuationHandBacks() const { return EvacuationHandBacks; }
+
   /// @return whether the upstream runs no attempt
   bool idle() const { return Running.empty(); }
 
@@ -201,6 +208,8 @@
   AdmissionSettings Settings;
   UpstreamAnnounced Upstream;
   bool Draining = false;
+  bool Evacuated = false;
+  std::uint64_t EvacuationHandBacks = 0;
   ShutdownLimit Shutdown;
   std::uint64_t Interrupted = 0;
   std::uint64_t ConfigVersion = 0;
--- a/include/hyssopford/core/store_call.hpp
+++ b/include/hyssopford/core/store_call.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace hyssopford {
 
@@ -52,9 +53,20 @@
   friend bool operator==(const StoreLease &, const StoreLease &) = default;
 };
 
+/// @brief Lists the keys below a prefix, at once or after one of them changed.
+struct StoreList {
+  std::string Prefix;
+  /// Revision of the store from which changes count.
+  std::uint64_t AfterRevision = 0;
+  /// Time to wait for a change; 0 lists the keys at once.
+  Duration Timeout{0};
+
+  friend bool operator==(const StoreList &, const StoreList &) = default;
+};
+
 /// @brief Any call to the store.
 using StoreOperation =
-    std::variant<StoreRead, StoreWrite, StoreWatch, StoreLease>;
+    std::variant<StoreRead, StoreWrite, StoreWatch, StoreLease, StoreList>;
 
 /// @brief Status of a completed call to the store.
 enum class StoreStatus : std::uint8_t {
@@ -65,7 +77,8 @@
   /// The revision was not the expected one; the result may hold the current
   /// value and revision.
   Conflict,
-  /// A watch ended without a change.
+  /// A watch ended without a change; that of a prefix holds the revision of the
+  /// store.
   Unchanged,
   /// Refused without effect, e.g. by a rate limit or because the value is too
   /// large.
@@ -82,6 +95,12 @@
   std::uint64_t Lease = 0;
   /// Explanation if Status is Refused or NoAnswer.
   std::string Reason;
+  /// Era of the store when it answered; 0 if not stated. It rises each time the
+  /// store has lost what it had acknowledged; revisions are comparable only
+  /// within an era.
+  std::uint64_t Era = 0;
+  /// Rest of each key below the prefix of a StoreList.
+  std::vector<std::string> Keys{};
 
   friend bool operator==(const StoreResult &, const StoreResult &) = default;
 };
@@ -93,6 +112,7 @@
   Patch,
   History,
   Directory,
+  Evacuation,
   Roster = 16
 };
 
--- a/include/hyssopford/telemetry/metric_catalogue.hpp
+++ b/include/hyssopford/telemetry/metric_catalogue.hpp
@@ -46,6 +46,7 @@
   ConfigVersion,
   ConfigStoreAge,
   ConfigDelay,
+  EvacuatedDomains,
   Patches,
   StoreCalls,
   Keys,
@@ -153,6 +154,9 @@
      "hyssopford_config_delay_seconds", "",
      "Time from the first message that named a version until it was in force "
      "on this node."},
+    {MetricId::EvacuatedDomains, MetricType::Gauge,
+     "hyssopford_evacuated_domains", "",
+     "Failure domains that are evacuated as far as this node knows."},
     {MetricId::Patches, MetricType::Counter, "hyssopford_patches_total",
      "result", "Patches submitted to this node."},
     {MetricId::StoreCalls, MetricType::Counter, "hyssopford_store_calls_total",
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -15,6 +15,8 @@
 constexpr Duration UnusedCheckPeriod = 10s;
 /// Time between two checks for a usable link while a request waits for one.
 constexpr Duration LinkCheckPeriod = 5ms;
+/// Least Retry-After while a service is evacuated; evacuations last long.
+constexpr Duration EvacuatedRetryAfter = 1s;
 /// Weight of a new answer in the mean latency of a service.
 constexpr double LatencyWeight = 0.05;
 /// Lowest HTTP status that counts as a failure of the upstream.
@@ -236,6 +238,11 @@
                         Out);
     return;
   }
+  if (Pool == nullptr && EvacuatedServices.contains(Row.Service)) {
+    finishWithoutAnswer(Row, Outcome::NotRun, OutcomeReason::Evacuated, Now,
+                        Out);
+    return;
+  }
   if (Pool == nullptr &&
       !(Settings.WaitWhenAlone && Table.memberCount() <= 1)) {
     finishWithoutAnswer(Row, Outcome::NotRun, OutcomeReason::NoUpstream, Now,
@@ -546,6 +553,8 @@
     const Duration Spread = Settings.RetryAfterMax - Settings.RetryAfterMin;
     Reply.RetryAfter =
         Settings.RetryAfterMin + Duration(Random.below(Spread.count() + 1));
+    Reply.RetryAfter +=
+        Reason == OutcomeReason::Evacuated ? EvacuatedRetryAfter : Duration{0};
     ServicePool *Pool = Table.findPool(Row.Service);
     if (Pool != nullptr && Row.LastReason == OutcomeReason::ColdLimit) {
       Reply.RetryAfter +=
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -43,7 +43,8 @@
               Settings.FailureDomain),
       Owner(Self, Settings.Decisions.Admission, Settings.Decisions.Cold),
       Probes(Settings.Decisions.Probing), Keys(Self, Settings.Keys, Random),
-      Quarantine(Self, Random), Cold(Settings.Decisions.Cold) {
+      Quarantine(Self, Random), Cold(Settings.Decisions.Cold),
+      Evacuations(Settings.Decisions.Evacuation) {
   if (Codec != nullptr) {
     Configs.emplace(*Codec, Random, Settings.Decisions.Start);
   }
@@ -71,6 +72,7 @@
   Quarantine.tick(Now, Produced);
   Keys.tick(Membership.members(), Config, Now, Produced);
   Directory.tick(Now, Produced);
+  Evacuations.tick(Now, Produced);
   if (Configs) {
     Configs->tick(Now, Produced);
   }
@@ -106,7 +108,7 @@
   for (const std::optional<TimePoint> &Each :
        {Ingress.nextWakeup(), Owner.nextWakeup(), Probes.nextWakeup(),
         Membership.nextWakeup(), Directory.nextWakeup(), Keys.nextWakeup(),
-        Quarantine.nextWakeup(),
+        Quarantine.nextWakeup(), Evacuations.nextWakeup(),
         Configs ? Configs->nextWakeup() : std::nullopt}) {
     if (Each && (!Next || *Each < *Next)) {
       Next = Each;
@@ -179,7 +181,8 @@
     const bool Offers = Record.Service == Service &&
                         Record.State == MemberState::Alive &&
                         (Record.Upstream == UpstreamState::Serving ||
-                         Record.Upstream == UpstreamState::Cold);
+                         Record.Upstream == UpstreamState::Cold) &&
+                        !Evacuations.isEvacuated(Record.FailureDomain);
     const std::uint64_t Rank = hashPair(Fingerprint, Id.Value);
     if (Offers && (!Chosen || Rank < Least)) {
       Chosen = Id;
@@ -211,6 +214,7 @@
   if (Configs) {
     Configs->linkUp(Input.Peer, Now, Out);
   }
+  Evacuations.linkUp(Input.Peer, Out);
   Ingress.linkUp(Input.Peer, Now, Out);
   Keys.linkUp(Input.Peer, Now, Out);
   Quarantine.linkUp(Input.Peer, Now, Out);
@@ -221,6 +225,7 @@
   if (Configs) {
     Configs->linkDown(Input.Peer);
   }
+  Evacuations.linkDown(Input.Peer);
   Ingress.linkDown(Input.Peer, Now, Out);
   Keys.linkDown(Input.Peer);
   Quarantine.linkDown(Input.Peer);
@@ -275,6 +280,7 @@
 void NodeCore::on(const StoreReplied &Input, TimePoint Now, Actions &Out) {
   Keys.receive(Input, Now, Out);
   Directory.receive(Input, Now);
+  Evacuations.receive(Input, Now, Out);
   if (Configs) {
     Configs->receive(Input, Now, Out);
   }
@@ -383,6 +389,11 @@
   Quarantine.receive(From, Message, Now, Out);
 }
 
+void NodeCore::receive(NodeRun From, const EvacuationNotice &Message,
+                       TimePoint Now, Actions &Out) {
+  Evacuations.receive(From, Message, Now, Out);
+}
+
 void NodeCore::detectPause(TimePoint Now) {
   if (LastActive && Now - *LastActive > PauseLimit) {
     RefuseFramesUntil = Now + PauseGrace;
@@ -443,6 +454,10 @@
   Membership.addContacts(Directory.takeContacts());
   Directory.setIsolated(Membership.linkedPeers().empty(), Now);
   updateDuties(Now, Out);
+  Evacuations.setWatching(Configs && Configs->readsStore(Now), Now);
+  Owner.setEvacuated(
+      Evacuations.isEvacuated(Membership.members().at(Self.Node).FailureDomain),
+      Now, Out);
   updateCandidates();
   const std::optional<NodeId> Deputy =
       Configs ? Configs->deputy() : std::nullopt;
@@ -499,11 +514,15 @@
 }
 
 void NodeCore::updateCandidates() {
-  if (CandidateRevision == Membership.revision()) {
+  if (CandidateRevision == Membership.revision() &&
+      EvacuationChanges == Evacuations.changes()) {
     return;
   }
   CandidateRevision = Membership.revision();
+  EvacuationChanges = Evacuations.changes();
   std::vector<Candidate> Candidates;
+  std::set<std::string> Offered;
+  std::set<std::string> Evacuated;
   for (const auto &[Id, Record] : Membership.members()) {
     const bool Drained = std::find(Config.Drains.begin(), Config.Drains.end(),
                                    Record.Address) != Config.Drains.end();
@@ -512,12 +531,19 @@
                         Record.Upstream != UpstreamState::None &&
                         (Record.State == MemberState::Alive ||
                          Record.State == MemberState::Suspect);
-    if (Offers && !Drained) {
+    if (Offers && Evacuations.isEvacuated(Record.FailureDomain)) {
+      Evacuated.insert(Record.Service);
+    } else if (Offers && !Drained) {
+      Offered.insert(Record.Service);
       Candidates.push_back(Candidate{
           Record.Id, Record.Service, Record.FailureDomain, Record.Region,
           Record.Slots, Record.Upstream, coldRateOf(Record)});
     }
   }
+  std::erase_if(Evacuated, [&](const std::string &Service) {
+    return Offered.contains(Service);
+  });
+  Ingress.setEvacuatedServices(std::move(Evacuated));
   Ingress.setCandidates(std::move(Candidates));
   Ingress.setMemberCount(Membership.members().size());
 }
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -303,6 +303,16 @@
   abortRunning(OutcomeReason::ShuttingDown, {}, Now, Out);
 }
 
+void OwnerSystem::setEvacuated(bool Value, TimePoint Now, Actions &Out) {
+  if (Evacuated == Value) {
+    return;
+  }
+  Evacuated = Value;
+  if (Evacuated) {
+    refuseQueued(OutcomeReason::Evacuated, Now, Out);
+  }
+}
+
 void OwnerSystem::setSuspected(bool Suspected, TimePoint Now, Actions &Out) {
   Limit.setSuspected(Suspected, Now);
   startQueued(Now, Out);
@@ -382,6 +392,9 @@
   if (Draining || Upstream.State == UpstreamState::Draining) {
     return OutcomeReason::Draining;
   }
+  if (Evacuated) {
+    return OutcomeReason::Evacuated;
+  }
   if (Upstream.Service.empty() || Upstream.Service != Attempt.Service) {
     return OutcomeReason::NoUpstream;
   }
@@ -634,6 +647,7 @@
   DispatchReply Reply = makeReply(Row.Attempt.Attempt, Outcome::NotRun, Reason);
   Reply.Held = std::max(Now - Row.Arrived, Duration{1});
   ColdHandBacks += Reason == OutcomeReason::ColdLimit ? 1 : 0;
+  EvacuationHandBacks += Reason == OutcomeReason::Evacuated ? 1 : 0;
   reportSpan(Row, SpanKind::Queue, Row.Arrived, Now, Reply, Out);
   reportAttempt("attempt_refused", Row, Reason, Now, Out);
   send(Row.From, std::move(Reply), Now, Out);
--- a/src/net/store_client.cpp
+++ b/src/net/store_client.cpp
@@ -75,6 +75,9 @@
           json{{"ttl_ms", Call.TimeToLive / 1ms}}.dump(), Duration{0}};
 }
 
+/// The own store has no such call; see HttpStoreClient::Worker::run().
+HttpCall makeHttpCall(const StoreList & /*Call*/) { return {}; }
+
 StoreResult failure(StoreStatus Status, std::string Reason) {
   StoreResult Result;
   Result.Status = Status;
@@ -126,6 +129,9 @@
   explicit Worker(const HttpStoreSettings &Values) : Settings(Values) {}
 
   StoreResult run(const StoreOperation &Operation) {
+    if (std::holds_alternative<StoreList>(Operation)) {
+      return failure(StoreStatus::Refused, "the store lists no keys");
+    }
     try {
       connect();
     } catch (const Poco::Exception &Reason) {
--- a/src/node/node_telemetry.cpp
+++ b/src/node/node_telemetry.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::array<const char *, std::variant_size_v<StoreOperation>>
-    StoreOperations{"read", "write", "watch", "lease"};
+    StoreOperations{"read", "write", "watch", "lease", "list"};
 
 constexpr std::array<const char *, 6> StoreStatuses{
     "done", "missing", "conflict", "unchanged", "refused", "no-answer"};
--- a/src/telemetry/samples.cpp
+++ b/src/telemetry/samples.cpp
@@ -37,6 +37,11 @@
   Registry.set(MetricId::OwnerColdRate, {}, Load.ColdRate);
   Registry.set(MetricId::OwnerHandBacks, {toString(OutcomeReason::ColdLimit)},
                static_cast<double>(Core.owner().coldHandBacks()));
+  Registry.set(MetricId::OwnerHandBacks, {toString(OutcomeReason::Evacuated)},
+               static_cast<double>(Core.owner().evacuationHandBacks()));
+  Registry.set(
+      MetricId::EvacuatedDomains, {},
+      static_cast<double>(Core.evacuations().current().Domains.size()));
   Registry.set(MetricId::ExtraCalls, {"retry"},
                static_cast<double>(Core.ingress().counters().Retries));
   Registry.set(MetricId::ExtraCalls, {"hedge"},
--- a/standins/store/store_table.cpp
+++ b/standins/store/store_table.cpp
@@ -118,6 +118,10 @@
   return Result;
 }
 
+StoreResult StoreTable::run(const StoreList & /*Call*/, TimePoint /*Now*/) {
+  return resultOf(StoreStatus::Refused, "the store lists no keys");
+}
+
 bool StoreTable::admit(bool IsWrite, TimePoint Now) {
   RateWindow &Current = IsWrite ? WriteWindow : ReadWindow;
   if (Now - Current.Start >= 1s) {
--- a/standins/store/store_table.hpp
+++ b/standins/store/store_table.hpp
@@ -93,6 +93,7 @@
   StoreResult run(const StoreWrite &Call, TimePoint Now);
   StoreResult run(const StoreWatch &Call, TimePoint Now);
   StoreResult run(const StoreLease &Call, TimePoint Now);
+  StoreResult run(const StoreList &Call, TimePoint Now);
 
   /// Counts a call against its rate limit.
   /// @return false if the limit is reached
--- a/tests/core/cold_test.cpp
+++ b/tests/core/cold_test.cpp
@@ -158,7 +158,7 @@
   CHECK(Peak <= static_cast<std::size_t>(ColdRate * 1.5 + 8));
   CHECK(Peak >= static_cast<std::size_t>(ColdRate) - 1);
   CHECK(Test.Refusals[OutcomeReason::ColdLimit] > 0);
-  // All refusals of the cold time are hand-backs that did not run.
+  // The limit ends with the cold time.
   Test.pass(200ms);
   Test.Starts.clear();
   From = Test.Now;
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -5,6 +5,7 @@
 #include "store_client.hpp"
 #include "store_standin.hpp"
 
+#include "hyssopford/core/evacuation/evacuation_system.hpp"
 #include "hyssopford/core/patch_writer.hpp"
 
 #include <catch2/catch.hpp>
@@ -170,3 +171,47 @@
     CHECK(Test.run(StoreRead{"a"}).Status == StoreStatus::Refused);
   }
 }
+
+TEST_CASE("the evacuated failure domains are listed and watched",
+          "[platform][store][evacuation]") {
+  // Guards against pages, tombstones or a lost history that hide a key.
+  StoreFixture Test;
+  const auto Change = [&](const std::string &Key, bool Removed = false) {
+    Test.Thread.call([&] {
+      Removed ? Test.Store->erase(Key) : Test.Store->put(Key, "any");
+      return 0;
+    });
+  };
+  const StoreResult None = Test.run(StoreList{EvacuationPrefix});
+  CHECK(None.Status == StoreStatus::Done);
+  CHECK(None.Keys.empty());
+  CHECK(None.Revision == 100);
+  Test.Thread.call([&] {
+    Test.Store->setPageSize(2);
+    return 0;
+  });
+  for (const char *Name : {"a", "b", "c", "d", "e"}) {
+    Change(std::string("op/evacuate/") + Name);
+  }
+  Change("op/other");
+  const StoreResult All = Test.run(StoreList{EvacuationPrefix});
+  CHECK(All.Keys == std::vector<std::string>{"a", "b", "c", "d", "e"});
+  const StoreResult Quiet =
+      Test.run(StoreList{EvacuationPrefix, All.Revision, 50ms});
+  CHECK(Quiet.Status == StoreStatus::Unchanged);
+  CHECK(Quiet.Revision == All.Revision);
+  const std::uint64_t Watch =
+      Test.start(StoreList{EvacuationPrefix, All.Revision, 2s});
+  Change("op/evacuate/b", true);
+  CHECK(Test.await(Watch).Keys == std::vector<std::string>{"a", "c", "d", "e"});
+  Test.Thread.call([&] {
+    Test.Store->compact();
+    return 0;
+  });
+  const StoreResult Compacted =
+      Test.run(StoreList{EvacuationPrefix, All.Revision, 2s});
+  CHECK(Compacted.Status == StoreStatus::Done);
+  CHECK(Compacted.Keys.size() == 4);
+  Test.injectFault(StoreFault::Busy);
+  CHECK(Test.run(StoreList{EvacuationPrefix}).Status == StoreStatus::Refused);
+}
