--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -9,6 +9,7 @@
 #include "hyssopford/core/config_system.hpp"
 #include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/directory_system.hpp"
+#include "hyssopford/core/evacuation/evacuation_system.hpp"
 #include "hyssopford/core/event.hpp"
 #include "hyssopford/core/freshness/freshness_system.hpp"
 #include "hyssopford/core/ingress_system.hpp"
@@ -143,6 +144,9 @@
   /// @return the system that decides whether credentials are accepted
   const FreshnessSystem &freshness() const { return Freshness; }
 
+  /// @return the system of evacuated failure domains
+  const EvacuationSystem &evacuations() const { return Evacuations; }
+
   /// @return the configuration system, or nullptr without a codec
   const ConfigSystem *configSystem() const {
     return Configs ? &*Configs : nullptr;
@@ -186,6 +190,8 @@
                Actions &Out);
   void receive(NodeRun From, const ConfigDigest &Message, TimePoint Now,
                Actions &Out);
+  void receive(NodeRun From, const EvacuationNotice &Message, TimePoint Now,
+               Actions &Out);
   /// Passes a message to the system of membership, keys or configuration.
   template <typename Message>
   void receive(NodeRun From, const Message &Received, TimePoint Now,
@@ -217,6 +223,9 @@
   void startReleased(TimePoint Now, Actions &Out);
   /// Passes changes between the systems after each input.
   void syncSystems(TimePoint Now, Actions &Out);
+  /// Starts a second that the upstream of a member gets because its record
+  /// states that it is cold; 0 for no limit.
+  double coldRateOf(const MemberRecord &Record) const;
   void updateCandidates();
   void updateDuties(TimePoint Now, Actions &Out);
 
@@ -236,6 +245,10 @@
   AllotmentSystem Allotments;
   KeySystem Keys;
   QuarantineSystem Quarantine;
+  ColdSettings Cold;
+  EvacuationSystem Evacuations;
+  /// EvacuationSystem::changes() at which the candidates were derived.
+  std::uint64_t EvacuationChanges = 0;
   std::uint64_t CandidateRevision = 0;
   std::uint64_t DutyRevision = 0;
   /// Whether the duties were derived from the table at DutyRevision.
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -60,10 +60,12 @@
       Freshness(Settings.Decisions.Freshness),
       Ingress(Self, Random, Settings.Decisions.Routing, Settings.Region,
               Settings.FailureDomain),
-      Owner(Self, Settings.Decisions.Admission),
+      Owner(Self, Settings.Decisions.Admission, Settings.Decisions.Cold),
       Probes(Settings.Decisions.Probing),
       Allotments(Self, Settings.Decisions.Allotments),
-      Keys(Self, Settings.Keys, Random), Quarantine(Self, Random) {
+      Keys(Self, Settings.Keys, Random), Quarantine(Self, Random),
+      Cold(Settings.Decisions.Cold),
+      Evacuations(Settings.Decisions.Evacuation) {
   if (Codec != nullptr) {
     Configs.emplace(*Codec, Random, Settings.Decisions.Start);
   }
@@ -92,6 +94,7 @@
   Allotments.tick(Now, Produced);
   Keys.tick(Membership.members(), Config, Now, Produced);
   Directory.tick(Now, Produced);
+  Evacuations.tick(Now, Produced);
   if (Configs) {
     Configs->tick(Now, Produced);
   }
@@ -120,6 +123,7 @@
   Allotments.adopt(Config);
   Membership.setConfigVersion(Config.Version);
   Owner.setConfigVersion(Config.Version);
+  Owner.setServices(Config.Services);
   CandidateRevision = 0;
   updateCandidates();
   return true;
@@ -131,7 +135,7 @@
        {Ingress.nextWakeup(), Owner.nextWakeup(), Probes.nextWakeup(),
         Membership.nextWakeup(), Directory.nextWakeup(), Keys.nextWakeup(),
         Quarantine.nextWakeup(), Freshness.nextWakeup(),
-        Allotments.nextWakeup(),
+        Allotments.nextWakeup(), Evacuations.nextWakeup(),
         Configs ? Configs->nextWakeup() : std::nullopt}) {
     if (Each && (!Next || *Each < *Next)) {
       Next = Each;
@@ -233,7 +237,8 @@
     const bool Offers = Record.Service == Service &&
                         Record.State == MemberState::Alive &&
                         (Record.Upstream == UpstreamState::Serving ||
-                         Record.Upstream == UpstreamState::Cold);
+                         Record.Upstream == UpstreamState::Cold) &&
+                        !Evacuations.isEvacuated(Record.FailureDomain);
     const std::uint64_t Rank = hashPair(Fingerprint, Id.Value);
     if (Offers && (!Chosen || Rank < Least)) {
       Chosen = Id;
@@ -274,6 +279,7 @@
     Configs->linkUp(Input.Peer, Now, Out);
   }
   Freshness.linkUp(Input.Peer, Now, Out);
+  Evacuations.linkUp(Input.Peer, Out);
   Ingress.linkUp(Input.Peer, Now, Out);
   Allotments.linkUp(Input.Peer.Node, Now, Out);
   Keys.linkUp(Input.Peer, Now, Out);
@@ -286,6 +292,7 @@
     Configs->linkDown(Input.Peer);
   }
   Freshness.linkDown(Input.Peer);
+  Evacuations.linkDown(Input.Peer);
   Ingress.linkDown(Input.Peer, Now, Out);
   Allotments.linkDown(Input.Peer, Now, Out);
   Keys.linkDown(Input.Peer);
@@ -333,6 +340,7 @@
     Owner.finishSpeedProbe(Input, Now, Out);
     return;
   }
+  Owner.stateCold(Input.ColdTime, Now, Out);
   Probes.finish(Input, Now, Out);
   Owner.setSuspected(Probes.suspected(), Now, Out);
 }
@@ -340,6 +348,7 @@
 void NodeCore::on(const StoreReplied &Input, TimePoint Now, Actions &Out) {
   Keys.receive(Input, Now, Out);
   Directory.receive(Input, Now);
+  Evacuations.receive(Input, Now, Out);
   if (Configs) {
     Configs->receive(Input, Now, Out);
   }
@@ -465,6 +474,11 @@
   }
 }
 
+void NodeCore::receive(NodeRun From, const EvacuationNotice &Message,
+                       TimePoint Now, Actions &Out) {
+  Evacuations.receive(From, Message, Now, Out);
+}
+
 void NodeCore::detectPause(TimePoint Now) {
   if (LastActive && Now - *LastActive > PauseLimit) {
     RefuseFramesUntil = Now + PauseGrace;
@@ -487,6 +501,10 @@
     if (const auto *Forward = std::get_if<ForwardToUpstream>(&Each)) {
       Quarantine.attemptStarted(Forward->Attempt, Now, Produced);
     }
+    const auto *Probe = std::get_if<ProbeUpstream>(&Each);
+    if (Probe != nullptr && Probe->Purpose == ProbePurpose::Health) {
+      Owner.healthProbeSent(Now);
+    }
     auto *Message = std::get_if<SendToPeer>(&Each);
     if (Message != nullptr) {
       if (auto *Reply = std::get_if<DispatchReply>(&Message->Message)) {
@@ -527,6 +545,10 @@
   Membership.addContacts(Directory.takeContacts());
   Directory.setIsolated(Membership.linkedPeers().empty(), Now);
   updateDuties(Now, Out);
+  Evacuations.setWatching(Configs && Configs->readsStore(Now), Now);
+  Owner.setEvacuated(
+      Evacuations.isEvacuated(Membership.members().at(Self.Node).FailureDomain),
+      Now, Out);
   updateCandidates();
   Allotments.sync(
       {Membership.members(), Membership.revision(), Membership.settled()}, Now,
@@ -579,12 +601,26 @@
   }
 }
 
+double NodeCore::coldRateOf(const MemberRecord &Record) const {
+  if (!Cold.Enabled || Record.Upstream != UpstreamState::Cold) {
+    return 0.0;
+  }
+  const auto Found = std::find_if(
+      Config.Services.begin(), Config.Services.end(),
+      [&](const ServiceSettings &Each) { return Each.Name == Record.Service; });
+  return Found == Config.Services.end() ? 0.0 : Found->ColdRate;
+}
+
 void NodeCore::updateCandidates() {
-  if (CandidateRevision == Membership.revision()) {
+  if (CandidateRevision == Membership.revision() &&
+      EvacuationChanges == Evacuations.changes()) {
     return;
   }
   CandidateRevision = Membership.revision();
+  EvacuationChanges = Evacuations.changes();
   std::vector<Candidate> Candidates;
+  std::set<std::string> Offered;
+  std::set<std::string> Evacuated;
   for (const auto &[Id, Record] : Membership.members()) {
     const bool Drained = std::find(Config.Drains.begin(), Config.Drains.end(),
                                    Record.Address) != Config.Drains.end();
@@ -593,12 +629,19 @@
                         Record.Upstream != UpstreamState::None &&
                         (Record.State == MemberState::Alive ||
                          Record.State == MemberState::Suspect);
-    if (Offers && !Drained) {
-      Candidates.push_back(Candidate{Record.Id, Record.Service,
-                                     Record.FailureDomain, Record.Region,
-                                     Record.Slots, Record.Upstream});
+    if (Offers && Evacuations.isEvacuated(Record.FailureDomain)) {
+      Evacuated.insert(Record.Service);
+    } else if (Offers && !Drained) {
+      Offered.insert(Record.Service);
+      Candidates.push_back(Candidate{
+          Record.Id, Record.Service, Record.FailureDomain, Record.Region,
+          Record.Slots, Record.Upstream, coldRateOf(Record)});
     }
   }
+  std::erase_if(Evacuated, [&](const std::string &Service) {
+    return Offered.contains(Service);
+  });
+  Ingress.setEvacuatedServices(std::move(Evacuated));
   Ingress.setCandidates(std::move(Candidates));
   Ingress.setMemberCount(Membership.members().size());
 }
--- a/src/telemetry/samples.cpp
+++ b/src/telemetry/samples.cpp
@@ -36,6 +36,14 @@
   Registry.set(MetricId::OwnerQueued, {}, Load.Queued);
   Registry.set(MetricId::OwnerLimit, {}, Load.Limit);
   Registry.set(MetricId::OwnerServiceSeconds, {}, seconds(Load.ServiceTime));
+  Registry.set(MetricId::OwnerColdRate, {}, Load.ColdRate);
+  Registry.set(MetricId::OwnerHandBacks, {toString(OutcomeReason::ColdLimit)},
+               static_cast<double>(Core.owner().coldHandBacks()));
+  Registry.set(MetricId::OwnerHandBacks, {toString(OutcomeReason::Evacuated)},
+               static_cast<double>(Core.owner().evacuationHandBacks()));
+  Registry.set(
+      MetricId::EvacuatedDomains, {},
+      static_cast<double>(Core.evacuations().current().Domains.size()));
   Registry.set(MetricId::ExtraCalls, {"retry"},
                static_cast<double>(Core.ingress().counters().Retries));
   Registry.set(MetricId::ExtraCalls, {"hedge"},
