Bound what clients make a node hold

Cause: read-ahead, heads and unsent answers were not charged to the memory budget, an unread answer did not stop reading, a full server dropped new connections, and nothing bounded the descriptors. A chain of refused pipelined requests ran within one event of the loop (27 s measured), during which nothing else was served.

Change: each connection has a charge for heads, read-ahead and unsent answers in a quarter of the budget; requests with a body leave the last eighth. ClientLimits orders the connections of all servers by their last progress and closes the one longest without it when memory, connections or descriptors are short. The kernel's buffers are bounded.

--- a/include/hyssopford/config/node_settings.hpp
+++ b/include/hyssopford/config/node_settings.hpp
@@ -54,6 +54,8 @@
   std::uint64_t AnswerBytes = 16'777'216;
   /// Most connections of callers at a time.
   std::uint64_t CallerConnections = 4'096;
+  /// Most connections of one client address at a time; 0 for no limit.
+  std::uint64_t ConnectionsPerAddress = 0;
   /// Most requests of one connection that are passed on before the first of
   /// them is answered.
   std::uint64_t PipelinedRequests = 16;
--- a/include/hyssopford/core/memory_budget.hpp
+++ b/include/hyssopford/core/memory_budget.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -15,23 +16,45 @@
   /// A request that is refused if there is no room.
   Request,
   /// An answer of an upstream, which waits if there is no room.
-  Answer
+  Answer,
+  /// Buffers of a connection: incomplete heads, bytes read ahead and unsent
+  /// refusals.
+  Connection
+};
+
+/// @brief Which kind of room a reservation lacks.
+enum class MemoryShortage : std::uint8_t {
+  /// Room for anything.
+  Any,
+  /// Room for large requests.
+  Large,
+  /// Room for the buffers of connections.
+  Connections
 };
 
 class MemoryCharge;
 
 /// @brief Counts the bytes held at a time against a limit. Requests of at least
 /// LargeSize bytes may use only a part of the limit, so that they leave room
-/// for ordinary requests and for answers. Not thread-safe; must outlive its
-/// charges.
+/// for ordinary requests and for answers, and so may the buffers of
+/// connections. Requests with a body leave the last eighth to others, so that
+/// bodies held back by their senders do not keep out requests without one. Not
+/// thread-safe; must outlive its charges.
 class MemoryBudget {
 public:
   /// Size in bytes from which a request counts as large.
   static constexpr std::size_t LargeSize = 65'536;
+  /// Size in bytes from which a request may not use the last eighth.
+  static constexpr std::size_t BodySize = 8'192;
+
+  /// Returns memory that is held without progress.
+  /// @return whether any was returned
+  using Reclaimer = std::function<bool(MemoryShortage)>;
 
   /// @param LimitBytes most bytes that are reserved at a time
   explicit MemoryBudget(std::size_t LimitBytes)
-      : Limit(LimitBytes), LargeLimit(LimitBytes / 8 * 5) {}
+      : Limit(LimitBytes), LargeLimit(LimitBytes / 8 * 5),
+        ConnectionLimit(LimitBytes / 4) {}
   MemoryBudget(const MemoryBudget &) = delete;
   MemoryBudget &operator=(const MemoryBudget &) = delete;
 
@@ -46,6 +69,10 @@
 
   /// @brief Charges memory that must be held even if it exceeds the limit.
   MemoryCharge charge(std::size_t Bytes, MemoryUse Use);
+
+  /// @brief Sets what is called, again and again, while a reservation lacks
+  /// room; it must not reserve memory itself.
+  void setReclaimer(Reclaimer Function) { Reclaim = std::move(Function); }
   /// @}
 
   /// @name Observers
@@ -53,6 +80,10 @@
   std::size_t limit() const { return Limit; }
   /// @return most bytes that large requests may use
   std::size_t largeLimit() const { return LargeLimit; }
+  /// @return most bytes that the buffers of connections may use
+  std::size_t connectionLimit() const { return ConnectionLimit; }
+  /// @return the bytes charged for buffers of connections
+  std::size_t connectionBytes() const { return ConnectionUsed; }
   /// @return the bytes charged at present
   std::size_t used() const { return Used; }
   /// @return the most bytes that were charged at a time
@@ -64,21 +95,51 @@
 private:
   friend class MemoryCharge;
 
-  bool fits(std::size_t Held, std::size_t Wanted, MemoryUse Use) const {
+  /// @return the room that is lacking, or nothing if the bytes fit
+  std::optional<MemoryShortage> shortage(std::size_t Held, std::size_t Wanted,
+                                         MemoryUse Use) const {
     const std::size_t Others = Used - Held;
-    if (Wanted > Limit || Others > Limit - Wanted) {
-      return false;
+    const std::size_t Reserve =
+        Use == MemoryUse::Request && Wanted >= BodySize ? Limit / 8 : 0;
+    if (Wanted > Limit - Reserve || Others > Limit - Reserve - Wanted) {
+      return MemoryShortage::Any;
+    }
+    if (Use == MemoryUse::Connection &&
+        ConnectionUsed - Held + Wanted > ConnectionLimit) {
+      return MemoryShortage::Connections;
     }
     if (Use != MemoryUse::Request || Wanted < LargeSize) {
-      return true;
+      return std::nullopt;
     }
     const std::size_t OtherLarge = LargeUsed - largePart(Held, Use);
-    return Wanted <= LargeLimit && OtherLarge <= LargeLimit - Wanted;
+    return Wanted <= LargeLimit && OtherLarge <= LargeLimit - Wanted
+               ? std::nullopt
+               : std::optional(MemoryShortage::Large);
+  }
+
+  /// Checks for room, and has memory reclaimed until there is room or nothing
+  /// more to reclaim.
+  bool fits(std::size_t Held, std::size_t Wanted, MemoryUse Use) {
+    while (const auto Lacking = shortage(Held, Wanted, Use)) {
+      if (!Reclaim || Reclaiming) {
+        return false;
+      }
+      Reclaiming = true;
+      const bool Reclaimed = Reclaim(*Lacking);
+      Reclaiming = false;
+      if (!Reclaimed) {
+        return false;
+      }
+    }
+    return true;
   }
 
   void change(std::size_t Held, std::size_t Wanted, MemoryUse Use) {
     Used = Used - Held + Wanted;
     LargeUsed = LargeUsed - largePart(Held, Use) + largePart(Wanted, Use);
+    if (Use == MemoryUse::Connection) {
+      ConnectionUsed = ConnectionUsed - Held + Wanted;
+    }
     Peak = std::max(Peak, Used);
   }
 
@@ -88,8 +149,12 @@
 
   std::size_t Limit;
   std::size_t LargeLimit;
+  std::size_t ConnectionLimit;
   std::size_t Used = 0;
   std::size_t LargeUsed = 0;
+  std::size_t ConnectionUsed = 0;
+  Reclaimer Reclaim;
+  bool Reclaiming = false;
   std::size_t Peak = 0;
   std::uint64_t Refusals = 0;
 };
--- a/include/hyssopford/core/payload.hpp
+++ b/include/hyssopford/core/payload.hpp
@@ -50,6 +50,9 @@
 
   /// @return the number of bytes
   std::size_t size() const { return Length; }
+
+  /// @return whether the bytes are charged to a memory budget
+  bool isCharged() const { return Shared && Shared->Charge.isBounded(); }
   /// @}
 
   /// @brief Compares the bytes.
--- a/include/hyssopford/net/http_head.hpp
+++ b/include/hyssopford/net/http_head.hpp
@@ -49,6 +49,17 @@
   std::size_t TargetOffset = 0;
   /// Status code; responses only.
   int Status = 0;
+  /// Number of header fields.
+  std::size_t Fields = 0;
+  /// Size of the head in bytes, as HttpReader read it.
+  std::size_t HeadBytes = 0;
+
+  /// Memory that the head takes when it was parsed, in bytes.
+  std::size_t parsedBytes() const { return HeadBytes + Fields * FieldOverhead; }
+
+  /// Memory that POCO's list takes for one header field besides its bytes: two
+  /// strings, two links and the header of the allocated block.
+  static constexpr std::size_t FieldOverhead = 112;
 };
 
 /// @brief Checks the head of a request.
--- a/include/hyssopford/net/http_reader.hpp
+++ b/include/hyssopford/net/http_reader.hpp
@@ -102,8 +102,24 @@
 
   /// @return the number of bytes fed but not yet read
   std::size_t buffered() const { return Buffer.size() - Position; }
+
+  /// @return bytes of the current body or chunk that are still to be read
+  std::uint64_t remaining() const { return inBody() ? Remaining : 0; }
+
+  /// @return the memory held for heads, for bytes that were not yet read and
+  /// for a body that is not charged, in bytes
+  std::size_t heldBytes() const;
   /// @}
 
+  /// @return the memory charged for the current body, in bytes
+  std::size_t chargedBytes() const { return Memory.size(); }
+
+  /// @brief Returns memory that the bytes fed and not yet read do not need.
+  void releaseUnused();
+
+  /// @brief Returns all memory; nothing more can be read.
+  void abandon();
+
 private:
   enum class Stage : std::uint8_t {
     Head,
@@ -139,6 +155,8 @@
   std::uint32_t InterimAnswers = 0;
   /// Offset in Buffer up to which the end of the head was searched.
   std::size_t HeadScanOffset = 0;
+  /// Line ends of the current head up to HeadScanOffset.
+  std::size_t HeadLines = 0;
   /// Bytes of the current body or chunk that are still to be read.
   std::uint64_t Remaining = 0;
   std::size_t TrailerBytes = 0;
--- a/include/hyssopford/net/http_server.hpp
+++ b/include/hyssopford/net/http_server.hpp
@@ -5,6 +5,7 @@
 #include "hyssopford/core/ids.hpp"
 #include "hyssopford/core/memory_budget.hpp"
 #include "hyssopford/core/payload.hpp"
+#include "hyssopford/net/client_limits.hpp"
 #include "hyssopford/net/event_loop.hpp"
 #include "hyssopford/net/http_head.hpp"
 
@@ -28,7 +29,24 @@
   /// identifiers.
   std::uint8_t Number = 0;
   HttpLimits Limits;
+  /// A further connection takes the place of the one longest without progress.
   std::size_t MaximumConnections = 8'192;
+  /// Most connections of one client address to all servers with the same
+  /// Clients; 0 for no limit.
+  std::size_t MaximumPerAddress = 0;
+  /// Limits over all servers of a node; must outlive the server. Null for
+  /// limits of the server alone, without a memory budget.
+  ClientLimits *Clients = nullptr;
+  /// Largest receive buffer of a connection in the kernel, in bytes, which
+  /// bounds what it holds of a connection that is not read; 0 for the system's.
+  int ReceiveBuffer = 131'072;
+  /// Bytes that the receive buffers of all connections share. With more
+  /// connections each gets less, but at least LeastReceiveBuffer.
+  int ReceiveBuffers = 8'388'608;
+  int LeastReceiveBuffer = 16'384;
+  /// Most unsent bytes of a connection that the kernel takes; 0 for its own
+  /// limit.
+  int UnsentBytes = 65'536;
   /// Time limit for receiving a head after its first byte.
   Duration HeadTimeout = 10s;
   /// Longest time without progress while receiving a body or sending an
@@ -173,6 +191,8 @@
   /// @return the address listened on, "ip:port"
   std::string address() const { return Socket.address().toString(); }
   std::size_t connections() const { return Connections.size(); }
+  /// @return the limits that the server's connections belong to
+  const ClientLimits &clients() const { return Clients; }
   bool isDraining() const { return Draining; }
   /// @}
 
@@ -183,6 +203,10 @@
   void onReady(int Modes) override;
   /// @return whether a connection was waiting
   bool acceptNext();
+  /// Serves a connection if the limits allow it.
+  void admit(const Poco::Net::StreamSocket &Accepted);
+  /// @return the size of the receive buffer of a new connection in bytes
+  int receiveBuffer() const;
   void stopListening();
   /// Connections by value, as a call on one may close and remove it.
   std::vector<std::shared_ptr<Connection>> currentConnections() const;
@@ -193,6 +217,8 @@
   EventLoop &Loop;
   HttpServerHandler &Handler;
   HttpServerSettings Settings;
+  std::unique_ptr<ClientLimits> OwnClients;
+  ClientLimits &Clients;
   Poco::Net::ServerSocket Socket;
   bool Listening = false;
   bool Draining = false;
--- a/include/hyssopford/net/tcp_stream.hpp
+++ b/include/hyssopford/net/tcp_stream.hpp
@@ -39,6 +39,9 @@
 /// checking pending().
 class TcpStream final : public SocketHandler {
 public:
+  /// Most bytes that are read before the handler is called.
+  static constexpr std::size_t MaximumReadSize = 65'536;
+
   /// @name Construction
   /// @{
 
@@ -50,7 +53,13 @@
   TcpStream &operator=(const TcpStream &) = delete;
 
   /// @brief Serves an accepted connection.
-  void accept(const Poco::Net::StreamSocket &Accepted);
+  /// @param Accepted the socket
+  /// @param ReceiveBuffer receive buffer in the kernel, in bytes; 0 for its own
+  /// choice
+  /// @param UnsentBytes most bytes that the kernel takes before they can be
+  /// sent; 0 for its own limit
+  void accept(const Poco::Net::StreamSocket &Accepted, int ReceiveBuffer = 0,
+              int UnsentBytes = 0);
 
   /// @brief Starts to connect; completes with onConnected() or onClosed().
   /// @param Address "ip:port"
@@ -73,6 +82,9 @@
   /// @brief Pauses or resumes reading.
   void setReadingPaused(bool Paused);
 
+  /// @brief Sets how many bytes are read at most before the handler is called.
+  void setReadSize(std::size_t Bytes) { ReadSize = Bytes; }
+
   /// @brief Reads what has arrived without waiting for the loop.
   void readArrived();
 
@@ -103,6 +115,8 @@
   bool isOpen() const { return Open; }
   /// @return the number of queued bytes
   std::size_t pending() const { return PendingBytes; }
+  /// @return the number of queued bytes that are not charged to a memory budget
+  std::size_t pendingUncharged() const { return UnchargedBytes; }
   /// @return the address of the peer, "ip:port"; empty if unknown
   std::string peerAddress() const;
   /// @}
@@ -114,6 +128,7 @@
     std::size_t Offset = 0;
 
     std::string_view remaining() const;
+    bool isCharged() const { return Bytes.empty() && Shared.isCharged(); }
   };
 
   void onReady(int Modes) override;
@@ -130,6 +145,8 @@
   Poco::Net::StreamSocket Socket;
   std::deque<QueuedWrite> Queue;
   std::size_t PendingBytes = 0;
+  std::size_t UnchargedBytes = 0;
+  std::size_t ReadSize = MaximumReadSize;
   bool Open = false;
   bool Connecting = false;
   bool Paused = false;
--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -94,6 +94,10 @@
   UpstreamClientSettings Upstream;
   /// Most bytes of requests and answers held at a time.
   std::size_t MemoryBytes = 134'217'728;
+  /// Most descriptors that the process may open; 0 for its resource limit. The
+  /// servers share them (descriptorShares) and never exceed
+  /// Http.MaximumConnections.
+  std::size_t Descriptors = 0;
   /// Limit for connecting to a peer, including the handshake.
   Duration HandshakeTimeout = 2s;
   /// Limit for one call to the store.
@@ -205,6 +209,11 @@
   void logStoreReachability(const StoreResult &Result);
   void createServers();
   void createMetricsServer();
+  /// Settings of a server whose connections have a share of the descriptors.
+  HttpServerSettings serverSettings(const std::string &Address,
+                                    std::uint8_t Number, std::size_t Share);
+  /// Records and logs the connections that limits have closed.
+  void reportClosedConnections();
   void flushTelemetry();
   void beginShutdown();
   /// Refuses requests whose body arrives too late, again and again.
@@ -218,6 +227,10 @@
   NodeRuntimeSettings Settings;
   /// Declared before Loop, whose callbacks may hold charged memory.
   MemoryBudget Memory;
+  /// Shared by all servers, which it outlives.
+  ClientLimits Clients{&Memory};
+  DescriptorShares Shares;
+  std::uint64_t ReportedClosed = 0;
   EventLoop Loop;
   NodeAdapters Adapters;
   StandardErrorSink DefaultLog;
--- a/include/hyssopford/node/node_telemetry.hpp
+++ b/include/hyssopford/node/node_telemetry.hpp
@@ -96,6 +96,11 @@
   /// @{
 
   /// @brief Sets a gauge, or a counter that is kept elsewhere.
+  /// @brief Sets a sample of a metric with labels.
+  void set(MetricId Id, const MetricsRegistry::LabelValues &Labels,
+           std::size_t Value) {
+    Metrics.set(Id, Labels, static_cast<double>(Value));
+  }
   void set(MetricId Id, std::size_t Value) {
     Metrics.set(Id, {}, static_cast<double>(Value));
   }
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -59,6 +59,8 @@
                      Target.AnswerBytes);
   Reader.readInteger("caller_connections", 1, MaxConnections,
                      Target.CallerConnections);
+  Reader.readInteger("connections_per_address", 0, MaxConnections,
+                     Target.ConnectionsPerAddress);
   Reader.readInteger("pipelined_requests", 1, MaxPipelineDepth,
                      Target.PipelinedRequests);
   Reader.readInteger("pipelined_bytes", MinBufferBytes, MaxBodyBytes,
--- a/src/config/node_settings_render.cpp
+++ b/src/config/node_settings_render.cpp
@@ -25,6 +25,7 @@
           {"body_bytes", Limits.BodyBytes},
           {"answer_bytes", Limits.AnswerBytes},
           {"caller_connections", Limits.CallerConnections},
+          {"connections_per_address", Limits.ConnectionsPerAddress},
           {"pipelined_requests", Limits.PipelinedRequests},
           {"pipelined_bytes", Limits.PipelinedBytes},
           {"upstream_connections", Limits.UpstreamConnections},
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,16 +1,24 @@
 #include "http_connection.hpp"
 
 #include <algorithm>
+#include <new>
 #include <utility>
 
 namespace hyssopford {
 
 namespace {
 
-/// Bytes read ahead while a request is in flight; reading pauses above it.
-constexpr std::size_t ReadAheadLimit = 65'536;
-/// Unsent bytes above which no further pipelined request is read.
-constexpr std::size_t UnsentLimit = 1'048'576;
+/// Bytes read ahead while no request may be read; reading pauses then. Also the
+/// most that is read at a time outside bodies.
+constexpr std::size_t ReadAheadLimit = 16'384;
+/// Memory charged for a connection besides its buffers, in bytes: its objects
+/// and those of the kernel.
+constexpr std::size_t ConnectionOverhead = 4'096;
+/// Bytes by which a message must advance to count as progress, so that a sender
+/// of single bytes does not make any.
+constexpr std::size_t ProgressBytes = 1'024;
+/// Heads and bodies that one connection reads before others have their turn.
+constexpr int StepsPerTurn = 4;
 
 /// Removes the body of an answer, for answers of the node itself to HEAD.
 Payload withoutBody(const Payload &Answer) {
@@ -25,15 +33,27 @@
 
 HttpServer::Connection::Connection(HttpServer &Parent)
     : Server(Parent), Loop(Parent.Loop), Stream(Parent.Loop, *this),
-      Reader(HttpReader::Kind::Request, Parent.Settings.Limits) {}
+      Reader(HttpReader::Kind::Request, Parent.Settings.Limits) {
+  if (MemoryBudget *const Budget = Parent.Clients.memory()) {
+    Held = Budget->charge(ConnectionOverhead, MemoryUse::Connection);
+  }
+}
 
-HttpServer::Connection::~Connection() { Loop.cancel(Timer); }
+HttpServer::Connection::~Connection() {
+  Loop.cancel(Timer);
+  Loop.cancel(NextTurn);
+  endProgress();
+}
 
 void HttpServer::Connection::start(const Poco::Net::StreamSocket &Accepted) {
-  Stream.accept(Accepted);
+  ReceiveBuffer = Server.receiveBuffer();
+  Stream.accept(Accepted, ReceiveBuffer, Server.Settings.UnsentBytes);
+  Stream.setReadSize(ReadAheadLimit);
   Peer = Stream.peerAddress();
   Started = EventLoop::now();
   LastProgress = Started;
+  Place = Server.Clients.add(*this, &Server, Peer.substr(0, Peer.rfind(':')),
+                             Started);
   armTimer();
 }
 
@@ -51,10 +71,29 @@
   PipelineBytes += Answer.size();
   if (!Processing) {
     sendAnswers();
+    continueReading();
+  }
+}
+
+void HttpServer::Connection::continueReading() {
+  if (Reader.buffered() > 0) {
+    // Not from here: a request that is refused at once would be followed by the
+    // next one of each connection, without an end to the present event.
+    scheduleTurn();
+  } else {
     process();
   }
 }
 
+void HttpServer::Connection::scheduleTurn() {
+  if (NextTurn == 0) {
+    NextTurn = Loop.after(Duration{0}, [this] {
+      NextTurn = 0;
+      process();
+    });
+  }
+}
+
 void HttpServer::Connection::drain() {
   if (Pipeline.empty() && !Closing) {
     // Otherwise a request that the caller has sent would be cut off.
@@ -85,8 +124,15 @@
   if (!Reader.started()) {
     Started = LastProgress;
   }
-  Reader.feed(Bytes);
-  process();
+  try {
+    Reader.feed(Bytes);
+    reportProgress(Bytes.size());
+    process();
+  } catch (const std::bad_alloc &) {
+    Server.Clients.countClosed(CloseReason::Memory);
+    Stream.close();
+    reportClosed();
+  }
 }
 
 void HttpServer::Connection::onClosed(bool /*Orderly*/,
@@ -96,16 +142,17 @@
 
 void HttpServer::Connection::onWritesFlushed() {
   LastProgress = EventLoop::now();
-  process();
+  reportProgress(ProgressBytes);
+  continueReading();
 }
 
 bool HttpServer::Connection::mayReadNext() const {
-  if (!Stream.isOpen() || Closing || LastRead ||
-      Stream.pending() > UnsentLimit) {
+  if (!Stream.isOpen() || Closing || LastRead || Stream.pending() > 0) {
     return false;
   }
   return Pipeline.empty() ||
          (!ContinueDue && Pipeline.size() < Server.Settings.PipelineDepth &&
+          Server.Clients.mayPipeline() &&
           PipelineBytes < Server.Settings.PipelineBytes);
 }
 
@@ -115,15 +162,138 @@
   }
   // The handler may answer from within onRequest().
   Processing = true;
-  do {
+  readMessages();
+  Processing = false;
+  endIfDrained();
+  updateLimits();
+}
+
+void HttpServer::Connection::readMessages() {
+  for (int Step = 0; Step < StepsPerTurn; ++Step) {
     if (Pipeline.empty() && std::exchange(ContinueDue, false)) {
       Stream.write("HTTP/1.1 100 Continue\r\n\r\n");
     }
-  } while (mayReadNext() && advanceReader());
-  Processing = false;
-  endIfDrained();
-  Stream.setReadingPaused(!Closing && !LastRead &&
-                          Reader.buffered() > ReadAheadLimit);
+    if (!mayReadNext() || !advanceReader()) {
+      return;
+    }
+  }
+  scheduleTurn();
+}
+
+void HttpServer::Connection::updateLimits() {
+  if (!Stream.isOpen()) {
+    return;
+  }
+  const bool Reads = mayReadNext() && NextTurn == 0;
+  Reader.releaseUnused();
+  const std::size_t Ahead = Reader.buffered();
+  Paused = !Reads && !Closing && !LastRead && Ahead >= ReadAheadLimit;
+  if (Closing || LastRead) {
+    // What arrives is discarded.
+    Stream.setReadSize(TcpStream::MaximumReadSize);
+  } else if (Reads) {
+    Stream.setReadSize(static_cast<std::size_t>(std::clamp<std::uint64_t>(
+        Reader.remaining(), ReadAheadLimit, TcpStream::MaximumReadSize)));
+  } else {
+    Stream.setReadSize(ReadAheadLimit - std::min(Ahead, ReadAheadLimit - 1));
+  }
+  Stream.setReadingPaused(Paused);
+  if (!chargeHeld() && Reads && Pipeline.empty() && Reader.started() &&
+      !Reader.inBody()) {
+    Server.Clients.countClosed(CloseReason::Memory);
+    HttpFault Fault{503, "not enough memory"};
+    Fault.LacksMemory = true;
+    refuse(Fault);
+    Reader.abandon();
+  }
+}
+
+bool HttpServer::Connection::chargeHeld() {
+  // What the kernel holds of a connection that is not read counts as well.
+  const std::size_t Unread =
+      Paused ? static_cast<std::size_t>(ReceiveBuffer) : 0;
+  const std::size_t Needed = ConnectionOverhead + Reader.heldBytes() +
+                             Stream.pendingUncharged() +
+                             Pipeline.size() * sizeof(Exchange) + Unread;
+  Charging = true;
+  const bool Fits = Held.tryResize(Needed);
+  Charging = false;
+  if (!Fits) {
+    Held.resize(Needed);
+  }
+  return Fits;
+}
+
+void HttpServer::Connection::reportProgress(std::size_t Received) {
+  ReceivedBytes += Received;
+  const bool IsIdle = HasRequest && Pipeline.empty() && !Reader.started() &&
+                      Stream.pending() == 0;
+  if (Place && (ReceivedBytes >= ProgressBytes ||
+                IsIdle != ClientLimits::isIdle(*Place))) {
+    ReceivedBytes = 0;
+    ReportedPending = Stream.pending();
+    Server.Clients.reportProgress(*Place, IsIdle, EventLoop::now());
+  }
+}
+
+void HttpServer::Connection::updatePipelined() {
+  const std::size_t Count = Pipeline.empty() ? 0 : Pipeline.size() - 1;
+  Server.Clients.changePipelined(Pipelined, Count);
+  Pipelined = Count;
+}
+
+void HttpServer::Connection::endProgress() {
+  if (Place) {
+    Server.Clients.changePipelined(std::exchange(Pipelined, 0), 0);
+    Server.Clients.remove(*Place);
+    Place.reset();
+  }
+}
+
+bool HttpServer::Connection::mayBeClosed() const {
+  return !Processing && !Charging &&
+         std::all_of(Pipeline.begin(), Pipeline.end(),
+                     [](const Exchange &Each) { return Each.Answered; });
+}
+
+bool HttpServer::Connection::holdsMemory(MemoryShortage Lacking) const {
+  switch (Lacking) {
+  case MemoryShortage::Large:
+    return Reader.chargedBytes() >= MemoryBudget::LargeSize;
+  case MemoryShortage::Connections:
+    return Held.size() > ConnectionOverhead;
+  case MemoryShortage::Any:
+    break;
+  }
+  return Reader.chargedBytes() > 0 || Stream.pending() > 0 ||
+         Held.size() > ConnectionOverhead;
+}
+
+bool HttpServer::Connection::hasSent() {
+  return std::exchange(ReportedPending, Stream.pending()) >=
+         Stream.pending() + ProgressBytes;
+}
+
+void HttpServer::Connection::closeForLimit(CloseReason Reason) {
+  HttpFault Fault{503, "too many connections"};
+  Fault.LacksMemory = Reason == CloseReason::Memory;
+  if (Fault.LacksMemory) {
+    Fault.Reason = "not enough memory";
+  }
+  const bool AwaitsAnswer = Reader.started() && !Reader.isDiscarding() &&
+                            Pipeline.empty() && Stream.pending() == 0 &&
+                            !LastRead && !Closing;
+  if (AwaitsAnswer) {
+    refuse(Fault);
+  }
+  Reader.abandon();
+  // Where descriptors are not short, the stream lingers, so that the refusal
+  // reaches a client that is still sending.
+  if (!AwaitsAnswer || Reason != CloseReason::Memory) {
+    Stream.close();
+    reportClosed();
+  }
+  Held.resize(0);
 }
 
 void HttpServer::Connection::endIfDrained() {
@@ -214,6 +384,7 @@
 void HttpServer::Connection::handleRequest() {
   Exchange &Added = appendExchange();
   const RequestId Id = Server.assignRequestId(*this);
+  updatePipelined();
   Added.Id = Id;
   std::string Body = Reader.takeBody();
   Added.BodySize = Body.size();
@@ -231,6 +402,7 @@
 void HttpServer::Connection::startMessage() {
   Reader.next();
   HeadRead = false;
+  reportProgress(ProgressBytes);
   Started = EventLoop::now();
   LastProgress = Started;
 }
@@ -249,6 +421,7 @@
     Added.IsHttp10 = Reader.request().getVersion() == "HTTP/1.0";
   }
   Pipeline.push_back(std::move(Added));
+  HasRequest = true;
   return Pipeline.back();
 }
 
@@ -283,6 +456,7 @@
          Pipeline.front().Answered) {
     const Exchange Next = std::move(Pipeline.front());
     Pipeline.pop_front();
+    updatePipelined();
     PipelineBytes -= Next.BodySize + Next.Answer.size();
     const bool Close = !Next.KeepAlive || mayCloseNow();
     if (Pipeline.empty()) {
@@ -290,6 +464,7 @@
       LastProgress = Started;
     }
     send(Next, Close);
+    reportProgress(ProgressBytes);
   }
 }
 
@@ -326,10 +501,14 @@
     return;
   }
   if (Stream.pending() > 0 || !Reader.started() || Reader.isDiscarding()) {
+    if (Stream.pending() > 0 || !HasRequest || Reader.isDiscarding()) {
+      Server.Clients.countClosed(CloseReason::Timeout);
+    }
     Stream.close();
     reportClosed();
     return;
   }
+  Server.Clients.countClosed(CloseReason::Timeout);
   refuse(HttpFault{408, Reader.inBody() ? "body too slow" : "head too slow"});
 }
 
@@ -370,6 +549,7 @@
       Server.Handler.onDisconnected(Each.Id);
     }
   }
+  endProgress();
   Server.removeConnection(*this);
 }
 
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,7 +17,8 @@
 /// @brief Reads the requests of a connection, passes them on without waiting
 /// for the answers before them, and writes the answers in the order of the
 /// requests (RFC 9112, section 9.3.2).
-class HttpServer::Connection final : public TcpStreamHandler {
+class HttpServer::Connection final : public TcpStreamHandler,
+                                     public LimitedConnection {
 public:
   explicit Connection(HttpServer &Parent);
   ~Connection() override;
@@ -42,6 +44,11 @@
   /// @return whether nothing is being received, answered or sent
   bool isIdle() const;
 
+  bool mayBeClosed() const override;
+  bool holdsMemory(MemoryShortage Lacking) const override;
+  bool hasSent() override;
+  void closeForLimit(CloseReason Reason) override;
+
 private:
   /// A request that was read and is not yet answered, or a refusal that waits
   /// for the answers before it.
@@ -62,6 +69,23 @@
   void onWritesFlushed() override;
 
   void process();
+  /// Reads the next messages, at most a few, so that other connections get
+  /// their turn.
+  void readMessages();
+  /// Reads on after an answer.
+  void continueReading();
+  /// Continues with what has arrived after other events had their turn.
+  void scheduleTurn();
+  /// Sets how much is read ahead, and charges what the connection holds.
+  void updateLimits();
+  /// Charges what the connection holds.
+  /// @return whether there was room
+  bool chargeHeld();
+  /// Reports progress to the limits if enough bytes were received.
+  void reportProgress(std::size_t Received);
+  void endProgress();
+  /// Tells the limits how many requests are held behind another one.
+  void updatePipelined();
   /// During a drain, closes the connection if it is idle and refuses a request
   /// whose head is incomplete.
   void endIfDrained();
@@ -99,6 +123,26 @@
   TcpStream Stream;
   HttpReader Reader;
   std::string Peer;
+  /// Place in the limits, until the connection ends.
+  std::optional<ClientLimits::Handle> Place;
+  /// Memory charged for buffers.
+  MemoryCharge Held;
+  /// Bytes received since progress was last reported.
+  std::size_t ReceivedBytes = 0;
+  /// Unsent bytes at the last report of progress.
+  std::size_t ReportedPending = 0;
+  /// Requests in Pipeline, without the first one, that the limits know of.
+  std::size_t Pipelined = 0;
+  /// Receive buffer in the kernel, in bytes.
+  int ReceiveBuffer = 0;
+  /// At least one request was read or refused.
+  bool HasRequest = false;
+  /// Reading is paused.
+  bool Paused = false;
+  /// The connection is being charged and must not be closed.
+  bool Charging = false;
+  /// Continues with messages that have arrived.
+  EventLoop::TimerId NextTurn = 0;
   std::deque<Exchange> Pipeline;
   /// Sum of the bodies of the requests, and of the answers, in Pipeline.
   std::size_t PipelineBytes = 0;
--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -132,6 +132,7 @@
       if (++Count > Limits.Fields) {
         return refuse(431, "too many header fields");
       }
+      Facts.Fields = Count;
       if (Line.front() == ' ' || Line.front() == '\t') {
         return refuse(400, "folded header line");
       }
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t HeadRoom = 4'096;
 /// Largest buffer in bytes that is kept between two messages.
 constexpr std::size_t KeptBufferSize = 16'384;
+/// Unused room in bytes that is kept for bytes that arrive later.
+constexpr std::size_t KeptUnusedSize = 2'048;
 
 /// Most empty lines before a request line.
 constexpr std::uint32_t EmptyLinesMax = 8;
@@ -62,6 +64,7 @@
   }
   Position = 0;
   HeadScanOffset = 0;
+  HeadLines = 0;
   EmptyLines = 0;
   State = Stage::Head;
   Body = std::string();
@@ -71,6 +74,25 @@
   AwaitsMemory = false;
   Discarding = false;
   Facts = HttpHeadFacts();
+  // The fields of a connection without a request need not be kept.
+  Request.clear();
+}
+
+std::size_t HttpReader::heldBytes() const {
+  return Buffer.capacity() + Facts.parsedBytes() + Request.getURI().capacity() +
+         (Memory.isBounded() ? 0 : Body.capacity());
+}
+
+void HttpReader::abandon() {
+  next();
+  Buffer = std::string();
+  refuse(503, "abandoned");
+}
+
+void HttpReader::releaseUnused() {
+  if (Buffer.capacity() > 2 * Buffer.size() + KeptUnusedSize) {
+    Buffer.shrink_to_fit();
+  }
 }
 
 HttpReader::Progress HttpReader::readHead() {
@@ -88,7 +110,14 @@
       HeadScanOffset > Position + 3 ? HeadScanOffset - 3 : Position;
   const std::size_t End = Buffer.find("\r\n\r\n", From);
   if (End == std::string::npos) {
+    HeadLines += static_cast<std::size_t>(
+        std::count(Buffer.begin() + static_cast<std::ptrdiff_t>(HeadScanOffset),
+                   Buffer.end(), '\n'));
     HeadScanOffset = Buffer.size();
+    // The start line ends with the first one.
+    if (HeadLines > Limits.Fields + 1) {
+      return refuse(431, "too many header fields");
+    }
     const std::size_t LineEnd = Buffer.find('\n', Position);
     if (LineEnd != std::string::npos && LineEnd > Position &&
         Buffer[LineEnd - 1] != '\r') {
@@ -139,6 +168,7 @@
     return false;
   }
   Facts = *Checked;
+  Facts.HeadBytes = Head.size();
   try {
     Poco::MemoryInputStream Stream(Head.data(),
                                    static_cast<std::streamsize>(Head.size()));
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
 #include <fmt/format.h>
+#include <new>
 #include <utility>
 
 namespace hyssopford {
@@ -17,7 +18,7 @@
 /// descriptors.
 constexpr Duration AcceptRetry = 100ms;
 /// Maximum number of connections accepted in one iteration of the loop.
-constexpr int AcceptBatch = 8;
+constexpr int AcceptBatch = 32;
 constexpr int Backlog = 1'024;
 /// Bit position of the server's number in a request identifier.
 constexpr int NumberShift = 56;
@@ -26,10 +27,17 @@
 
 HttpServer::HttpServer(EventLoop &EventSource, HttpServerHandler &Receiver,
                        HttpServerSettings ServerSettings)
-    : Loop(EventSource), Handler(Receiver),
-      Settings(std::move(ServerSettings)) {
+    : Loop(EventSource), Handler(Receiver), Settings(std::move(ServerSettings)),
+      OwnClients(Settings.Clients == nullptr ? std::make_unique<ClientLimits>()
+                                             : nullptr),
+      Clients(OwnClients ? *OwnClients : *Settings.Clients) {
   // Without SO_REUSEPORT, so that a second server on the port fails to bind.
   Socket.bind(Poco::Net::SocketAddress(Settings.Address), true, false);
+  if (Settings.ReceiveBuffer > 0) {
+    // Inherited by accepted sockets; set before, so that it holds for
+    // connections that wait to be accepted.
+    Socket.setReceiveBufferSize(Settings.ReceiveBuffer);
+  }
   Socket.listen(Backlog);
   Socket.setBlocking(false);
   Loop.add(Socket, Poco::Net::PollSet::POLL_READ, *this);
@@ -97,6 +105,9 @@
     for (int Count = 0; Count < AcceptBatch && acceptNext(); ++Count) {
     }
   } catch (const Poco::Exception &) {
+    if (Clients.makeRoom(nullptr, CloseReason::Descriptors, EventLoop::now())) {
+      return;
+    }
     Loop.remove(Socket);
     RetryTimer = Loop.after(AcceptRetry, [this] {
       if (Listening) {
@@ -110,13 +121,43 @@
   if (!Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
     return false;
   }
-  const Poco::Net::StreamSocket Accepted = Socket.acceptConnection();
-  if (Connections.size() < Settings.MaximumConnections) {
-    auto New = std::make_shared<Connection>(*this);
+  admit(Socket.acceptConnection());
+  return true;
+}
+
+void HttpServer::admit(const Poco::Net::StreamSocket &Accepted) {
+  if (Settings.MaximumPerAddress > 0 &&
+      Clients.connectionsOf(Accepted.peerAddress().host().toString()) >=
+          Settings.MaximumPerAddress) {
+    Clients.countClosed(CloseReason::Address);
+    return;
+  }
+  if (Connections.size() >= Settings.MaximumConnections &&
+      !Clients.makeRoom(this, CloseReason::Connections, EventLoop::now())) {
+    Clients.countClosed(CloseReason::Connections);
+    return;
+  }
+  std::shared_ptr<Connection> New;
+  try {
+    New = std::make_shared<Connection>(*this);
     Connections.emplace(New.get(), New);
     New->start(Accepted);
+  } catch (const std::bad_alloc &) {
+    Clients.countClosed(CloseReason::Memory);
+    Connections.erase(New.get());
+  } catch (const Poco::Exception &) {
+    // E.g. the client has reset the connection, or the event loop cannot watch
+    // a further socket.
+    Connections.erase(New.get());
   }
-  return true;
+}
+
+int HttpServer::receiveBuffer() const {
+  const int Share =
+      Settings.ReceiveBuffers /
+      static_cast<int>(std::max<std::size_t>(Connections.size(), 1));
+  return std::min(std::max(Share, Settings.LeastReceiveBuffer),
+                  Settings.ReceiveBuffer);
 }
 
 void HttpServer::stopListening() {
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -7,13 +7,13 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace hyssopford {
 
 namespace {
 
-constexpr std::size_t ReadBufferSize = 65'536;
 /// Maximum number of buffers passed to one system call.
 constexpr std::size_t GatherLimit = 16;
 /// Time for which a stream that is closing still reads. Closing with unread
@@ -39,10 +39,17 @@
 
 TcpStream::~TcpStream() { close(); }
 
-void TcpStream::accept(const Poco::Net::StreamSocket &Accepted) {
+void TcpStream::accept(const Poco::Net::StreamSocket &Accepted,
+                       int ReceiveBuffer, int UnsentBytes) {
   Socket = Accepted;
   Socket.setBlocking(false);
   Socket.setNoDelay(true);
+  if (ReceiveBuffer > 0) {
+    Socket.setReceiveBufferSize(ReceiveBuffer);
+  }
+  if (UnsentBytes > 0) {
+    Socket.setOption(IPPROTO_TCP, TCP_NOTSENT_LOWAT, UnsentBytes);
+  }
   Open = true;
   Modes = PollRead | PollError;
   Loop.add(Socket, Modes, *this);
@@ -73,10 +80,12 @@
   const bool WasEmpty = Queue.empty();
   if (!Head.empty()) {
     PendingBytes += Head.size();
+    UnchargedBytes += Head.size();
     Queue.push_back(QueuedWrite{std::move(Head), Payload(), 0});
   }
   if (Body.size() > Offset) {
     PendingBytes += Body.size() - Offset;
+    UnchargedBytes += Body.isCharged() ? 0 : Body.size() - Offset;
     Queue.push_back(QueuedWrite{std::string(), Body, Offset});
   }
   if (WasEmpty && !Connecting) {
@@ -104,6 +113,7 @@
   Open = false;
   Queue.clear();
   PendingBytes = 0;
+  UnchargedBytes = 0;
   Loop.cancel(LingerTimer);
   Loop.remove(Socket);
   Socket.close();
@@ -178,11 +188,11 @@
     fail("connection reset");
     return;
   }
-  static thread_local std::array<char, ReadBufferSize> Buffer;
+  static thread_local std::array<char, MaximumReadSize> Buffer;
   int Received = 0;
   try {
-    Received =
-        Socket.receiveBytes(Buffer.data(), static_cast<int>(Buffer.size()));
+    Received = Socket.receiveBytes(
+        Buffer.data(), static_cast<int>(std::min(ReadSize, Buffer.size())));
   } catch (const Poco::Exception &Fault) {
     fail(Fault.displayText());
     return;
@@ -224,6 +234,7 @@
       // caller of write() still uses.
       Queue.clear();
       PendingBytes = 0;
+      UnchargedBytes = 0;
       Loop.cancel(LingerTimer);
       LingerTimer = Loop.after(
           Duration{0}, [this, Text = Fault.displayText()] { fail(Text); });
@@ -238,6 +249,7 @@
       QueuedWrite &First = Queue.front();
       const std::size_t Taken = std::min(Left, First.remaining().size());
       First.Offset += Taken;
+      UnchargedBytes -= First.isCharged() ? 0 : Taken;
       Left -= Taken;
       if (First.remaining().empty()) {
         Queue.pop_front();
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -14,7 +14,7 @@
 
 /// Retry-After of refusals that are sent before the request body is read.
 constexpr Duration RefusalRetryAfter = 150ms;
-/// Memory charged for a request besides its body, in bytes.
+/// Memory charged for a request besides its head and body, in bytes.
 constexpr std::size_t RequestOverhead = 4'096;
 /// Largest body that reaches another node with its head, in bytes.
 constexpr std::uint64_t LargestBody = PeerPayloadLimit - 1'048'576;
@@ -72,12 +72,14 @@
   if (Memory != nullptr) {
     Decision.BodyLimit = std::min<std::uint64_t>(
         Decision.BodyLimit,
-        Memory->largeLimit() - std::min(Memory->largeLimit(), RequestOverhead));
+        Memory->largeLimit() -
+            std::min(Memory->largeLimit(), RequestOverhead + Facts.HeadBytes));
   }
   if (Memory != nullptr && Facts.ContentLength <= Decision.BodyLimit) {
-    std::optional<MemoryCharge> Charge = Memory->reserve(
-        static_cast<std::size_t>(Facts.ContentLength) + RequestOverhead,
-        MemoryUse::Request);
+    std::optional<MemoryCharge> Charge =
+        Memory->reserve(static_cast<std::size_t>(Facts.ContentLength) +
+                            RequestOverhead + Facts.HeadBytes,
+                        MemoryUse::Request);
     if (!Charge) {
       Decision.Refusal = refuseHead(Head, OutcomeReason::NoMemory);
       return Decision;
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <chrono>
 #include <fmt/format.h>
+#include <limits>
+#include <sys/resource.h>
 #include <utility>
 
 namespace hyssopford {
@@ -70,17 +72,36 @@
   return Result;
 }
 
-HttpServerSettings serverSettings(const NodeRuntimeSettings &Settings,
-                                  const std::string &Address,
-                                  std::uint8_t Number) {
+/// Bytes that the kernel takes in each direction for a connection to a server
+/// that needs no more than short requests and answers.
+constexpr int SmallBuffer = 16'384;
+
+/// Returns the most descriptors that the process may open.
+std::size_t descriptorLimit() {
+  rlimit Limit{};
+  const bool IsKnown = ::getrlimit(RLIMIT_NOFILE, &Limit) == 0;
+  return IsKnown && Limit.rlim_cur != RLIM_INFINITY
+             ? static_cast<std::size_t>(Limit.rlim_cur)
+             : std::numeric_limits<std::int32_t>::max();
+}
+
+} // namespace
+
+HttpServerSettings NodeRuntime::serverSettings(const std::string &Address,
+                                               std::uint8_t Number,
+                                               std::size_t Share) {
   HttpServerSettings Result = Settings.Http;
   Result.Address = Address;
   Result.Number = Number;
+  Result.MaximumConnections = std::min(Result.MaximumConnections, Share);
+  Result.Clients = &Clients;
+  if (Number == ReadyServerNumber || Number == MetricsServerNumber) {
+    Result.ReceiveBuffer = SmallBuffer;
+    Result.UnsentBytes = SmallBuffer;
+  }
   return Result;
 }
 
-} // namespace
-
 NodeRuntime::NodeRuntime(const NodeRuntimeSettings &RuntimeSettings,
                          NodeAdapters Custom)
     : Settings(RuntimeSettings), Memory(Settings.MemoryBytes),
@@ -129,6 +150,10 @@
   Upstream->setHealthPath(Settings.HealthPath);
   Registry =
       std::make_unique<UpstreamRegistry>(Loop, *Driver, *Upstream, *Telemetry);
+  Shares =
+      descriptorShares(Settings.Descriptors == 0
+                           ? descriptorLimit()
+                           : std::min(Settings.Descriptors, descriptorLimit()));
   createServers();
 }
 
@@ -173,12 +198,13 @@
   OperatorRequests = std::make_unique<OperatorService>(
       OperatorContext{*Driver, *Links, *Upstream, *Registry, *Telemetry, {}},
       Settings.Tokens);
-  Callers = std::make_unique<HttpServer>(
-      Loop, *CallerRequests,
-      serverSettings(Settings, Settings.CallerAddress, CallerServerNumber));
+  Callers = std::make_unique<HttpServer>(Loop, *CallerRequests,
+                                         serverSettings(Settings.CallerAddress,
+                                                        CallerServerNumber,
+                                                        Shares.Callers));
   Local = std::make_unique<HttpServer>(
       Loop, *LocalRequests,
-      serverSettings(Settings, Settings.LocalAddress, LocalServerNumber));
+      serverSettings(Settings.LocalAddress, LocalServerNumber, Shares.Local));
   CallerRequests->setMemory(Memory);
   LocalRequests->setMemory(Memory);
   CallerRequests->attach(*Callers);
@@ -187,8 +213,8 @@
   if (!Settings.OperatorAddress.empty()) {
     Operators = std::make_unique<HttpServer>(
         Loop, *OperatorRequests,
-        serverSettings(Settings, Settings.OperatorAddress,
-                       OperatorServerNumber));
+        serverSettings(Settings.OperatorAddress, OperatorServerNumber,
+                       Shares.Operators));
     OperatorRequests->attach(*Operators);
     Driver->setOperatorsPort(
         portOnSameIp(Operators->address(), Links->address()));
@@ -200,7 +226,7 @@
         });
     Ready = std::make_unique<HttpServer>(
         Loop, *ReadyRequests,
-        serverSettings(Settings, Settings.ReadyAddress, ReadyServerNumber));
+        serverSettings(Settings.ReadyAddress, ReadyServerNumber, Shares.Ready));
     ReadyRequests->attach(*Ready);
   }
   if (!Settings.MetricsAddress.empty()) {
@@ -231,7 +257,8 @@
   try {
     Metrics = std::make_unique<HttpServer>(
         Loop, *MetricsRequests,
-        serverSettings(Settings, Settings.MetricsAddress, MetricsServerNumber));
+        serverSettings(Settings.MetricsAddress, MetricsServerNumber,
+                       Shares.Metrics));
     MetricsRequests->attach(*Metrics);
   } catch (const Poco::Exception &Fault) {
     Telemetry->log(LogLevel::Error, "metrics_unavailable",
@@ -277,6 +304,8 @@
   Telemetry->set(MetricId::MemoryPeak, Memory.peak());
   Telemetry->set(MetricId::MemoryLimit, Memory.limit());
   Telemetry->set(MetricId::MemoryRefusals, Memory.refusals());
+  Telemetry->set(MetricId::ConnectionBytes, Memory.connectionBytes());
+  reportClosedConnections();
   const Duration Late = Loop.takeTimerLateness();
   Telemetry->recordTimerLateness(Late, EventLoop::now());
   if (Late >= LateTimerLimit) {
@@ -287,6 +316,22 @@
   Loop.after(FlushPeriod, [this] { flushTelemetry(); });
 }
 
+void NodeRuntime::reportClosedConnections() {
+  std::uint64_t Total = 0;
+  std::vector<LogField> Fields;
+  for (std::size_t Index = 0; Index < CloseReasonCount; ++Index) {
+    const auto Reason = static_cast<CloseReason>(Index);
+    const std::uint64_t Count = Clients.closed(Reason);
+    Total += Count;
+    Telemetry->set(MetricId::ClosedConnections, {toString(Reason)}, Count);
+    Fields.emplace_back(toString(Reason), Count);
+  }
+  if (Total != ReportedClosed) {
+    ReportedClosed = Total;
+    Telemetry->log(LogLevel::Warning, "connections_closed", Fields);
+  }
+}
+
 NodeRuntime::~NodeRuntime() = default;
 
 bool NodeRuntime::run() {
--- a/tools/node/runtime_settings.cpp
+++ b/tools/node/runtime_settings.cpp
@@ -9,6 +9,7 @@
   Result.Http.Limits.Head = Settings.Limits.HeaderBytes;
   Result.Http.Limits.Body = Settings.Limits.BodyBytes;
   Result.Http.MaximumConnections = Settings.Limits.CallerConnections;
+  Result.Http.MaximumPerAddress = Settings.Limits.ConnectionsPerAddress;
   Result.Http.PipelineDepth = Settings.Limits.PipelinedRequests;
   Result.Http.PipelineBytes = Settings.Limits.PipelinedBytes;
   Result.Upstream.AnswerLimits.Body = Settings.Limits.AnswerBytes;
