--- a/include/hyssopford/net/http_server.hpp
+++ b/include/hyssopford/net/http_server.hpp
@@ -37,13 +37,12 @@
   /// Limits over all servers of a node; must outlive the server. Null for
   /// limits of the server alone, without a memory budget.
   ClientLimits *Clients = nullptr;
-  /// Largest receive buffer of a connection in the kernel, in bytes, which
-  /// bounds what it holds of a connection that is not read; 0 for the system's.
-  int ReceiveBuffer = 131'072;
-  /// Bytes that the receive buffers of all connections share. With more
-  /// connections each gets less, but at least LeastReceiveBuffer.
-  int ReceiveBuffers = 8'388'608;
-  int LeastReceiveBuffer = 16'384;
+  /// Receive buffer of a connection in the kernel, in bytes, which bounds what
+  /// it holds of a connection that is not read; 0 for the system's.
+  int ReceiveBuffer = 16'384;
+  /// Receive buffer while a large body is read, so that its sender is not
+  /// slowed down.
+  int BodyReceiveBuffer = 131'072;
   /// Most unsent bytes of a connection that the kernel takes; 0 for its own
   /// limit.
   int UnsentBytes = 65'536;
@@ -205,8 +204,6 @@
   bool acceptNext();
   /// Serves a connection if the limits allow it.
   void admit(const Poco::Net::StreamSocket &Accepted);
-  /// @return the size of the receive buffer of a new connection in bytes
-  int receiveBuffer() const;
   void stopListening();
   /// Connections by value, as a call on one may close and remove it.
   std::vector<std::shared_ptr<Connection>> currentConnections() const;
--- a/include/hyssopford/net/tcp_stream.hpp
+++ b/include/hyssopford/net/tcp_stream.hpp
@@ -54,12 +54,9 @@
 
   /// @brief Serves an accepted connection.
   /// @param Accepted the socket
-  /// @param ReceiveBuffer receive buffer in the kernel, in bytes; 0 for its own
-  /// choice
   /// @param UnsentBytes most bytes that the kernel takes before they can be
   /// sent; 0 for its own limit
-  void accept(const Poco::Net::StreamSocket &Accepted, int ReceiveBuffer = 0,
-              int UnsentBytes = 0);
+  void accept(const Poco::Net::StreamSocket &Accepted, int UnsentBytes = 0);
 
   /// @brief Starts to connect; completes with onConnected() or onClosed().
   /// @param Address "ip:port"
@@ -82,6 +79,9 @@
   /// @brief Pauses or resumes reading.
   void setReadingPaused(bool Paused);
 
+  /// @brief Sets the receive buffer in the kernel, in bytes.
+  void setReceiveBuffer(int Bytes);
+
   /// @brief Sets how many bytes are read at most before the handler is called.
   void setReadSize(std::size_t Bytes) { ReadSize = Bytes; }
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -17,6 +17,9 @@
 /// Bytes by which a message must advance to count as progress, so that a sender
 /// of single bytes does not make any.
 constexpr std::size_t ProgressBytes = 1'024;
+/// Bytes of a body from which the kernel's receive buffer is enlarged. Such
+/// bodies are charged, so that the memory budget bounds their number.
+constexpr std::size_t LargeBodyBytes = 262'144;
 /// Heads and bodies that one connection reads before others have their turn.
 constexpr int StepsPerTurn = 4;
 
@@ -46,8 +49,7 @@
 }
 
 void HttpServer::Connection::start(const Poco::Net::StreamSocket &Accepted) {
-  ReceiveBuffer = Server.receiveBuffer();
-  Stream.accept(Accepted, ReceiveBuffer, Server.Settings.UnsentBytes);
+  Stream.accept(Accepted, Server.Settings.UnsentBytes);
   Stream.setReadSize(ReadAheadLimit);
   Peer = Stream.peerAddress();
   Started = EventLoop::now();
@@ -198,6 +200,9 @@
     Stream.setReadSize(ReadAheadLimit - std::min(Ahead, ReadAheadLimit - 1));
   }
   Stream.setReadingPaused(Paused);
+  setLargeBuffer(Reads && Reader.inBody() && !Reader.isDiscarding() &&
+                 (Reader.remaining() > LargeBodyBytes ||
+                  Reader.body().size() > LargeBodyBytes));
   if (!chargeHeld() && Reads && Pipeline.empty() && Reader.started() &&
       !Reader.inBody()) {
     Server.Clients.countClosed(CloseReason::Memory);
@@ -209,9 +214,10 @@
 }
 
 bool HttpServer::Connection::chargeHeld() {
-  // What the kernel holds of a connection that is not read counts as well.
+  // What the kernel holds of a connection that is not read counts as well; it
+  // takes up to twice the size that is set.
   const std::size_t Unread =
-      Paused ? static_cast<std::size_t>(ReceiveBuffer) : 0;
+      Paused ? static_cast<std::size_t>(Server.Settings.ReceiveBuffer) * 2 : 0;
   const std::size_t Needed = ConnectionOverhead + Reader.heldBytes() +
                              Stream.pendingUncharged() +
                              Pipeline.size() * sizeof(Exchange) + Unread;
@@ -242,6 +248,15 @@
   Pipelined = Count;
 }
 
+void HttpServer::Connection::setLargeBuffer(bool Large) {
+  const HttpServerSettings &Limits = Server.Settings;
+  if (Large != HasLargeBuffer && Limits.ReceiveBuffer > 0) {
+    HasLargeBuffer = Large;
+    Stream.setReceiveBuffer(Large ? Limits.BodyReceiveBuffer
+                                  : Limits.ReceiveBuffer);
+  }
+}
+
 void HttpServer::Connection::endProgress() {
   if (Place) {
     Server.Clients.changePipelined(std::exchange(Pipelined, 0), 0);
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -84,6 +84,8 @@
   /// Reports progress to the limits if enough bytes were received.
   void reportProgress(std::size_t Received);
   void endProgress();
+  /// Sets the size of the receive buffer in the kernel.
+  void setLargeBuffer(bool Large);
   /// Tells the limits how many requests are held behind another one.
   void updatePipelined();
   /// During a drain, closes the connection if it is idle and refuses a request
@@ -133,8 +135,8 @@
   std::size_t ReportedPending = 0;
   /// Requests in Pipeline, without the first one, that the limits know of.
   std::size_t Pipelined = 0;
-  /// Receive buffer in the kernel, in bytes.
-  int ReceiveBuffer = 0;
+  /// Whether the receive buffer in the kernel has its size for bodies.
+  bool HasLargeBuffer = false;
   /// At least one request was read or refused.
   bool HasRequest = false;
   /// Reading is paused.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -152,14 +152,6 @@
   }
 }
 
-int HttpServer::receiveBuffer() const {
-  const int Share =
-      Settings.ReceiveBuffers /
-      static_cast<int>(std::max<std::size_t>(Connections.size(), 1));
-  return std::min(std::max(Share, Settings.LeastReceiveBuffer),
-                  Settings.ReceiveBuffer);
-}
-
 void HttpServer::stopListening() {
   if (Listening) {
     Listening = false;
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -40,13 +40,10 @@
 TcpStream::~TcpStream() { close(); }
 
 void TcpStream::accept(const Poco::Net::StreamSocket &Accepted,
-                       int ReceiveBuffer, int UnsentBytes) {
+                       int UnsentBytes) {
   Socket = Accepted;
   Socket.setBlocking(false);
   Socket.setNoDelay(true);
-  if (ReceiveBuffer > 0) {
-    Socket.setReceiveBufferSize(ReceiveBuffer);
-  }
   if (UnsentBytes > 0) {
     Socket.setOption(IPPROTO_TCP, TCP_NOTSENT_LOWAT, UnsentBytes);
   }
@@ -100,6 +97,17 @@
   }
 }
 
+void TcpStream::setReceiveBuffer(int Bytes) {
+  if (!Open) {
+    return;
+  }
+  try {
+    Socket.setReceiveBufferSize(Bytes);
+  } catch (const Poco::Exception &) {
+    // The connection has failed, which the next read reports.
+  }
+}
+
 void TcpStream::readArrived() {
   if (Open && !Connecting && !Paused && !looksIdle()) {
     readAvailable();
