--- a/include/hyssopford/net/http_head.hpp
+++ b/include/hyssopford/net/http_head.hpp
@@ -58,6 +58,17 @@
   /// Digest of the value of the credential field; empty if there is no such
   /// field, more than one, or one without a value.
   std::optional<KeyDigest> Credential;
+  /// Number of header fields.
+  std::size_t Fields = 0;
+  /// Size of the head in bytes, as HttpReader read it.
+  std::size_t HeadBytes = 0;
+
+  /// Memory that the head takes when it was parsed, in bytes.
+  std::size_t parsedBytes() const { return HeadBytes + Fields * FieldOverhead; }
+
+  /// Memory that POCO's list takes for one header field besides its bytes: two
+  /// strings, two links and the header of the allocated block.
+  static constexpr std::size_t FieldOverhead = 112;
 };
 
 /// @brief Checks the head of a request.
