Free the memory of refused bodies

Cause: an empty string assigned to a std::string keeps its block. The charge of a refused or completed body was returned while its memory stayed allocated; since the buffers of connections are charged too, the blocks of refused bodies filled the budget, and of twelve concurrent chunked bodies all were refused.

Change: the block is freed with the charge.

--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -60,14 +60,14 @@
 void HttpReader::next() {
   Buffer.erase(0, Position);
   if (Buffer.empty() && Buffer.capacity() > KeptBufferSize) {
-    Buffer = std::string();
+    std::string().swap(Buffer);
   }
   Position = 0;
   HeadScanOffset = 0;
   HeadLines = 0;
   EmptyLines = 0;
   State = Stage::Head;
-  Body = std::string();
+  std::string().swap(Body);
   BodyBytes = 0;
   Memory = MemoryCharge();
   Overdraft = false;
@@ -85,7 +85,7 @@
 
 void HttpReader::abandon() {
   next();
-  Buffer = std::string();
+  std::string().swap(Buffer);
   refuse(503, "abandoned");
 }
 
@@ -355,7 +355,8 @@
 
 HttpReader::Progress HttpReader::refuse(int Status, std::string Reason) {
   State = Stage::Refused;
-  Body = std::string();
+  // Assigning an empty string would keep the allocated block.
+  std::string().swap(Body);
   Memory = MemoryCharge();
   Fault = HttpFault{Status, std::move(Reason)};
   return Progress::Failed;
