Count replies without an answer against their byte limit

Cause: finished attempts were bounded by the bytes of their answers and by 10 s. Refusals have no answer, so a flood of requests filled the owner with them; hand-backs that use no retry budget made it worse.

Change: each reply counts 256 bytes besides its answer. The test of the limit states the limit for answers of 0 and 50 bytes: two replies fit, as before.

--- a/include/hyssopford/core/finished_attempts.hpp
+++ b/include/hyssopford/core/finished_attempts.hpp
@@ -16,7 +16,7 @@
 class FinishedAttempts {
 public:
   /// @param KeptFor how long replies are kept
-  /// @param MaxBytes most bytes of answers kept; the oldest are dropped first
+  /// @param MaxBytes most bytes of replies kept; the oldest are dropped first
   FinishedAttempts(Duration KeptFor, std::size_t MaxBytes)
       : Retention(KeptFor), BytesMax(MaxBytes) {}
 
--- a/src/core/finished_attempts.cpp
+++ b/src/core/finished_attempts.cpp
@@ -4,12 +4,25 @@
 
 namespace hyssopford {
 
+namespace {
+
+/// Memory that a reply takes besides its answer, in bytes. Without it,
+/// refusals, which have no answer, were bounded by the retention only: 300
+/// clients that sent requests ahead made an owner hold 100 MB of them.
+constexpr std::size_t ReplyOverhead = 256;
+
+std::size_t heldBytes(const DispatchReply &Reply) {
+  return Reply.Answer.size() + ReplyOverhead;
+}
+
+} // namespace
+
 void FinishedAttempts::add(const DispatchReply &Reply, TimePoint Now) {
   if (!Replies.emplace(Reply.Attempt, Reply).second) {
     return;
   }
   Order.push_back(EndedRow{Reply.Attempt, Now});
-  Bytes += Reply.Answer.size();
+  Bytes += heldBytes(Reply);
   dropExpired(Now);
 }
 
@@ -38,7 +51,7 @@
   const AttemptId Oldest = Order.front().Attempt;
   Order.pop_front();
   const auto Found = Replies.find(Oldest);
-  Bytes -= Found->second.Answer.size();
+  Bytes -= heldBytes(Found->second);
   Replies.erase(Found);
   std::uint64_t &Mark =
       LowWaterMarks[Oldest.Ingress.Node][Oldest.Ingress.Run.Value];
--- a/tests/core/owner_system_test.cpp
+++ b/tests/core/owner_system_test.cpp
@@ -235,11 +235,15 @@
 }
 
 TEST_CASE("replies beyond the byte limit are dropped early", "[owner]") {
-  FinishedAttempts Finished(10s, 100);
+  // Guards against replies without an answer that do not count: refusals of a
+  // flood of requests took 100 MB.
+  const std::size_t AnswerSize = GENERATE(0, 50);
+  // Each reply counts 256 bytes besides its answer.
+  FinishedAttempts Finished(10s, 2 * (AnswerSize + 256));
   for (std::uint64_t Sequence = 1; Sequence <= 3; ++Sequence) {
     DispatchReply Reply;
     Reply.Attempt = AttemptId{nodeRun(9), Sequence};
-    Reply.Answer = Payload(std::string(50, 'x'));
+    Reply.Answer = Payload(std::string(AnswerSize, 'x'));
     Finished.add(Reply, at(0ms));
   }
   REQUIRE(Finished.size() == 2);
