--- a/scripts/check-platform-names.sh
+++ b/scripts/check-platform-names.sh
@@ -7,7 +7,6 @@
 NAMES+='|X-Server-Load|X-Not-Executed|X-Caller-Service|X-Instance-Id'
 NAMES+='|/hyssopford/(readiness|instances|kv-)|kv-(key|range|watch|txn|lease|keep)'
 NAMES+='|trafficSplit|targetLatencyS|timeoutS|maxAttempts|coldRemainingS'
-NAMES+='|X-Cold-Ms|op/evacuate'
 NAMES+='|heartbeatUrl|storeRevision|HYSSOPFORD_SETTINGS|op/config'
 NAMES+='|X-Credential|X-Tenant|X-Cold-Ms|apiKeys|coldPerS|op/evacuate'
 if git grep -nE "$NAMES" -- include src tools standins tests examples schema \
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -26,7 +26,7 @@
                                UpstreamClientHandler &Receiver,
                                UpstreamClientSettings ClientSettings,
                                const EdgePolicy &Fields)
-    : Loop(EventSource), Handler(Receiver), Settings(ClientSettings),
+    : Loop(EventSource), Handler(Receiver), Settings(std::move(ClientSettings)),
       Edge(Fields) {}
 
 UpstreamClient::~UpstreamClient() {
