Share code that the additions wrote twice

Cause: the parts were built side by side. Reading the whole change showed the same logic in two places, state that could be smaller, and words that are not the usual ones.

Change, without a change of behaviour: - The hexadecimal form of key digests was written and read in the platform adapter and in the JSON configuration; it is now in core/accounts. - OwnerSystem filtered its queue with the same loop at a shutdown and at the begin of a cold time; both use refuseQueuedIf. - FreshnessSystem reported a valid proof in two places, ConfigSystem tested in two places whether the store holds the version in force. - Allotments kept a whole configuration for its accounts. - NodeCore tested for an overload that every remaining message has, EvacuationSystem took a time that it did not use, and HttpReader explained one of four places that free a block. - The clients of the test of client limits are a group instead of a crowd. Its numbers, bounds and checks are unchanged.

--- a/include/hyssopford/core/accounts/client_account.hpp
+++ b/include/hyssopford/core/accounts/client_account.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hyssopford {
@@ -15,6 +16,14 @@
 /// SHA-256 digest of an API key. Keys themselves are never kept.
 using KeyDigest = std::array<std::uint8_t, 32>;
 
+/// @return a digest as 64 lower-case hexadecimal digits
+std::string toHex(const KeyDigest &Digest);
+
+/// @brief Reads a digest as toHex() writes it.
+/// @return the digest; empty if the text is not 64 lower-case hexadecimal
+/// digits
+std::optional<KeyDigest> digestFromHex(std::string_view Text);
+
 /// @brief A customer whose requests carry one of its API keys.
 struct ClientAccount {
   /// Unique name, used in logs and metrics and stated to upstreams.
--- a/include/hyssopford/core/allotments/allotment_granter.hpp
+++ b/include/hyssopford/core/allotments/allotment_granter.hpp
@@ -45,7 +45,7 @@
 
   /// @brief Applies the limits of a configuration. Buckets keep at most their
   /// new capacity.
-  void adopt(const RoutingConfig &Config, TimePoint Now);
+  void adopt(const std::vector<ClientAccount> &Configured, TimePoint Now);
 
   /// @brief Sets the members that can lend shares.
   /// @param Members the member table
--- a/include/hyssopford/core/allotments/allotment_holder.hpp
+++ b/include/hyssopford/core/allotments/allotment_holder.hpp
@@ -68,7 +68,7 @@
 
   /// @brief Applies the limits of a configuration. Waiting requests of accounts
   /// that no longer have one may start.
-  void adopt(const RoutingConfig &Config);
+  void adopt(const std::vector<ClientAccount> &Configured);
 
   /// @brief Sets the granters of a slot, the first one in rank first.
   void setGranters(std::uint32_t Slot, std::vector<NodeId> Nodes, TimePoint Now,
--- a/include/hyssopford/core/allotments/allotment_system.hpp
+++ b/include/hyssopford/core/allotments/allotment_system.hpp
@@ -127,7 +127,7 @@
   AllotmentGranter Granter;
   ShareLender Lender;
   MemberCount Members;
-  std::optional<RoutingConfig> PendingConfig;
+  std::optional<std::vector<ClientAccount>> PendingAccounts;
   std::array<bool, AllotmentSlots> UsedSlots{};
   std::array<std::vector<NodeId>, AllotmentSlots> Ranked;
   std::optional<std::uint64_t> SeenRevision;
--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -231,6 +231,11 @@
   /// void.
   /// @return false if the result is of an earlier era
   bool noteEra(const StoreResult &Result, Actions &Out);
+  /// Whether the store is known to hold the version in force or a higher one,
+  /// in the era in which a call started.
+  bool startedAtVersionInForce(const OpenCall &Call) const {
+    return Call.Era == Era && Revision != 0 && StoredVersion >= Version;
+  }
   /// Records that the version in force was the newest when a call started.
   void recordProof(const OpenCall &Call) {
     Proof = std::max(Proof.value_or(Call.Start), Call.Start);
--- a/include/hyssopford/core/evacuation/evacuation_system.hpp
+++ b/include/hyssopford/core/evacuation/evacuation_system.hpp
@@ -47,8 +47,7 @@
 
   /// @brief Handles the set of a peer. An older one that differs is answered
   /// with the own set.
-  void receive(NodeRun From, const EvacuationNotice &Message, TimePoint Now,
-               Actions &Out);
+  void receive(NodeRun From, const EvacuationNotice &Message, Actions &Out);
 
   /// @brief Handles the end of a call to the store; calls of other systems are
   /// ignored.
--- a/include/hyssopford/core/freshness/freshness_system.hpp
+++ b/include/hyssopford/core/freshness/freshness_system.hpp
@@ -116,6 +116,8 @@
   /// @return whether the proof became better
   bool improve(TimePoint Proof, const char *Source, TimePoint Now,
                Actions &Out);
+  /// Reports that the proof is valid again, if it had lapsed.
+  void reportRecovery(const char *Source, TimePoint Now, Actions &Out);
   void send(NodeId Peer, TimePoint Now, Actions &Out);
   /// Sends the proof to the peers not known to have one almost as good.
   void sendToAll(Duration LeastGain, TimePoint Now, Actions &Out);
--- a/include/hyssopford/core/owner_system.hpp
+++ b/include/hyssopford/core/owner_system.hpp
@@ -13,7 +13,9 @@
 #include "hyssopford/core/shutdown_limit.hpp"
 #include "hyssopford/core/speed_tracker.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -154,6 +156,11 @@
   /// @return until when the attempt may start and still end before the node
   /// does
   TimePoint limitTimes(AdmittedAttempt &Row, TimePoint Now) const;
+  /// Ends the queued attempts that a predicate selects as not-run. It gets each
+  /// attempt and the number of kept ones before it, and may change the attempt.
+  void refuseQueuedIf(
+      const std::function<bool(AdmittedAttempt &, std::size_t)> &MustRefuse,
+      OutcomeReason Reason, TimePoint Now, Actions &Out);
   /// Ends all queued attempts as not-run.
   void refuseQueued(OutcomeReason Reason, TimePoint Now, Actions &Out);
   /// Ends all attempts shortly before the end of the node.
--- a/include/hyssopford/net/client_limits.hpp
+++ b/include/hyssopford/net/client_limits.hpp
@@ -67,8 +67,8 @@
 public:
   /// Requests behind another one of their connection, over all connections,
   /// from which a connection with a request in flight waits for its answer
-  /// before the next one is read. Bounds the work of crowds that send requests
-  /// ahead; a single connection holds 15 by default.
+  /// before the next one is read. Bounds the work of clients that pipeline
+  /// without reading answers; a single connection holds 15 by default.
   static constexpr std::size_t PipelinedMax = 512;
 
   /// Identifies a connection.
--- a/src/config/account_json.cpp
+++ b/src/config/account_json.cpp
@@ -2,11 +2,10 @@
 
 #include "text_rules.hpp"
 
-#include <charconv>
 #include <cstddef>
 #include <fmt/format.h>
-#include <fmt/ranges.h>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -21,7 +20,6 @@
 constexpr std::size_t MaxKeys = 64;
 constexpr std::uint64_t MaxRate = 1'000'000'000;
 /// @}
-constexpr int HexBase = 16;
 
 std::string accountPointer(std::size_t Index) {
   return fmt::format("/accounts/{}", Index);
@@ -35,10 +33,8 @@
   std::vector<std::string> Digests;
   Reader.readStrings("key_digests", keyDigestRule(), MaxKeys, Digests, true);
   for (const std::string &Text : Digests) {
-    KeyDigest &Digest = Result.Keys.emplace_back();
-    for (std::size_t Byte = 0; Byte < Digest.size(); ++Byte) {
-      const char *const Begin = Text.data() + 2 * Byte;
-      std::from_chars(Begin, Begin + 2, Digest[Byte], HexBase);
+    if (const std::optional<KeyDigest> Digest = digestFromHex(Text)) {
+      Result.Keys.push_back(*Digest);
     }
   }
   if (const auto Class = Reader.readEnum("priority", {"high", "normal"})) {
@@ -101,7 +97,7 @@
   for (const ClientAccount &Each : Accounts) {
     Json Digests = Json::array();
     for (const KeyDigest &Key : Each.Keys) {
-      Digests.push_back(fmt::format("{:02x}", fmt::join(Key, "")));
+      Digests.push_back(toHex(Key));
     }
     Json Entry{
         {"name", Each.Name},
--- a/src/core/allotments/allotment_granter.cpp
+++ b/src/core/allotments/allotment_granter.cpp
@@ -33,9 +33,10 @@
 
 } // namespace
 
-void AllotmentGranter::adopt(const RoutingConfig &Config, TimePoint Now) {
+void AllotmentGranter::adopt(const std::vector<ClientAccount> &Configured,
+                             TimePoint Now) {
   std::map<std::string, Bucket, std::less<>> Adopted;
-  for (const ClientAccount &Account : Config.Accounts) {
+  for (const ClientAccount &Account : Configured) {
     if (Account.RatePerSecond <= 0.0) {
       continue;
     }
--- a/src/core/allotments/allotment_holder.cpp
+++ b/src/core/allotments/allotment_holder.cpp
@@ -28,9 +28,9 @@
          static_cast<std::uint32_t>(Copy.Previous * Left / DemandTime.count());
 }
 
-void AllotmentHolder::adopt(const RoutingConfig &Config) {
+void AllotmentHolder::adopt(const std::vector<ClientAccount> &Configured) {
   Rows Adopted;
-  for (const ClientAccount &Account : Config.Accounts) {
+  for (const ClientAccount &Account : Configured) {
     if (Account.RatePerSecond <= 0.0) {
       continue;
     }
--- a/src/core/allotments/allotment_system.cpp
+++ b/src/core/allotments/allotment_system.cpp
@@ -13,11 +13,9 @@
   if (!Enabled) {
     return;
   }
-  Holder.adopt(Config);
+  Holder.adopt(Config.Accounts);
   // Buckets need the time, which the next sync brings.
-  RoutingConfig Limits;
-  Limits.Accounts = Config.Accounts;
-  PendingConfig = std::move(Limits);
+  PendingAccounts = Config.Accounts;
 }
 
 void AllotmentSystem::receive(NodeRun From, const AllotmentRequest &Message,
@@ -93,17 +91,17 @@
     Members.observe(Seen.Records, Now);
     Granter.setMembers(Seen.Records, Members.count(Now));
   }
-  if (PendingConfig) {
-    Granter.adopt(*PendingConfig, Now);
+  if (PendingAccounts) {
+    Granter.adopt(*PendingAccounts, Now);
     UsedSlots.fill(false);
     HasLimits = false;
-    for (const ClientAccount &Account : PendingConfig->Accounts) {
+    for (const ClientAccount &Account : *PendingAccounts) {
       if (Account.RatePerSecond > 0.0) {
         UsedSlots.at(allotmentSlotOf(Account.Name)) = true;
         HasLimits = true;
       }
     }
-    PendingConfig.reset();
+    PendingAccounts.reset();
     Changed = true;
   }
   if (Changed) {
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -491,8 +491,7 @@
     return;
   }
   if (Result.Status != StoreStatus::Done) {
-    if (Call.IsWatch && Call.Era == Era && Revision != 0 &&
-        StoredVersion >= Version) {
+    if (Call.IsWatch && startedAtVersionInForce(Call)) {
       recordProof(Call);
     }
     return;
@@ -533,8 +532,7 @@
     // A watch from the revision of a higher version would hang.
     Revision = 0;
     StoredVersion = HeadVersion;
-  } else if (Call.Era == Era && Revision != 0 && Result.Revision > Revision &&
-             StoredVersion >= Version) {
+  } else if (startedAtVersionInForce(Call) && Result.Revision > Revision) {
     // An unreadable value that follows the version in force counts as an
     // invalid version.
     recordProof(Call);
--- a/src/core/evacuation/evacuation_system.cpp
+++ b/src/core/evacuation/evacuation_system.cpp
@@ -40,7 +40,7 @@
 }
 
 void EvacuationSystem::receive(NodeRun From, const EvacuationNotice &Message,
-                               TimePoint /*Now*/, Actions &Out) {
+                               Actions &Out) {
   if (!Enabled) {
     return;
   }
--- a/src/core/freshness/freshness_system.cpp
+++ b/src/core/freshness/freshness_system.cpp
@@ -29,16 +29,6 @@
 
 std::string milliseconds(Duration Value) { return std::to_string(Value / 1ms); }
 
-Notice freshNotice(std::uint64_t Version, const char *Source, Duration Age,
-                   Duration Stale, std::uint64_t Refused) {
-  return Notice{"credentials_fresh",
-                {{"version", std::to_string(Version)},
-                 {"source", Source},
-                 {"age_ms", milliseconds(Age)},
-                 {"stale_ms", milliseconds(Stale)},
-                 {"refused", std::to_string(Refused)}}};
-}
-
 } // namespace
 
 void FreshnessSystem::setVersion(std::uint64_t NewVersion) {
@@ -136,12 +126,8 @@
                 {"age_ms", ProvenAt ? milliseconds(Now - *ProvenAt) : "-"},
                 {"limit_ms", milliseconds(Settings.Limit)}}});
   }
-  if (LapsedAt && timeLeft(Now) > Duration{0}) {
-    // A proof that a peer had stated before its version came into force.
-    Out.emplace_back(
-        freshNotice(Version, "peer", *age(Now), Now - *LapsedAt, Refused));
-    LapsedAt.reset();
-  }
+  // A peer may have stated the proof before its version came into force.
+  reportRecovery("peer", Now, Out);
   if (PassOnAt && *PassOnAt <= Now) {
     PassOnAt.reset();
     sendToAll(PeerStep, Now, Out);
@@ -186,14 +172,24 @@
     return false;
   }
   ProvenAt = Proof;
-  if (LapsedAt && timeLeft(Now) > Duration{0}) {
-    Out.emplace_back(
-        freshNotice(Version, Source, Now - Proof, Now - *LapsedAt, Refused));
-    LapsedAt.reset();
-  }
+  reportRecovery(Source, Now, Out);
   return true;
 }
 
+void FreshnessSystem::reportRecovery(const char *Source, TimePoint Now,
+                                     Actions &Out) {
+  if (!LapsedAt || timeLeft(Now) <= Duration{0}) {
+    return;
+  }
+  Out.emplace_back(Notice{"credentials_fresh",
+                          {{"version", std::to_string(Version)},
+                           {"source", Source},
+                           {"age_ms", milliseconds(Now - *ProvenAt)},
+                           {"stale_ms", milliseconds(Now - *LapsedAt)},
+                           {"refused", std::to_string(Refused)}}});
+  LapsedAt.reset();
+}
+
 void FreshnessSystem::send(NodeId Peer, TimePoint Now, Actions &Out) {
   Links[Peer].Known = *ProvenAt;
   Out.emplace_back(
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -441,12 +441,8 @@
                          Allotments.receive(From, Received, Now, Out);
                        }) {
     Allotments.receive(From, Received, Now, Out);
-  } else if constexpr (requires {
-                         Configs->receive(From, Received, Now, Out);
-                       }) {
-    if (Configs) {
-      Configs->receive(From, Received, Now, Out);
-    }
+  } else if (Configs) {
+    Configs->receive(From, Received, Now, Out);
   }
   if constexpr (requires { Received.ConfigVersion; }) {
     // Anti-entropy: pings go to random members and carry the configuration
@@ -475,8 +471,8 @@
 }
 
 void NodeCore::receive(NodeRun From, const EvacuationNotice &Message,
-                       TimePoint Now, Actions &Out) {
-  Evacuations.receive(From, Message, Now, Out);
+                       TimePoint /*Now*/, Actions &Out) {
+  Evacuations.receive(From, Message, Out);
 }
 
 void NodeCore::detectPause(TimePoint Now) {
--- a/src/core/owner_system.cpp
+++ b/src/core/owner_system.cpp
@@ -273,10 +273,20 @@
 void OwnerSystem::limitWork(TimePoint AnswerBy, TimePoint Now, Actions &Out) {
   LastInput = Now;
   Shutdown.set(AnswerBy);
+  refuseQueuedIf(
+      [&](AdmittedAttempt &Row, std::size_t /*Ahead*/) {
+        return limitTimes(Row, Now) < Now;
+      },
+      OutcomeReason::DeadlineTooClose, Now, Out);
+}
+
+void OwnerSystem::refuseQueuedIf(
+    const std::function<bool(AdmittedAttempt &, std::size_t)> &MustRefuse,
+    OutcomeReason Reason, TimePoint Now, Actions &Out) {
   std::vector<AdmittedAttempt> Kept;
   while (std::optional<AdmittedAttempt> Row = Queue.pop()) {
-    if (limitTimes(*Row, Now) < Now) {
-      endQueued(*Row, OutcomeReason::DeadlineTooClose, Now, Out);
+    if (MustRefuse(*Row, Kept.size())) {
+      endQueued(*Row, Reason, Now, Out);
     } else {
       Kept.push_back(std::move(*Row));
     }
@@ -331,9 +341,8 @@
   updateCold(Now, Out);
   // Refused early enough for the ingress to tell the caller that it did not
   // run.
-  while (const std::optional<AdmittedAttempt> Late =
-             Queue.popExpired(Now + Settings.ExpiryMargin)) {
-    const TimePoint End = Now + Settings.ExpiryMargin;
+  const TimePoint End = Now + Settings.ExpiryMargin;
+  while (const std::optional<AdmittedAttempt> Late = Queue.popExpired(End)) {
     endQueued(*Late,
               Cold.isCold(Now)             ? OutcomeReason::ColdLimit
               : Late->Deadline <= End      ? OutcomeReason::DeadlineExceeded
@@ -355,8 +364,9 @@
   if (Next && NextSpeedProbe) {
     Next = std::min(*Next, *NextSpeedProbe);
   }
-  if (Next && Cold.startTime(0, LastInput) > LastInput) {
-    Next = std::min(*Next, Cold.startTime(0, LastInput));
+  const TimePoint ColdStart = Cold.startTime(0, LastInput);
+  if (Next && ColdStart > LastInput) {
+    Next = std::min(*Next, ColdStart);
   }
   if (ColdReported) {
     Next = std::min(Next.value_or(Cold.end()), Cold.end());
@@ -369,6 +379,7 @@
 }
 
 LoadReport OwnerSystem::load() const {
+  const bool IsCold = Cold.isCold(LastInput);
   return LoadReport{ReportSequence,
                     static_cast<std::uint32_t>(Running.size()),
                     static_cast<std::uint32_t>(Queue.size()),
@@ -376,9 +387,8 @@
                     Duration(static_cast<std::int64_t>(expectedServiceTime())),
                     Duration{0},
                     Tracker.state(LastInput) == SpeedState::Slow,
-                    Cold.isCold(LastInput) ? Cold.rate() : 0.0,
-                    Cold.isCold(LastInput) ? Cold.end() - LastInput
-                                           : Duration{0}};
+                    IsCold ? Cold.rate() : 0.0,
+                    IsCold ? Cold.end() - LastInput : Duration{0}};
 }
 
 std::vector<const Dispatch *> OwnerSystem::running() const {
@@ -597,18 +607,11 @@
              {{"service", Upstream.Service},
               {"rate", fmt::format("{}", Cold.rate())},
               {"remaining_us", std::to_string((Cold.end() - Now).count())}}});
-  std::vector<AdmittedAttempt> Kept;
-  while (std::optional<AdmittedAttempt> Row = Queue.pop()) {
-    if (isTooLateWhileCold(Row->Attempt, Kept.size(), Row->Deadline - Now,
-                           Now)) {
-      endQueued(*Row, OutcomeReason::ColdLimit, Now, Out);
-    } else {
-      Kept.push_back(std::move(*Row));
-    }
-  }
-  for (AdmittedAttempt &Row : Kept) {
-    Queue.push(std::move(Row));
-  }
+  refuseQueuedIf(
+      [&](const AdmittedAttempt &Row, std::size_t Ahead) {
+        return isTooLateWhileCold(Row.Attempt, Ahead, Row.Deadline - Now, Now);
+      },
+      OutcomeReason::ColdLimit, Now, Out);
 }
 
 void OwnerSystem::startQueued(TimePoint Now, Actions &Out) {
--- a/src/net/default_edge_policy.cpp
+++ b/src/net/default_edge_policy.cpp
@@ -11,8 +11,6 @@
 
 /// Value of Retry-After for requests that did not run.
 constexpr int RetryAfterSeconds = 1;
-constexpr int UnauthorizedStatus = 401;
-constexpr int TooManyRequestsStatus = 429;
 
 } // namespace
 
@@ -61,7 +59,7 @@
                                    toString(Refused.Result), Refused.Reason);
   if (Status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
     Fields += fmt::format("Retry-After: {}\r\n", RetryAfterSeconds);
-  } else if (Status == TooManyRequestsStatus) {
+  } else if (Status == Poco::Net::HTTPResponse::HTTP_TOO_MANY_REQUESTS) {
     // Whole seconds (RFC 9110, section 10.2.3), rounded up.
     const auto Wait = std::chrono::ceil<std::chrono::seconds>(
         std::max<Duration>(Refused.RetryAfter, 1s));
@@ -123,9 +121,9 @@
   case OutcomeReason::NoRoute:
     return 404;
   case OutcomeReason::UnknownCredential:
-    return UnauthorizedStatus;
+    return 401;
   case OutcomeReason::AllotmentExceeded:
-    return TooManyRequestsStatus;
+    return 429;
   case OutcomeReason::KeyReused:
     return 422;
   case OutcomeReason::DeadlineExceeded:
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -30,6 +30,9 @@
 /// without end.
 constexpr std::uint32_t InterimAnswersMax = 8;
 
+/// Frees the memory of a string; assigning an empty one would keep its block.
+void release(std::string &Text) { std::string().swap(Text); }
+
 } // namespace
 
 HttpReader::HttpReader(Kind Messages, const HttpLimits &MessageLimits)
@@ -60,14 +63,14 @@
 void HttpReader::next() {
   Buffer.erase(0, Position);
   if (Buffer.empty() && Buffer.capacity() > KeptBufferSize) {
-    std::string().swap(Buffer);
+    release(Buffer);
   }
   Position = 0;
   HeadScanOffset = 0;
   HeadLines = 0;
   EmptyLines = 0;
   State = Stage::Head;
-  std::string().swap(Body);
+  release(Body);
   BodyBytes = 0;
   Memory = MemoryCharge();
   Overdraft = false;
@@ -85,7 +88,7 @@
 
 void HttpReader::abandon() {
   next();
-  std::string().swap(Buffer);
+  release(Buffer);
   refuse(503, "abandoned");
 }
 
@@ -355,8 +358,7 @@
 
 HttpReader::Progress HttpReader::refuse(int Status, std::string Reason) {
   State = Stage::Refused;
-  // Assigning an empty string would keep the allocated block.
-  std::string().swap(Body);
+  release(Body);
   Memory = MemoryCharge();
   Fault = HttpFault{Status, std::move(Reason)};
   return Progress::Failed;
--- a/tests/core/evacuation_test.cpp
+++ b/tests/core/evacuation_test.cpp
@@ -122,7 +122,7 @@
         const auto &Input = std::get<PeerMessageReceived>(Frame);
         Actions Out;
         Nodes[To].receive(Input.From, std::get<EvacuationNotice>(Input.Message),
-                          at(Now), Out);
+                          Out);
         carryOut(To, Out);
       }
       std::vector<Call> Left;
--- a/tests/platform/client_limits/crowd.py
+++ b/tests/platform/client_limits/client_group.py
@@ -1,4 +1,4 @@
-"""Crowds of uncontrolled clients: many connections that each send a list of
+"""Groups of uncontrolled clients: many connections that each send a list of
 byte strings and read nothing, everything or one byte at a time."""
 import dataclasses
 import errno
@@ -46,7 +46,7 @@
     return [data[at:at + size] for at in range(0, len(data), size)]
 
 
-class Crowd:
+class ClientGroup:
     """Connects and drives all clients from one thread."""
 
     def __init__(self, ip, port, clients):
--- a/tests/platform/client_limits/client_limits.py
+++ b/tests/platform/client_limits/client_limits.py
@@ -14,7 +14,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
-from crowd import Client, Crowd, head, parts  # noqa: E402
+from client_group import Client, ClientGroup, head, parts  # noqa: E402
 from deployment import OFFSET_READY, Deployment, route  # noqa: E402
 
 OFFSET_ANNOUNCEMENTS, OFFSET_METRICS = 1, 4
@@ -25,15 +25,15 @@
 # Descriptors of a VM that are not for the node.
 RESERVED_FDS = 200
 FEW_FDS = 500
-# Limits of time: a crowd, a wait without progress of the crowd, and repeated
+# Limits of time: a group of clients, a wait without its progress, and repeated
 # tries of one ordinary request. They bound the run and are not checked.
-CROWD_S, QUIET_S, TRIES_S = 8.0, 1.5, 25.0
+GROUP_S, QUIET_S, TRIES_S = 8.0, 1.5, 25.0
 READY_PATH = "/hyssopford/readiness"
 BODY = 60000
 SEND_ALL = 1 << 20
 
 
-def crowd_of(count, *kinds):
+def group_of(count, *kinds):
     """Returns clients of each kind in turn, up to count."""
     return [kinds[index % len(kinds)]() for index in range(count)]
 
@@ -100,40 +100,40 @@
 # Name, descriptors of the VM, clients.
 CASES = [
     ("body short by a byte, one piece", MAX_FDS,
-     lambda: crowd_of(500, held_body(SEND_ALL))),
+     lambda: group_of(500, held_body(SEND_ALL))),
     ("body short by a byte, small pieces", MAX_FDS,
-     lambda: crowd_of(500, held_body(600))),
+     lambda: group_of(500, held_body(600))),
     ("body short by a byte, chunks", MAX_FDS,
-     lambda: crowd_of(500, held_chunks(1000))),
+     lambda: group_of(500, held_chunks(1000))),
     ("bodies far over the limit", MAX_FDS,
-     lambda: crowd_of(300, endless_body("/order/1"), endless_chunks("/order/1"),
+     lambda: group_of(300, endless_body("/order/1"), endless_chunks("/order/1"),
                       endless_body("/nowhere"), endless_chunks("/nowhere"))),
     ("heads of many short fields", MAX_FDS,
-     lambda: crowd_of(700, short_fields("/order/1", False),
+     lambda: group_of(700, short_fields("/order/1", False),
                       short_fields("/nowhere", True), legal_fields("/browse/1"))),
     ("requests ahead on a route", MAX_FDS,
-     lambda: crowd_of(300, ahead(3000, "/browse/1"))),
+     lambda: group_of(300, ahead(3000, "/browse/1"))),
     ("requests ahead without a route", MAX_FDS,
-     lambda: crowd_of(300, ahead(3000, "/nowhere"))),
+     lambda: group_of(300, ahead(3000, "/nowhere"))),
     ("requests ahead for readiness", MAX_FDS,
-     lambda: crowd_of(300, ahead(3000, READY_PATH, OFFSET_READY))),
+     lambda: group_of(300, ahead(3000, READY_PATH, OFFSET_READY))),
     ("requests ahead for announcements", MAX_FDS,
-     lambda: crowd_of(300, ahead(3000, ANNOUNCEMENT, OFFSET_ANNOUNCEMENTS, "PUT",
+     lambda: group_of(300, ahead(3000, ANNOUNCEMENT, OFFSET_ANNOUNCEMENTS, "PUT",
                                  10))),
     ("bodies ahead", MAX_FDS,
-     lambda: crowd_of(300, ahead(100, "/order/1", 0, "POST", 20000))),
+     lambda: group_of(300, ahead(100, "/order/1", 0, "POST", 20000))),
     ("slow senders and readers", MAX_FDS,
-     lambda: crowd_of(300, slow("/order/1"), slow("/nowhere"),
+     lambda: group_of(300, slow("/order/1"), slow("/nowhere"),
                       ahead(3000, "/nowhere", 0, "GET", read_bytes=1),
                       ahead(3000, READY_PATH, OFFSET_READY, read_bytes=1))),
     ("connections that stop half-way", FEW_FDS,
-     lambda: crowd_of(500, stops(0), stops(OFFSET_READY),
+     lambda: group_of(500, stops(0), stops(OFFSET_READY),
                       stops(OFFSET_ANNOUNCEMENTS), stops(0, leaves=True))),
-    ("connections without requests", FEW_FDS, lambda: crowd_of(500, idle(0))),
+    ("connections without requests", FEW_FDS, lambda: group_of(500, idle(0))),
     ("connections for readiness", FEW_FDS,
-     lambda: crowd_of(500, idle(OFFSET_READY))),
+     lambda: group_of(500, idle(OFFSET_READY))),
     ("connections for announcements and metrics", FEW_FDS,
-     lambda: crowd_of(500, idle(OFFSET_ANNOUNCEMENTS), idle(OFFSET_METRICS))),
+     lambda: group_of(500, idle(OFFSET_ANNOUNCEMENTS), idle(OFFSET_METRICS))),
 ]
 
 
@@ -246,7 +246,7 @@
     site = LimitedDeployment(options.build, folder, 2, options.port + 20 * number,
                              random.Random(1), proxied=False)
     site.max_fds = max_fds
-    faults, crowd = [], None
+    faults, group = [], None
     try:
         await site.start()
         site.write_value(config_text())
@@ -258,7 +258,7 @@
         gauge.read()
         base = gauge.resident
         bound, most_fds = MEMORY_MB << 20, max_fds - RESERVED_FDS
-        crowd = Crowd(site.ip(0), site.port, clients)
+        group = ClientGroup(site.ip(0), site.port, clients)
 
         def watch():
             gauge.read()
@@ -266,14 +266,14 @@
             # must not suffer from it.
             return gauge.lives() and gauge.memory < 4 * bound
 
-        left = crowd.run(CROWD_S, QUIET_S, watch)
+        left = group.run(GROUP_S, QUIET_S, watch)
         for what, port, path in (("readiness check", ready_port, READY_PATH),
                                  ("ordinary request", site.port, "/browse/1")):
             if not try_until_served(gauge, port, path):
-                faults.append(f"no {what} was answered beside the crowd")
+                faults.append(f"no {what} was answered beside the clients")
         gauge.next_read = 0.0
         gauge.read()
-        crowd.close()
+        group.close()
         if not try_until_served(gauge, site.port, "/browse/1"):
             faults.append("no ordinary request was answered afterwards")
         gauge.read()
@@ -289,8 +289,8 @@
               f"before), {gauge.descriptors} descriptors; "
               f"{'; '.join(faults) or 'passed'}", flush=True)
     finally:
-        if crowd:
-            crowd.close()
+        if group:
+            group.close()
         await site.stop()
     return faults
 
