--- a/review/10/case.py
+++ b/review/10/case.py
@@ -20,7 +20,7 @@
          (1 + BOUNDS["quotaOverage"]) + BOUNDS["quotaSlack"])
 # Requests a second that the tenant's clients send to each machine.
 DEMAND = 90
-CUT_S = 11.0
+MACHINES, CUT_S = 4, 11.0
 
 
 class Client:
@@ -57,12 +57,12 @@
 
 
 async def case(bed, record):
-    proxies = [Proxy(bed.ip(index)) for index in range(2)]
+    proxies = [Proxy(bed, index) for index in range(MACHINES)]
     for proxy in proxies:
         await proxy.start()
     machines = [bed.add(Instance, "ciw", f"zone-{index}", BOUNDS,
                         proxies[index], capacity=64, work=0.01)
-                for index in range(2)]
+                for index in range(MACHINES)]
     try:
         for node, instance in machines:
             node.start()
@@ -79,16 +79,16 @@
         load = asyncio.gather(*(each.run(6.0 + CUT_S) for each in clients))
         await asyncio.sleep(6.0)
         if TROUBLE:
-            record.write("the machines are cut off from one another")
+            record.write("machine 1 is cut off from the other machines")
             for proxy in proxies:
-                proxy.cut = True
+                proxy.cut_off = 1
         await asyncio.sleep(0.5)
-        second = machines[1][0]
+        node = machines[1][0]
         if TROUBLE:
-            second.send(signal.SIGKILL)
-            second.child.wait()
+            node.send(signal.SIGKILL)
+            node.child.wait()
             await asyncio.sleep(0.3)
-            second.start()
+            node.start()
         await load
     finally:
         for proxy in proxies:
--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -10,7 +10,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 import urllib.parse
@@ -142,12 +141,15 @@
         self.items, self.events = {}, []
         self.revision, self.leases, self.next_lease = 1, {}, 0
         self.era = 1
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
 
     async def put(self, key, value, lease=0):
-        async with self.changed:
-            self._put(key, value, lease)
-            self.changed.notify_all()
+        self._put(key, value, lease)
+        self._wake_watches()
+
+    def _wake_watches(self):
+        waiting, self.changed = self.changed, asyncio.Event()
+        waiting.set()
 
     def _put(self, key, value, lease=0):
         self.revision += 1
@@ -171,9 +173,8 @@
             del self.leases[lease]
             for key in [each["key"] for each in self.items.values()
                         if each["lease"] == lease]:
-                async with self.changed:
-                    self._remove(key)
-                    self.changed.notify_all()
+                self._remove(key)
+                self._wake_watches()
 
     async def handle(self, head, body, reader, writer):
         await self._expire()
@@ -235,13 +236,12 @@
                     and event["key"].startswith(prefix)]
         if after > self.revision:
             return 410, {}
-        async with self.changed:
-            while not found() and time.monotonic() < end:
-                try:
-                    await asyncio.wait_for(self.changed.wait(),
-                                           end - time.monotonic())
-                except asyncio.TimeoutError:
-                    break
+        while not found() and time.monotonic() < end:
+            try:
+                await asyncio.wait_for(self.changed.wait(),
+                                       end - time.monotonic())
+            except asyncio.TimeoutError:
+                break
         return 200, {"events": found(), "storeRevision": self.revision}
 
     async def _transact(self, body):
@@ -257,13 +257,12 @@
             return 404, {}
         if any(each["key"].startswith(("op/", "servers/")) for each in writes):
             return 403, {}
-        async with self.changed:
-            for each in writes:
-                self._put(each["key"], base64.b64decode(each["value"]),
-                          each.get("lease", 0))
-            for key in body.get("remove", []):
-                self._remove(key)
-            self.changed.notify_all()
+        for each in writes:
+            self._put(each["key"], base64.b64decode(each["value"]),
+                      each.get("lease", 0))
+        for key in body.get("remove", []):
+            self._remove(key)
+        self._wake_watches()
         return 200, {"revision": self.revision}
 
 
@@ -382,13 +381,45 @@
     return await asyncio.wait_for(exchange(), limit)
 
 
-class Proxy:
-    """A TCP proxy in front of the port for peers of a node. While it is cut, it
-    keeps connections open and passes nothing on; bytes of that time are lost."""
+def process_of(port, identifiers):
+    """Returns which of the processes holds the socket at the local port of a
+    connection over loopback, or None."""
+    wanted = f":{port:04X}"
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        inodes = {row[9] for row in map(str.split, table)
+                  if row[1].endswith(wanted) and row[9] != "0"}
+    for identifier in identifiers:
+        folder = f"/proc/{identifier}/fd"
+        try:
+            links = [os.readlink(f"{folder}/{name}")
+                     for name in os.listdir(folder)]
+        except OSError:
+            continue  # The process has ended or has closed the descriptor.
+        if any(f"socket:[{inode}]" in links for inode in inodes):
+            return identifier
+    return None
 
-    def __init__(self, ip):
-        self.ip, self.port, self.target = ip, free_ports(ip, 1)[0], None
-        self.cut, self.server, self.writers = False, None, set()
+
+class Proxy:
+    """A TCP proxy in front of the port for peers of a node. It cuts the machine
+    of a node off: connections of that machine stay open and nothing is passed
+    on; the bytes of that time are lost."""
+
+    def __init__(self, bed, index):
+        self.bed, self.index, self.ip = bed, index, bed.ip(index)
+        self.port, self.target = free_ports(self.ip, 1)[0], None
+        self.cut_off, self.server, self.writers = None, None, set()
+
+    def is_cut(self, caller):
+        return self.cut_off is not None and (self.index == self.cut_off or
+                                             caller == self.cut_off)
+
+    def _caller(self, writer):
+        """Returns the index of the node at the other end."""
+        port = writer.get_extra_info("peername")[1]
+        nodes = {node.child.pid: node.index for node in self.bed.nodes
+                 if node.child}
+        return nodes.get(process_of(port, nodes))
 
     @property
     def address(self):
@@ -406,24 +437,25 @@
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
-        was_cut, far = self.cut, None
+        caller, far = self._caller(writer), None
         try:
-            if self.cut:
-                await reader.read()
+            if self.is_cut(caller):
+                while await reader.read(65536):
+                    pass
                 return
             ip, _, port = self.target.rpartition(":")
             far_reader, far = await asyncio.open_connection(ip, int(port))
-            await asyncio.gather(self._copy(reader, far),
-                                 self._copy(far_reader, writer))
+            await asyncio.gather(self._copy(reader, far, caller),
+                                 self._copy(far_reader, writer, caller))
         except (OSError, asyncio.CancelledError):
             pass  # One side has closed, or the case has ended.
         finally:
             self.writers.discard(writer)
             writer.close()
-            if far and not was_cut:
+            if far:
                 far.close()
 
-    async def _copy(self, reader, writer):
+    async def _copy(self, reader, writer, caller):
         # A connection that has lost bytes passes nothing on after the cut.
         lost = False
         while True:
@@ -431,7 +463,7 @@
             if not data:
                 writer.close()
                 return
-            lost = lost or self.cut
+            lost = lost or self.is_cut(caller)
             if not lost:
                 writer.write(data)
                 await writer.drain()
@@ -583,19 +615,24 @@
 
     async def run():
         bed = Bed(record)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(
+                number, asyncio.current_task().cancel)
         try:
             await bed.store.start()
             return BROKEN if await asyncio.wait_for(case(bed, record),
                                                     110) else HELD
         finally:
             await bed.end()
+    loop = asyncio.new_event_loop()
     try:
-        status = asyncio.run(run())
-    except (CouldNotRun, asyncio.TimeoutError, OSError,
+        status = loop.run_until_complete(run())
+    except (CouldNotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError,
             asyncio.IncompleteReadError) as reason:
         record.write(f"could not run: {type(reason).__name__}: {reason}")
         status = COULD_NOT_RUN
     record.write({BROKEN: "result: the rule was broken",
                   HELD: "result: the rule held",
                   COULD_NOT_RUN: "result: could not run"}[status])
-    sys.exit(status)
+    # The nodes have ended; what is left are tasks that wait for connections.
+    os._exit(status)
