--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -381,99 +381,10 @@
     return await asyncio.wait_for(exchange(), limit)
 
 
-def process_of(port, identifiers):
-    """Returns which of the processes holds the socket at the local port of a
-    connection over loopback, or None."""
-    wanted = f":{port:04X}"
-    with open("/proc/net/tcp", encoding="ascii") as table:
-        inodes = {row[9] for row in map(str.split, table)
-                  if row[1].endswith(wanted) and row[9] != "0"}
-    for identifier in identifiers:
-        folder = f"/proc/{identifier}/fd"
-        try:
-            links = [os.readlink(f"{folder}/{name}")
-                     for name in os.listdir(folder)]
-        except OSError:
-            continue  # The process has ended or has closed the descriptor.
-        if any(f"socket:[{inode}]" in links for inode in inodes):
-            return identifier
-    return None
-
-
-class Proxy:
-    """A TCP proxy in front of the port for peers of a node. It cuts the machine
-    of a node off: connections of that machine stay open and nothing is passed
-    on; the bytes of that time are lost."""
-
-    def __init__(self, bed, index):
-        self.bed, self.index, self.ip = bed, index, bed.ip(index)
-        self.port, self.target = free_ports(self.ip, 1)[0], None
-        self.cut_off, self.server, self.writers = None, None, set()
-
-    def is_cut(self, caller):
-        return self.cut_off is not None and (self.index == self.cut_off or
-                                             caller == self.cut_off)
-
-    def _caller(self, writer):
-        """Returns the index of the node at the other end."""
-        port = writer.get_extra_info("peername")[1]
-        nodes = {node.child.pid: node.index for node in self.bed.nodes
-                 if node.child}
-        return nodes.get(process_of(port, nodes))
-
-    @property
-    def address(self):
-        return f"{self.ip}:{self.port}"
-
-    async def start(self):
-        self.server = await asyncio.start_server(self._serve, self.ip,
-                                                 self.port)
-
-    async def stop(self):
-        if self.server:
-            self.server.close()
-        for writer in list(self.writers):
-            writer.close()
-
-    async def _serve(self, reader, writer):
-        self.writers.add(writer)
-        caller, far = self._caller(writer), None
-        try:
-            if self.is_cut(caller):
-                while await reader.read(65536):
-                    pass
-                return
-            ip, _, port = self.target.rpartition(":")
-            far_reader, far = await asyncio.open_connection(ip, int(port))
-            await asyncio.gather(self._copy(reader, far, caller),
-                                 self._copy(far_reader, writer, caller))
-        except (OSError, asyncio.CancelledError):
-            pass  # One side has closed, or the case has ended.
-        finally:
-            self.writers.discard(writer)
-            writer.close()
-            if far:
-                far.close()
-
-    async def _copy(self, reader, writer, caller):
-        # A connection that has lost bytes passes nothing on after the cut.
-        lost = False
-        while True:
-            data = await reader.read(65536)
-            if not data:
-                writer.close()
-                return
-            lost = lost or self.is_cut(caller)
-            if not lost:
-                writer.write(data)
-                await writer.drain()
-
-
 class Node:
     """A process of the project beside an instance."""
 
-    def __init__(self, bed, index, service, zone, upstream, extra=None,
-                 proxy=None):
+    def __init__(self, bed, index, service, zone, upstream, extra=None):
         self.bed, self.index, self.service = bed, index, service
         self.zone, self.ip, self.child = zone, bed.ip(index), None
         ports = free_ports(self.ip, 5)
@@ -489,9 +400,6 @@
             "memory_mb": 260, "max_fds": 4100, "announcement_period_s": 1.5,
             "bounds": {**BOUNDS, **(extra or {})}}
         self.peer = address[4]
-        if proxy:
-            proxy.target = self.peer
-            settings["public_peer_address"] = proxy.address
         self.settings = bed.folder / f"node-{index}.json"
         self.settings.write_text(json.dumps(settings), encoding="utf-8")
         self.log = bed.folder / f"node-{index}.log"
@@ -566,8 +474,7 @@
     def ip(self, index):
         return f"127.{self.net}.0.{index + 1}"
 
-    def add(self, instance_class, service, zone, extra=None, proxy=None,
-            **options):
+    def add(self, instance_class, service, zone, extra=None, **options):
         """Adds a machine: a node and its instance. Neither is started."""
         index = len(self.nodes)
         options.setdefault("name", f"i-{index}")
@@ -576,7 +483,7 @@
                                   port=port, **options)
         self.instances.append(instance)
         self.nodes.append(Node(self, index, service, zone, instance.address,
-                               extra, proxy))
+                               extra))
         return self.nodes[-1], instance
 
     async def write_config(self, config):
