--- a/review/10/case.py
+++ b/review/10/case.py
@@ -96,4 +96,4 @@
     return len(counted) > RETRIES_MAX
 
 
-main(case, FOLDER)
+main(case, FOLDER / "record.txt")
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -68,4 +68,4 @@
     return broken
 
 
-main(case, FOLDER)
+main(case, FOLDER / "record.txt")
--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -26,11 +26,10 @@
 
 
 class Record:
-    """The file record.txt of a case."""
+    """What was sent, answered and run in a case."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w",
-                         encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.begin = time.monotonic()
 
     def write(self, text):
@@ -515,9 +514,10 @@
                        "headerTimeoutS": 3.0, "idleTimeoutS": 15.0}}
 
 
-def main(case, folder):
-    """Runs case(bed, record), which returns whether the rule was broken."""
-    record = Record(folder)
+def main(case, record_path):
+    """Runs case(bed, record), which returns whether the rule was broken. The
+    record is written to the path."""
+    record = Record(record_path)
     record.write(f"TROUBLE={int(TROUBLE)}")
 
     async def run():
