Forward the fields of a message byte for byte as checked

Cause: a head was checked and then parsed again by POCO, which decodes encoded words, so that a value gained line ends after the check.

Change: method, target, status, reason and fields are copied from the bytes that were checked; POCO's messages only hold them. withoutField() is no longer needed.

--- a/include/hyssopford/net/http_head.hpp
+++ b/include/hyssopford/net/http_head.hpp
@@ -18,13 +18,14 @@
   std::size_t StartLine = 8'192;
   /// Longest head in bytes, start line included.
   std::size_t Head = 32'768;
-  /// Maximum number of header fields. POCO's own limit is 100.
+  /// Maximum number of header fields.
   std::size_t Fields = 100;
   /// Longest body in bytes.
   std::uint64_t Body = 1'048'576;
   /// Field of requests that holds the key of a client account; empty for none.
   std::string CredentialField{};
 };
+};
 
 /// @brief Why a message is refused.
 struct HttpFault {
@@ -100,11 +101,11 @@
 bool splitFieldLine(std::string_view Line, std::string_view &Name,
                     std::string_view &Value);
 
-/// @brief Copies a head without the lines of one field.
-/// @param Head a head that passed the check
-/// @param Name name of the field
-/// @return the other lines
-std::string withoutField(std::string_view Head, std::string_view Name);
+/// @brief Tells whether a line is that of a field, whatever its value.
+/// @param Line the line
+/// @param Name name of the field; an empty one matches no line
+/// @return whether @p Line starts with @p Name and a colon
+bool isFieldLine(std::string_view Line, std::string_view Name);
 
 /// @brief Compares ASCII texts, such as field names, ignoring case.
 bool equalsIgnoreCase(std::string_view Left, std::string_view Right);
--- a/include/hyssopford/net/http_reader.hpp
+++ b/include/hyssopford/net/http_reader.hpp
@@ -15,7 +15,7 @@
 namespace hyssopford {
 
 /// @brief Parses consecutive messages from a byte stream. Heads pass the strict
-/// check of http_head.hpp before POCO parses them.
+/// check of http_head.hpp; their bytes are then copied as they are.
 class HttpReader {
 public:
   /// @brief Kind of the messages in the stream.
--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-/// POCO's limits on field names and values in bytes; longer ones are refused
-/// before its parser sees them.
+/// Longest field names, values and methods in bytes.
 constexpr std::size_t MaximumNameLength = 256;
 constexpr std::size_t MaximumValueLength = 8'192;
 constexpr std::size_t MaximumMethodLength = 32;
@@ -96,14 +95,6 @@
   return Target.find("%00") == std::string_view::npos;
 }
 
-/// Returns whether a header line is that of the field @p Name, without regard
-/// to its value.
-bool isLineOf(std::string_view Line, std::string_view Name) {
-  return !Name.empty() && Line.size() > Name.size() &&
-         Line[Name.size()] == ':' &&
-         equalsIgnoreCase(Line.substr(0, Name.size()), Name);
-}
-
 /// Checks the lines of a head and collects the fields that determine the body
 /// framing.
 class HeadChecker {
@@ -146,7 +137,7 @@
       if (Line.front() == ' ' || Line.front() == '\t') {
         return refuse(400, "folded header line");
       }
-      if (isLineOf(Line, Limits.CredentialField)) {
+      if (isFieldLine(Line, Limits.CredentialField)) {
         readCredential(Line.substr(Limits.CredentialField.size() + 1), Facts);
         continue;
       }
@@ -415,18 +406,10 @@
   return isToken(Name) && std::all_of(Value.begin(), Value.end(), isFieldChar);
 }
 
-std::string withoutField(std::string_view Head, std::string_view Name) {
-  std::string Result;
-  Result.reserve(Head.size());
-  while (!Head.empty()) {
-    const std::size_t Size = std::min(Head.find('\n'), Head.size() - 1) + 1;
-    const std::string_view Line = Head.substr(0, Size);
-    if (!isLineOf(Line, Name)) {
-      Result.append(Line);
-    }
-    Head.remove_prefix(Size);
-  }
-  return Result;
+bool isFieldLine(std::string_view Line, std::string_view Name) {
+  return !Name.empty() && Line.size() > Name.size() &&
+         Line[Name.size()] == ':' &&
+         equalsIgnoreCase(Line.substr(0, Name.size()), Name);
 }
 
 bool equalsIgnoreCase(std::string_view Left, std::string_view Right) {
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -1,7 +1,7 @@
 #include "hyssopford/net/http_reader.hpp"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
+#include "message_head.hpp"
+
 #include <algorithm>
 #include <charconv>
 
@@ -172,26 +172,11 @@
   }
   Facts = *Checked;
   Facts.HeadBytes = Head.size();
-  // The key goes no further than its digest, and POCO's parser would refuse
-  // some keys.
-  std::string Reduced;
-  if (Facts.HasCredentialField) {
-    Reduced = withoutField(Head, Limits.CredentialField);
-    Head = Reduced;
-  }
-  try {
-    Poco::MemoryInputStream Stream(Head.data(),
-                                   static_cast<std::streamsize>(Head.size()));
-    if (MessageKind == Kind::Request) {
-      Request.clear();
-      Request.read(Stream);
-    } else {
-      Response.clear();
-      Response.read(Stream);
-    }
-  } catch (const Poco::Exception &) {
-    Fault = HttpFault{400, "malformed head"};
-    return false;
+  if (MessageKind == Kind::Request) {
+    // The key goes no further than its digest.
+    copyRequestHead(Head, Limits.CredentialField, Request);
+  } else {
+    copyResponseHead(Head, Response);
   }
   Remaining = Facts.ContentLength;
   TrailerBytes = 0;
