Read no field otherwise than the system on the other side

Found beside the decoded fields: a request with two identifiers, deadlines or credentials passed, and the node took the first one; fields with underscores for hyphens passed as other fields than those that the node sets; an answer could name its signature in Connection, so that its caller got a success without one; a service name in the settings could hold line ends.

--- a/include/hyssopford/net/edge_policy.hpp
+++ b/include/hyssopford/net/edge_policy.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hyssopford {
 
@@ -69,6 +70,10 @@
   /// @return the name; empty if there is no such field
   virtual std::string credentialField() const { return {}; }
 
+  /// @brief Names the fields by which the node and the upstream decide alike
+  /// and which a request may therefore have once at most.
+  virtual std::vector<std::string> uniqueFields() const { return {}; }
+
   /// @brief Builds the request that is sent to an upstream.
   /// @param Request the request
   /// @param Trusted true for requests of the upstream on this VM
@@ -138,6 +143,7 @@
   std::string
   callerRequestId(const Poco::Net::HTTPRequest &Head) const override;
   std::string credentialField() const override;
+  std::vector<std::string> uniqueFields() const override;
   Payload forwardedRequest(HttpRequest Request, bool Trusted) const override;
   std::string answerFields(const ReplyToCaller &Reply) const override;
   Payload refusal(const EdgeRefusal &Refused) const override;
--- a/include/hyssopford/net/http_forward.hpp
+++ b/include/hyssopford/net/http_forward.hpp
@@ -74,6 +74,14 @@
                              std::string Body, bool IsHeadRequest,
                              MemoryCharge Memory = {});
 
+/// @brief Tells whether a field of a message is passed on.
+/// @param Head the message
+/// @param Name name of the field
+/// @return false for hop-by-hop fields, those that Connection names included,
+/// and for Hyssopford-* fields
+bool isForwardedField(const Poco::Net::HTTPMessage &Head,
+                      std::string_view Name);
+
 /// @return the path of the request target, without scheme, authority and query
 std::string_view pathOf(const Poco::Net::HTTPRequest &Head,
                         const HttpHeadFacts &Facts);
--- a/include/hyssopford/net/http_head.hpp
+++ b/include/hyssopford/net/http_head.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hyssopford {
 
@@ -24,7 +25,9 @@
   std::uint64_t Body = 1'048'576;
   /// Field of requests that holds the key of a client account; empty for none.
   std::string CredentialField{};
-};
+  /// Fields that a request may have once at most, since the node and the
+  /// upstream could choose different ones of several.
+  std::vector<std::string> UniqueFields{};
 };
 
 /// @brief Why a message is refused.
@@ -107,6 +110,16 @@
 /// @return whether @p Line starts with @p Name and a colon
 bool isFieldLine(std::string_view Line, std::string_view Name);
 
+/// @brief Tells whether a text may be the value of a field.
+/// @param Text the text
+/// @return whether it has no control characters but tabs
+bool isFieldValue(std::string_view Text);
+
+/// @brief Compares field names as upstreams do that keep fields in variables
+/// (RFC 3875, section 4.1.18): without case, an underscore being a hyphen.
+/// @return whether an upstream may take one for the other
+bool namesSameVariable(std::string_view Left, std::string_view Right);
+
 /// @brief Compares ASCII texts, such as field names, ignoring case.
 bool equalsIgnoreCase(std::string_view Left, std::string_view Right);
 
--- a/src/net/default_edge_policy.cpp
+++ b/src/net/default_edge_policy.cpp
@@ -29,6 +29,10 @@
   return "Hyssopford-Credential";
 }
 
+std::vector<std::string> DefaultEdgePolicy::uniqueFields() const {
+  return {"Idempotency-Key", "Authorization", "Hyssopford-Timeout-Ms"};
+}
+
 Payload DefaultEdgePolicy::forwardedRequest(HttpRequest Request,
                                             bool Trusted) const {
   return buildForwardedRequest(std::move(Request), Trusted);
--- a/src/net/http_forward.cpp
+++ b/src/net/http_forward.cpp
@@ -47,13 +47,13 @@
 bool contains(const std::array<std::string_view, Size> &Names,
               std::string_view Name) {
   return std::any_of(Names.begin(), Names.end(), [&](std::string_view Each) {
-    return equalsIgnoreCase(Each, Name);
+    return namesSameVariable(Each, Name);
   });
 }
 
 bool isInternal(std::string_view Name) {
   constexpr std::string_view Prefix = "hyssopford-";
-  return equalsIgnoreCase(Name.substr(0, Prefix.size()), Prefix);
+  return namesSameVariable(Name.substr(0, Prefix.size()), Prefix);
 }
 
 /// Names of fields that Connection fields declare as hop-by-hop.
@@ -216,6 +216,11 @@
       AddedFields);
 }
 
+bool isForwardedField(const Poco::Net::HTTPMessage &Head,
+                      std::string_view Name) {
+  return !isDropped(Name, connectionFieldNames(Head));
+}
+
 Payload buildForwardedAnswer(const Poco::Net::HTTPResponse &Head,
                              std::string Body, bool IsHeadRequest,
                              MemoryCharge Memory) {
--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -150,12 +150,27 @@
           Value.size() > MaximumValueLength) {
         return refuse(431, "header field too long");
       }
-      if (!checkField(Name, Value, Facts)) {
+      if (!checkUnique(Name) || !checkField(Name, Value, Facts)) {
         return false;
       }
     }
   }
 
+  bool checkUnique(std::string_view Name) {
+    const auto Found = std::find_if(
+        Limits.UniqueFields.begin(), Limits.UniqueFields.end(),
+        [&](const std::string &Each) { return namesSameVariable(Each, Name); });
+    if (Found == Limits.UniqueFields.end()) {
+      return true;
+    }
+    if (std::find(SeenUnique.begin(), SeenUnique.end(), *Found) !=
+        SeenUnique.end()) {
+      return refuse(400, "repeated field");
+    }
+    SeenUnique.push_back(*Found);
+    return true;
+  }
+
   bool checkField(std::string_view Name, std::string_view Value,
                   HttpHeadFacts &Facts) {
     if (equalsIgnoreCase(Name, "content-length")) {
@@ -266,6 +281,7 @@
   bool SeenHost = false;
   bool SeenClose = false;
   bool SeenKeepAlive = false;
+  std::vector<std::string_view> SeenUnique;
 };
 
 /// Removes scheme and authority from an absolute-form target (RFC 9112, section
@@ -403,7 +419,17 @@
   }
   Name = Line.substr(0, Colon);
   Value = trim(Line.substr(Colon + 1));
-  return isToken(Name) && std::all_of(Value.begin(), Value.end(), isFieldChar);
+  return isToken(Name) && isFieldValue(Value);
+}
+
+bool isFieldValue(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), isFieldChar);
+}
+
+bool namesSameVariable(std::string_view Left, std::string_view Right) {
+  const auto Fold = [](char C) { return C == '_' ? '-' : toLower(C); };
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [&](char A, char B) { return Fold(A) == Fold(B); });
 }
 
 bool isFieldLine(std::string_view Line, std::string_view Name) {
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -97,6 +97,7 @@
   Result.Clients = &Clients;
   if (Number == CallerServerNumber || Number == LocalServerNumber) {
     Result.Limits.CredentialField = Adapters.Edge->credentialField();
+    Result.Limits.UniqueFields = Adapters.Edge->uniqueFields();
   }
   if (Number == ReadyServerNumber || Number == MetricsServerNumber) {
     Result.ReceiveBuffer = SmallBuffer;
--- a/src/node/upstream_registry.cpp
+++ b/src/node/upstream_registry.cpp
@@ -59,8 +59,10 @@
   if (New.Slots == 0 || New.Slots > MaximumSlots) {
     return refuse(Fault, "/slots: expected 1 to 65536");
   }
-  if (!New.HealthPath.starts_with('/') ||
-      New.HealthPath.find_first_of(" \r\n") != std::string::npos) {
+  const bool IsPlain =
+      std::all_of(New.HealthPath.begin(), New.HealthPath.end(),
+                  [](char Each) { return Each > ' ' && Each <= '~'; });
+  if (!New.HealthPath.starts_with('/') || !IsPlain) {
     return refuse(Fault, "/health_path: expected a path");
   }
   if (New.TimeToLive < 100ms || New.TimeToLive > 60s) {
