Keep crashes of upstreams in the store

Cause: the sightings of crashes lived in the memory of the nodes, so the bound on the crashes of a request held only while one node stayed up.

A node reads the record once, unless a peer that knows it passes its sightings on first (QuarantineNotice.complete). The quarantine moves to core/quarantine.

--- a/include/hyssopford/core/decision_settings.hpp
+++ b/include/hyssopford/core/decision_settings.hpp
@@ -233,6 +233,16 @@
                          const EvacuationSettings &) = default;
 };
 
+/// @brief Settings of the quarantine of requests that crash upstreams.
+struct QuarantineSettings {
+  /// Whether crash sightings are kept in the store, so that they outlast all
+  /// nodes.
+  bool Stored = false;
+
+  friend bool operator==(const QuarantineSettings &,
+                         const QuarantineSettings &) = default;
+};
+
 /// @brief All settings of the decision core.
 struct DecisionSettings {
   RoutingSettings Routing;
@@ -243,6 +253,7 @@
   AllotmentSettings Allotments;
   ColdSettings Cold;
   EvacuationSettings Evacuation;
+  QuarantineSettings Quarantine;
 
   friend bool operator==(const DecisionSettings &,
                          const DecisionSettings &) = default;
--- a/include/hyssopford/core/message.hpp
+++ b/include/hyssopford/core/message.hpp
@@ -11,7 +11,7 @@
 #include "hyssopford/core/membership_message.hpp"
 #include "hyssopford/core/outcome.hpp"
 #include "hyssopford/core/payload.hpp"
-#include "hyssopford/core/quarantine_message.hpp"
+#include "hyssopford/core/quarantine/quarantine_message.hpp"
 #include "hyssopford/core/routing_config.hpp"
 #include "hyssopford/core/time.hpp"
 #include "hyssopford/core/trace_context.hpp"
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -18,7 +18,7 @@
 #include "hyssopford/core/nested_call_detector.hpp"
 #include "hyssopford/core/owner_system.hpp"
 #include "hyssopford/core/probe_system.hpp"
-#include "hyssopford/core/quarantine_system.hpp"
+#include "hyssopford/core/quarantine/quarantine_system.hpp"
 #include "hyssopford/core/random_source.hpp"
 #include "hyssopford/core/routing_config.hpp"
 #include "hyssopford/core/traffic_split.hpp"
--- a/include/hyssopford/core/quarantine_message.hpp
+++ b/include/hyssopford/core/quarantine/quarantine_message.hpp
@@ -37,6 +37,9 @@
 /// @brief Gossips crash sightings.
 struct QuarantineNotice {
   std::vector<CrashSighting> Sightings;
+  /// True if the sender's table includes the record in the store and this is
+  /// the last message with the sightings that the sender knew.
+  bool Complete = false;
 
   friend bool operator==(const QuarantineNotice &,
                          const QuarantineNotice &) = default;
--- a/include/hyssopford/core/quarantine_system.hpp
+++ b/include/hyssopford/core/quarantine/quarantine_system.hpp
@@ -4,7 +4,8 @@
 
 #include "hyssopford/core/action.hpp"
 #include "hyssopford/core/event.hpp"
-#include "hyssopford/core/quarantine_message.hpp"
+#include "hyssopford/core/quarantine/quarantine_message.hpp"
+#include "hyssopford/core/quarantine/quarantine_store.hpp"
 #include "hyssopford/core/random_source.hpp"
 #include "hyssopford/core/routing_config.hpp"
 
@@ -78,24 +79,38 @@
   static constexpr std::size_t MaxGated = 256;
   static constexpr std::size_t MaxTrusted = 4'096;
   static constexpr std::size_t MaxSightings = 64;
+  /// Most fingerprints in the store, and most crashes of one of them.
+  static constexpr std::size_t MaxStored = 64;
+  static constexpr std::size_t MaxStoredCrashes = 4;
+  /// Longest time for which a trial waits for the store.
+  static constexpr Duration RecordTimeout = 1s;
 
   /// @name Construction
   /// @{
 
   /// @param Self this run of this node
   /// @param Random source of the choice of peers
-  QuarantineSystem(NodeRun Self, RandomSource &Random);
+  /// @param Settings whether sightings are kept in the store
+  QuarantineSystem(NodeRun Self, RandomSource &Random,
+                   const QuarantineSettings &Settings = {});
+  QuarantineSystem(const QuarantineSystem &) = delete;
+  QuarantineSystem &operator=(const QuarantineSystem &) = delete;
   /// @}
 
   /// @name Owner side
   /// @{
 
   /// @brief Queues an attempt dispatched to this owner; takeGated releases it.
+  /// A trial waits until the store has acknowledged its record.
   /// @param Refusal reason for which the attempt must be refused; None if it
   /// may run
   void dispatch(NodeRun From, const Dispatch &Attempt, TimePoint Now,
                 OutcomeReason Refusal = OutcomeReason::None);
 
+  /// @brief Announces the trials among the attempts dispatched since the last
+  /// call to the peers and the store. Must follow dispatch().
+  void recordTrials(TimePoint Now, Actions &Out);
+
   /// @brief Records that the owner started an attempt, and announces it to the
   /// peers if it is a trial.
   void attemptStarted(const AttemptId &Attempt, TimePoint Now, Actions &Out);
@@ -131,6 +146,10 @@
   void receive(NodeRun From, const QuarantineNotice &Notice, TimePoint Now,
                Actions &Out);
 
+  /// @brief Handles the end of a call to the store; calls of other systems are
+  /// looked at for the era only.
+  void receive(const StoreReplied &Reply, TimePoint Now, Actions &Out);
+
   /// @brief Handles a new link to a peer; sends it all known sightings.
   void linkUp(NodeRun Peer, TimePoint Now, Actions &Out);
 
@@ -147,7 +166,8 @@
   /// @name Observers
   /// @{
 
-  /// @return whether requests with this fingerprint are rejected
+  /// @return whether requests with this fingerprint are rejected. While the
+  /// record of the store is unknown, one crash is enough.
   bool isQuarantined(std::uint64_t Fingerprint, TimePoint Now) const;
 
   /// @return when a request with this fingerprint may next run as a trial;
@@ -171,6 +191,10 @@
   /// @return the time of the next timer, if any
   std::optional<TimePoint> nextWakeup() const;
 
+  /// @return whether the table includes the sightings of the store; true if
+  /// there is no record
+  bool complete() const { return Store.complete(); }
+
   /// @return the number of fingerprints in the table
   std::size_t size() const { return Fingerprints.size(); }
   /// @}
@@ -204,6 +228,14 @@
     NodeRun From;
     Dispatch Attempt;
     TimePoint Arrived;
+    /// Number of the sighting that announced the trial; 0 for none.
+    std::uint64_t Trial = 0;
+  };
+  /// A trial that waits for the store.
+  struct UnrecordedRow {
+    GatedRow Gated;
+    /// Number of the change that the store must acknowledge.
+    std::uint64_t Change = 0;
   };
   struct FailureRow {
     TimePoint At;
@@ -216,6 +248,12 @@
   /// @return the number of its sighting
   std::uint64_t recordTrial(std::uint64_t Fingerprint, TimePoint Now,
                             Actions &Out);
+  /// Passes trials on that the store has acknowledged and refuses those that
+  /// waited too long.
+  void releaseRecorded(TimePoint Now);
+  /// Lets the reply to a refused trial withdraw it.
+  void expectWithdrawal(const Dispatch &Attempt, std::uint64_t Trial,
+                        TimePoint Now);
   /// Withdraws a trial that did not reach the upstream.
   void withdrawTrial(const AttemptRow &Row, TimePoint Now, Actions &Out);
   /// Number of crashes in which a fingerprint was seen, refuted ones included.
@@ -232,6 +270,14 @@
   /// Clears the sightings that answers of this node's upstream refute.
   /// @return whether one was cleared
   bool clearRefuted(std::uint64_t Fingerprint, TimePoint Now, Actions &Out);
+  /// Passes sightings of the store on to all peers.
+  void takeStored(TimePoint Now, Actions &Out);
+  /// Sends all sightings to a peer; the last message states whether they
+  /// include those of the store.
+  void sendAll(NodeId Peer, TimePoint Now, Actions &Out) const;
+  /// @return the sightings that the store is to hold
+  std::vector<CrashSighting> storedSightings(TimePoint Now) const;
+  static bool hasUncleared(const FingerprintRow &Row);
   /// Reports the start or the end of a quarantine.
   static void reportChange(std::uint64_t Fingerprint, FingerprintRow &Row,
                            Actions &Out);
@@ -251,12 +297,19 @@
   std::map<std::uint64_t, std::uint64_t> Lifts;
   std::map<AttemptId, AttemptRow> Attempts;
   std::deque<GatedRow> Gate;
+  /// Trials that are not yet announced.
+  std::vector<GatedRow> NewTrials;
+  std::vector<UnrecordedRow> Unrecorded;
   std::vector<GatedAttempt> Refused;
   std::deque<FailureRow> Failures;
   /// Fingerprints that this node's upstream answered, and when.
   std::map<std::uint64_t, TimePoint> Trusted;
   TimePoint NextSweep;
   std::set<NodeId> Links;
+  /// Peers whose tables include the sightings of the store.
+  std::set<NodeId> CompletePeers;
+  bool WasComplete = false;
+  QuarantineStore Store;
 };
 
 } // namespace hyssopford
--- a/include/hyssopford/core/store_call.hpp
+++ b/include/hyssopford/core/store_call.hpp
@@ -113,6 +113,7 @@
   History,
   Directory,
   Evacuation,
+  Quarantine,
   Roster = 16
 };
 
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -63,7 +63,8 @@
       Owner(Self, Settings.Decisions.Admission, Settings.Decisions.Cold),
       Probes(Settings.Decisions.Probing),
       Allotments(Self, Settings.Decisions.Allotments),
-      Keys(Self, Settings.Keys, Random), Quarantine(Self, Random),
+      Keys(Self, Settings.Keys, Random),
+      Quarantine(Self, Random, Settings.Decisions.Quarantine),
       Cold(Settings.Decisions.Cold),
       Evacuations(Settings.Decisions.Evacuation) {
   if (Codec != nullptr) {
@@ -349,6 +350,7 @@
   Keys.receive(Input, Now, Out);
   Directory.receive(Input, Now);
   Evacuations.receive(Input, Now, Out);
+  Quarantine.receive(Input, Now, Out);
   if (Configs) {
     Configs->receive(Input, Now, Out);
   }
@@ -398,7 +400,7 @@
 }
 
 void NodeCore::receive(NodeRun From, const Dispatch &Message, TimePoint Now,
-                       Actions & /*Out*/) {
+                       Actions &Out) {
   Membership.touchLink(From.Node, Now);
   // A frame that waited during a pause may be long past its deadline and past
   // the retention of its idempotency key.
@@ -407,6 +409,7 @@
   Quarantine.dispatch(From, Message, Now,
                       MayBeOld ? OutcomeReason::StaleFrame
                                : OutcomeReason::None);
+  Quarantine.recordTrials(Now, Out);
 }
 
 void NodeCore::receive(NodeRun From, const DispatchReply &Message,
--- a/src/core/quarantine_system.cpp
+++ b/src/core/quarantine/quarantine_system.cpp
@@ -1,9 +1,10 @@
-#include "hyssopford/core/quarantine_system.hpp"
+#include "hyssopford/core/quarantine/quarantine_system.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
 #include <iterator>
 #include <string>
+#include <tuple>
 
 namespace hyssopford {
 
@@ -20,8 +21,11 @@
 
 } // namespace
 
-QuarantineSystem::QuarantineSystem(NodeRun Run, RandomSource &Source)
-    : Self(Run), Random(Source) {}
+QuarantineSystem::QuarantineSystem(NodeRun Run, RandomSource &Source,
+                                   const QuarantineSettings &Settings)
+    : Self(Run), Random(Source), WasComplete(!Settings.Stored),
+      Store(Settings, Source,
+            [this](TimePoint Now) { return storedSightings(Now); }) {}
 
 void QuarantineSystem::dispatch(NodeRun From, const Dispatch &Attempt,
                                 TimePoint Now, OutcomeReason Refusal) {
@@ -33,17 +37,39 @@
     return;
   }
   const bool IsGated =
-      std::any_of(Gate.begin(), Gate.end(), [&](const GatedRow &Row) {
-        return Row.Attempt.Attempt == Attempt.Attempt;
-      });
+      std::any_of(Gate.begin(), Gate.end(),
+                  [&](const GatedRow &Row) {
+                    return Row.Attempt.Attempt == Attempt.Attempt;
+                  }) ||
+      std::any_of(Unrecorded.begin(), Unrecorded.end(),
+                  [&](const UnrecordedRow &Row) {
+                    return Row.Gated.Attempt.Attempt == Attempt.Attempt;
+                  });
   if (IsGated) {
     return;
   }
-  if (Gate.size() >= MaxGated) {
+  if (Gate.size() + Unrecorded.size() >= MaxGated) {
     Refused.push_back(GatedAttempt{From, Attempt, OutcomeReason::QueueFull});
     return;
   }
-  Gate.push_back(GatedRow{From, Attempt, Now});
+  if (Store.enabled() && isQuarantined(Attempt.Fingerprint, Now)) {
+    NewTrials.push_back(GatedRow{From, Attempt, Now});
+  } else {
+    Gate.push_back(GatedRow{From, Attempt, Now});
+  }
+}
+
+void QuarantineSystem::recordTrials(TimePoint Now, Actions &Out) {
+  for (GatedRow &Row : std::exchange(NewTrials, {})) {
+    if (isBarred(Row.Attempt.Fingerprint, Now) || Store.failing()) {
+      Refused.push_back(GatedAttempt{Row.From, std::move(Row.Attempt),
+                                     OutcomeReason::Quarantined});
+      continue;
+    }
+    Row.Trial = recordTrial(Row.Attempt.Fingerprint, Now, Out);
+    Unrecorded.push_back(
+        UnrecordedRow{std::move(Row), Store.change(true, Now)});
+  }
 }
 
 void QuarantineSystem::attemptStarted(const AttemptId &Attempt, TimePoint Now,
@@ -54,7 +80,7 @@
   }
   AttemptRow &Row = Found->second;
   Row.Running = true;
-  if (isQuarantined(Row.Fingerprint, Now)) {
+  if (Row.Trial == 0 && isQuarantined(Row.Fingerprint, Now)) {
     Row.Trial = recordTrial(Row.Fingerprint, Now, Out);
   }
 }
@@ -88,8 +114,12 @@
   if (Trusted.size() < MaxTrusted || Trusted.contains(Row.Fingerprint)) {
     Trusted[Row.Fingerprint] = Now;
   }
+  const bool WasQuarantined = isQuarantined(Row.Fingerprint, Now);
   if (clearRefuted(Row.Fingerprint, Now, Out)) {
     gossip({Row.Fingerprint}, Links.size(), Now, Out);
+    if (WasQuarantined) {
+      Store.change(false, Now);
+    }
   }
 }
 
@@ -146,12 +176,14 @@
 }
 
 std::vector<GatedAttempt> QuarantineSystem::takeGated(TimePoint Now) {
+  releaseRecorded(Now);
   std::vector<GatedAttempt> Result = std::exchange(Refused, {});
   while (!Gate.empty()) {
     GatedRow &Row = Gate.front();
     GatedAttempt Next{Row.From, std::move(Row.Attempt), OutcomeReason::None};
     const Duration Waited = Now - Row.Arrived;
-    if (isBarred(Next.Attempt.Fingerprint, Now)) {
+    const bool IsTrial = Row.Trial != 0;
+    if (!IsTrial && isBarred(Next.Attempt.Fingerprint, Now)) {
       Next.Refusal = OutcomeReason::Quarantined;
     } else if (Waited > Duration{0} && Waited >= Next.Attempt.Remaining) {
       Next.Refusal = OutcomeReason::DeadlineExceeded;
@@ -163,7 +195,11 @@
       Attempts.try_emplace(
           Next.Attempt.Attempt,
           AttemptRow{Next.Attempt.Fingerprint, Now + Next.Attempt.Remaining,
-                     false, mustRunAlone(Next.Attempt.Fingerprint, Now)});
+                     false, mustRunAlone(Next.Attempt.Fingerprint, Now),
+                     Row.Trial});
+    }
+    if (IsTrial && Next.Refusal != OutcomeReason::None) {
+      expectWithdrawal(Next.Attempt, Row.Trial, Now);
     }
     Result.push_back(std::move(Next));
     Gate.pop_front();
@@ -171,7 +207,7 @@
   return Result;
 }
 
-void QuarantineSystem::receive(NodeRun /*From*/, const QuarantineNotice &Notice,
+void QuarantineSystem::receive(NodeRun From, const QuarantineNotice &Notice,
                                TimePoint Now, Actions &Out) {
   std::set<std::uint64_t> Changed;
   for (const CrashSighting &Each : Notice.Sightings) {
@@ -180,23 +216,35 @@
       Changed.insert(Each.Fingerprint);
     }
   }
+  if (Notice.Complete && Links.contains(From.Node)) {
+    CompletePeers.insert(From.Node);
+    Store.completeByPeer();
+    takeStored(Now, Out);
+  }
   if (!Changed.empty()) {
     gossip(Changed, GossipPeers, Now, Out);
   }
 }
 
+void QuarantineSystem::receive(const StoreReplied &Reply, TimePoint Now,
+                               Actions &Out) {
+  Store.receive(Reply, Now, Out);
+  takeStored(Now, Out);
+}
+
 void QuarantineSystem::linkUp(NodeRun Peer, TimePoint Now, Actions &Out) {
   Links.insert(Peer.Node);
-  std::set<std::uint64_t> Known;
-  for (const auto &[Fingerprint, Row] : Fingerprints) {
-    Known.insert(Fingerprint);
-  }
-  if (!Known.empty()) {
-    Out.emplace_back(SendToPeer{Peer.Node, sightingsOf(Known, Now)});
+  CompletePeers.erase(Peer.Node);
+  const bool HasRecord = Store.enabled() && Store.complete();
+  if (!Fingerprints.empty() || HasRecord) {
+    sendAll(Peer.Node, Now, Out);
   }
 }
 
-void QuarantineSystem::linkDown(NodeId Peer) { Links.erase(Peer); }
+void QuarantineSystem::linkDown(NodeId Peer) {
+  Links.erase(Peer);
+  CompletePeers.erase(Peer);
+}
 
 void QuarantineSystem::adopt(const RoutingConfig &Config) {
   Lifts.clear();
@@ -229,6 +277,7 @@
   while (!Failures.empty() && Failures.front().At + CrashWindow < Now) {
     Failures.pop_front();
   }
+  Store.tick(Now, Out);
   if (!NextGossip || Now < *NextGossip) {
     return;
   }
@@ -248,14 +297,17 @@
 bool QuarantineSystem::isQuarantined(std::uint64_t Fingerprint,
                                      TimePoint Now) const {
   const auto Found = Fingerprints.find(Fingerprint);
-  return Found != Fingerprints.end() && meetsQuarantineRule(Found->second) &&
+  return Found != Fingerprints.end() &&
+         (meetsQuarantineRule(Found->second) ||
+          (!Store.complete() && hasUncleared(Found->second))) &&
          Found->second.LastCrash + QuarantineTime > Now;
 }
 
 std::optional<TimePoint>
 QuarantineSystem::nextTrial(std::uint64_t Fingerprint) const {
   const auto Found = Fingerprints.find(Fingerprint);
-  if (Found == Fingerprints.end() || !meetsQuarantineRule(Found->second)) {
+  if (Found == Fingerprints.end() || !Store.complete() ||
+      !meetsQuarantineRule(Found->second)) {
     return std::nullopt;
   }
   std::size_t Trials = 0;
@@ -273,7 +325,7 @@
 
 TimePoint QuarantineSystem::nextChance(std::uint64_t Fingerprint) const {
   const auto Found = Fingerprints.find(Fingerprint);
-  if (Found == Fingerprints.end()) {
+  if (Found == Fingerprints.end() || !Store.complete()) {
     return TimePoint{};
   }
   const TimePoint End = Found->second.LastCrash + QuarantineTime;
@@ -299,8 +351,7 @@
   const auto Found = Fingerprints.find(Fingerprint);
   return Found != Fingerprints.end() &&
          Found->second.LastCrash + SuspectTime > Now &&
-         std::any_of(Found->second.Crashes.begin(), Found->second.Crashes.end(),
-                     [](const auto &Entry) { return !Entry.second.Cleared; });
+         hasUncleared(Found->second);
 }
 
 std::vector<QuarantineEntry> QuarantineSystem::list(TimePoint Now) const {
@@ -325,6 +376,13 @@
   if (!Gate.empty()) {
     Consider(Gate.front().Arrived + Gate.front().Attempt.Remaining);
   }
+  for (const UnrecordedRow &Row : Unrecorded) {
+    Consider(Row.Gated.Arrived +
+             std::min(Row.Gated.Attempt.Remaining, RecordTimeout));
+  }
+  if (const std::optional<TimePoint> Due = Store.nextWakeup()) {
+    Consider(*Due);
+  }
   return Next;
 }
 
@@ -390,6 +448,9 @@
     }
   }
   gossip(Changed, Links.size(), Now, Out);
+  if (!Changed.empty()) {
+    Store.change(false, Now);
+  }
 }
 
 std::uint64_t QuarantineSystem::recordTrial(std::uint64_t Fingerprint,
@@ -419,7 +480,111 @@
   if (Sighting != Found->second.Crashes.end()) {
     Sighting->second.Cleared = true;
     gossip({Row.Fingerprint}, Links.size(), Now, Out);
+    Store.change(false, Now);
+  }
+}
+
+void QuarantineSystem::releaseRecorded(TimePoint Now) {
+  std::vector<UnrecordedRow> Waiting;
+  for (UnrecordedRow &Row : Unrecorded) {
+    const Duration Limit = std::min(Row.Gated.Attempt.Remaining, RecordTimeout);
+    if (Row.Change <= Store.acknowledged()) {
+      Gate.push_back(std::move(Row.Gated));
+    } else if (Store.failing() || Row.Gated.Arrived + Limit <= Now) {
+      GatedRow &Ended = Row.Gated;
+      expectWithdrawal(Ended.Attempt, Ended.Trial, Now);
+      Refused.push_back(GatedAttempt{Ended.From, std::move(Ended.Attempt),
+                                     OutcomeReason::Quarantined});
+    } else {
+      Waiting.push_back(std::move(Row));
+    }
   }
+  Unrecorded = std::move(Waiting);
+}
+
+void QuarantineSystem::expectWithdrawal(const Dispatch &Attempt,
+                                        std::uint64_t Trial, TimePoint Now) {
+  Attempts.try_emplace(Attempt.Attempt, AttemptRow{Attempt.Fingerprint, Now,
+                                                   false, false, Trial});
+}
+
+void QuarantineSystem::takeStored(TimePoint Now, Actions &Out) {
+  std::set<std::uint64_t> Changed;
+  for (const CrashSighting &Each : Store.takeSightings()) {
+    if (mergeSighting(Each, Now, Out)) {
+      Changed.insert(Each.Fingerprint);
+    }
+    clearRefuted(Each.Fingerprint, Now, Out);
+  }
+  if (!WasComplete && Store.complete()) {
+    WasComplete = true;
+    for (const NodeId Peer : Links) {
+      if (!CompletePeers.contains(Peer)) {
+        sendAll(Peer, Now, Out);
+      }
+    }
+  }
+  if (!Changed.empty()) {
+    gossip(Changed, Links.size(), Now, Out);
+  }
+}
+
+void QuarantineSystem::sendAll(NodeId Peer, TimePoint Now, Actions &Out) const {
+  QuarantineNotice Message;
+  for (const auto &[Fingerprint, Row] : Fingerprints) {
+    QuarantineNotice Each = sightingsOf({Fingerprint}, Now);
+    if (!Message.Sightings.empty() &&
+        Message.Sightings.size() + Each.Sightings.size() > MaxSightings) {
+      Out.emplace_back(SendToPeer{Peer, std::exchange(Message, {})});
+    }
+    std::move(Each.Sightings.begin(), Each.Sightings.end(),
+              std::back_inserter(Message.Sightings));
+  }
+  Message.Complete = Store.enabled() && Store.complete();
+  Out.emplace_back(SendToPeer{Peer, std::move(Message)});
+}
+
+std::vector<CrashSighting>
+QuarantineSystem::storedSightings(TimePoint Now) const {
+  std::vector<std::pair<std::uint64_t, const FingerprintRow *>> Rows;
+  for (const auto &[Fingerprint, Row] : Fingerprints) {
+    if (hasUncleared(Row) && Row.LastCrash + QuarantineTime > Now) {
+      Rows.emplace_back(Fingerprint, &Row);
+    }
+  }
+  // Quarantined fingerprints first, then the latest suspects.
+  std::sort(Rows.begin(), Rows.end(), [](const auto &Left, const auto &Right) {
+    return std::tuple(meetsQuarantineRule(*Left.second), Left.second->LastCrash,
+                      Left.first) >
+           std::tuple(meetsQuarantineRule(*Right.second),
+                      Right.second->LastCrash, Right.first);
+  });
+  Rows.resize(std::min(Rows.size(), MaxStored));
+  std::vector<CrashSighting> Result;
+  for (const auto &[Fingerprint, Row] : Rows) {
+    std::vector<CrashSighting> Sightings =
+        sightingsOf({Fingerprint}, Now).Sightings;
+    std::erase_if(Sightings,
+                  [](const CrashSighting &Each) { return Each.Cleared; });
+    std::sort(Sightings.begin(), Sightings.end(),
+              [](const CrashSighting &Left, const CrashSighting &Right) {
+                return std::tuple(!Left.Trial, Left.Age) <
+                       std::tuple(!Right.Trial, Right.Age);
+              });
+    std::size_t Crashes = 0;
+    for (const CrashSighting &Each : Sightings) {
+      Crashes += Each.Trial ? 0 : 1;
+      if (Crashes <= MaxStoredCrashes) {
+        Result.push_back(Each);
+      }
+    }
+  }
+  return Result;
+}
+
+bool QuarantineSystem::hasUncleared(const FingerprintRow &Row) {
+  return std::any_of(Row.Crashes.begin(), Row.Crashes.end(),
+                     [](const auto &Entry) { return !Entry.second.Cleared; });
 }
 
 bool QuarantineSystem::mergeSighting(const CrashSighting &Sighting,
--- a/src/net/codec/quarantine_codec.cpp
+++ b/src/net/codec/quarantine_codec.cpp
@@ -15,7 +15,7 @@
         Each.Cleared, Each.Age.count(), Each.Trial));
   }
   const auto AllSightings = Out.CreateVector(Sightings);
-  return wire::CreateQuarantineNotice(Out, AllSightings);
+  return wire::CreateQuarantineNotice(Out, AllSightings, Value.Complete);
 }
 
 std::optional<QuarantineNotice> decode(const wire::QuarantineNotice &Value) {
@@ -27,6 +27,7 @@
         Each->lift_serial(), Each->alone(), Each->cleared(),
         Duration(Each->age_us()), Each->trial()});
   }
+  Notice.Complete = Value.complete();
   return Notice;
 }
 
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -134,6 +134,8 @@
   CoreSettings.Decisions.Admission.FinishedBytesMax =
       std::min(CoreSettings.Decisions.Admission.FinishedBytesMax,
                Settings.MemoryBytes / FinishedShare);
+  CoreSettings.Decisions.Quarantine.Stored =
+      Adapters.MakeStore || !Settings.StoreAddress.empty();
   CoreSettings.Keys = Settings.Keys;
   Telemetry = std::make_unique<NodeTelemetry>(
       telemetrySettings(Settings, nodeIdOf(CoreSettings.Address)),
--- a/tests/core/site_fake.cpp
+++ b/tests/core/site_fake.cpp
@@ -374,6 +374,7 @@
 void SiteFake::callStore(std::size_t Index, const StoreCall &Call) {
   ++StoreCalls;
   ConfigCalls += isCallOf(StoreUser::Config, Call.Call) ? 1 : 0;
+  QuarantineCalls += isCallOf(StoreUser::Quarantine, Call.Call) ? 1 : 0;
   const auto Pending = std::make_shared<PendingCall>();
   *Pending = {Index, node(Index).Core.get(), Call.Call, StoreSilences, false};
   const auto *IsWatch = std::get_if<StoreWatch>(&Call.Operation);
--- a/tests/core/site_fake.hpp
+++ b/tests/core/site_fake.hpp
@@ -113,6 +113,8 @@
   std::uint64_t storeCalls() const { return StoreCalls; }
   /// @return the calls of the nodes for the configuration
   std::uint64_t configCalls() const { return ConfigCalls; }
+  /// @return the calls of the nodes for the record of crash sightings
+  std::uint64_t quarantineCalls() const { return QuarantineCalls; }
   /// @return the state of a node in the table of another; Dead if it is missing
   MemberState stateAt(std::size_t Observer, std::size_t Subject);
   /// @return whether all running nodes have each other's current run as alive
@@ -180,6 +182,7 @@
   std::set<std::pair<TimePoint, std::size_t>> Wakeups;
   std::uint64_t StoreCalls = 0;
   std::uint64_t ConfigCalls = 0;
+  std::uint64_t QuarantineCalls = 0;
   bool StoreSilent = false;
   std::uint64_t StoreSilences = 0;
   /// Store revision from which the watches of each node continue.
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -219,6 +219,7 @@
   Row.Settings.Run.Value =
       static_cast<std::uint64_t>(Now.time_since_epoch().count()) + 1;
   Row.Settings.Seed = Random.next();
+  Row.Settings.Decisions.Quarantine.Stored = Settings.StoresQuarantine;
   Row.Core = std::make_unique<NodeCore>(Row.Settings);
   Row.Core->adopt(Config);
   Row.UpstreamUp = true;
@@ -262,7 +263,10 @@
                       Reply->Replayed ? " replayed" : ""));
       RepliedAt[Reply->Id.Value] = Now;
       Replies[Reply->Id.Value] = std::move(*Reply);
+    } else if (const auto *Told = std::get_if<Notice>(&Each)) {
+      Notices.push_back(*Told);
     } else if (const auto *Call = std::get_if<StoreCall>(&Each)) {
+      QuarantineCalls += isCallOf(StoreUser::Quarantine, Call->Call) ? 1 : 0;
       callStore(Node, *Call);
     } else if (std::holds_alternative<ProbeUpstream>(Each)) {
       probe(Node);
@@ -446,7 +450,7 @@
   at(Now + StoreDelay, [this, Node, Run, Call, LosesAnswer] {
     StoreResult Result;
     if (!StoreDown) {
-      const StoreResult Applied = apply(Call.Operation);
+      const StoreResult Applied = apply(Call);
       Result = LosesAnswer ? Result : Applied;
     }
     at(Now + StoreDelay, [this, Node, Run, Call, Result] {
@@ -455,7 +459,8 @@
   });
 }
 
-StoreResult Fleet::apply(const StoreOperation &Operation) {
+StoreResult Fleet::apply(const StoreCall &Call) {
+  const StoreOperation &Operation = Call.Operation;
   StoreResult Result;
   if (const auto *Read = std::get_if<StoreRead>(&Operation)) {
     const auto Found = Store.find(Read->Key);
@@ -469,13 +474,19 @@
     auto &[Value, Revision] = Store[Write->Key];
     Result.Status = Revision == Write->ExpectedRevision ? StoreStatus::Done
                                                         : StoreStatus::Conflict;
-    if (Result.Status == StoreStatus::Done) {
+    if (Result.Status == StoreStatus::Conflict) {
+      Result.Value = Value;
+    } else {
       ++StoreWrites;
       Value = Write->Value;
       ++Revision;
       log("store: " + Value);
     }
     Result.Revision = Revision;
+  } else if (std::holds_alternative<StoreLease>(Operation) &&
+             isCallOf(StoreUser::Quarantine, Call.Call)) {
+    Result.Status = StoreStatus::Done;
+    Result.Lease = 1;
   } else {
     Result.Status = StoreStatus::Refused;
   }
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -51,6 +51,8 @@
   /// Number of links at which a node opens no more, 0 for no limit; only for
   /// fleets without faults.
   std::size_t MaxLinks = 0;
+  /// Whether crash sightings are kept in the store.
+  bool StoresQuarantine = false;
   /// Whether Fleet::Events records a line for each event.
   bool Log = false;
 };
@@ -107,6 +109,13 @@
   void announce(std::size_t Node, UpstreamState State);
   /// @brief Separates a set of nodes from the others; links between them break.
   void partition(const std::set<std::size_t> &Side);
+  /// @brief Writes a value as another program would.
+  void writeStore(const std::string &Key, const std::string &Value) {
+    Store[Key] = {Value, Store[Key].second + 1};
+  }
+  const std::string &readStore(const std::string &Key) {
+    return Store[Key].first;
+  }
   /// @brief Ends the partition. Nodes open links again by themselves.
   void heal();
   void log(std::string Line);
@@ -133,6 +142,9 @@
   FaultRates Rates;
   bool StoreDown = false;
   std::uint64_t StoreWrites = 0;
+  /// Calls for the record of crash sightings.
+  std::uint64_t QuarantineCalls = 0;
+  std::vector<Notice> Notices;
   RoutingConfig Config;
   /// @}
 
@@ -168,7 +180,7 @@
   void execute(std::size_t Node, const ForwardToUpstream &Forward);
   void probe(std::size_t Node);
   void callStore(std::size_t Node, const StoreCall &Call);
-  StoreResult apply(const StoreOperation &Operation);
+  StoreResult apply(const StoreCall &Call);
   bool chance(std::uint64_t Rate) { return Random.below(1000) < Rate; }
   bool blocked(std::size_t Left, std::size_t Right) const;
   static std::pair<std::size_t, std::size_t> pairOf(std::size_t Left,
