Take no answer for complete after a reset during the upload

Callers saw: an upstream answered an upload at once with a 200 without length, sent part of its body and reset the connection while the node was still writing; the part reached the caller as a complete answer.

Cause: the kernel reports a reset to one system call. The write took the error, so that the next read looked like an orderly end, at which an answer without length is complete. A check for input takes it as well.

Change: TcpStream remembers a failed system call: no end is orderly after it, and the connection is not kept. What arrived before is still read, as it may be a whole answer.

--- a/include/hyssopford/net/tcp_stream.hpp
+++ b/include/hyssopford/net/tcp_stream.hpp
@@ -113,6 +113,8 @@
   /// @name Observers
   /// @{
   bool isOpen() const { return Open; }
+  /// @return whether a system call has failed, so that nothing more can be sent
+  bool isBroken() const { return Broken; }
   /// @return the number of queued bytes
   std::size_t pending() const { return PendingBytes; }
   /// @return the number of queued bytes that are not charged to a memory budget
@@ -133,6 +135,8 @@
 
   void onReady(int Modes) override;
   void readAvailable();
+  /// Reads what arrived before a write failed, then reports the failure.
+  void endBroken(std::string_view Reason);
   void flush();
   void updateModes();
   void fail(std::string_view Reason, bool Orderly = false);
@@ -152,6 +156,11 @@
   bool Paused = false;
   bool Closing = false;
   bool Lingering = false;
+  /// True for a connection that this side has opened.
+  bool IsOpener = false;
+  /// The kernel reports an error once; the reads that follow look like an
+  /// orderly end.
+  mutable bool Broken = false;
   /// Bytes read since the stream began to close.
   std::uint64_t DiscardedBytes = 0;
   std::uint64_t DiscardLimit = 0;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -95,8 +95,9 @@
     if (const std::string &Name = Client.Settings.KeptField; !Name.empty()) {
       Result.Field = Reader.response().get(Name, "");
     }
-    const bool Reusable = Stream.isOpen() && Reader.facts().KeepAlive &&
-                          Stream.pending() == 0 && Reader.buffered() == 0;
+    const bool Reusable = Stream.isOpen() && !Stream.isBroken() &&
+                          Reader.facts().KeepAlive && Stream.pending() == 0 &&
+                          Reader.buffered() == 0;
     if (Reusable) {
       Reader.next();
       IdleSince = EventLoop::now();
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -22,6 +22,8 @@
 constexpr Duration LingerTime = 500ms;
 /// Most bytes that a stream that is closing reads and discards.
 constexpr std::size_t DiscardedBytesMax = 1'048'576;
+/// Most reads after a write has failed.
+constexpr int ReadsAfterFailure = 64;
 
 constexpr int PollRead = Poco::Net::PollSet::POLL_READ;
 constexpr int PollWrite = Poco::Net::PollSet::POLL_WRITE;
@@ -62,6 +64,8 @@
   }
   Open = true;
   Connecting = true;
+  IsOpener = true;
+  Broken = false;
   Modes = PollWrite | PollError;
   Loop.add(Socket, Modes, *this);
   return true;
@@ -142,7 +146,7 @@
 }
 
 bool TcpStream::looksIdle() {
-  if (!Open || Connecting || !Queue.empty()) {
+  if (!Open || Connecting || Broken || !Queue.empty()) {
     return false;
   }
   return peek() < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
@@ -152,8 +156,10 @@
 
 int TcpStream::peek() const {
   char Byte = 0;
-  return static_cast<int>(::recv(Socket.impl()->sockfd(), &Byte, 1,
-                                 MSG_PEEK | MSG_DONTWAIT)); // NOLINT
+  const auto Result = ::recv(Socket.impl()->sockfd(), &Byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT); // NOLINT
+  Broken = Broken || (Result < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  return static_cast<int>(Result);
 }
 
 std::string TcpStream::peerAddress() const {
@@ -185,7 +191,9 @@
   if ((Ready & PollWrite) != 0 && !Queue.empty()) {
     flush();
   }
-  if (Open && (Ready & (PollRead | PollError)) != 0) {
+  if (Open && Broken) {
+    endBroken("connection failed");
+  } else if (Open && (Ready & (PollRead | PollError)) != 0) {
     readAvailable();
   }
 }
@@ -206,7 +214,7 @@
     return;
   }
   if (Received == 0) {
-    fail("closed by peer", true);
+    fail("closed by peer", !Broken);
   } else if (Received > 0 && Closing) {
     DiscardedBytes += static_cast<std::uint64_t>(Received);
     if (DiscardedBytes > DiscardLimit) {
@@ -218,6 +226,17 @@
   }
 }
 
+void TcpStream::endBroken(std::string_view Reason) {
+  // The peer may have answered completely before it stopped reading. Requests
+  // of a peer that is gone are not read.
+  for (int Count = 0; Count < ReadsAfterFailure && IsOpener && Open &&
+                      !Paused && !Closing && peek() > 0;
+       ++Count) {
+    readAvailable();
+  }
+  fail(Reason);
+}
+
 void TcpStream::flush() {
   while (Open && !Queue.empty()) {
     Poco::Net::SocketBufVec Buffers;
@@ -240,12 +259,13 @@
       }
       // Reported from the loop, as onClosed() may destroy objects that the
       // caller of write() still uses.
+      Broken = true;
       Queue.clear();
       PendingBytes = 0;
       UnchargedBytes = 0;
       Loop.cancel(LingerTimer);
       LingerTimer = Loop.after(
-          Duration{0}, [this, Text = Fault.displayText()] { fail(Text); });
+          Duration{0}, [this, Text = Fault.displayText()] { endBroken(Text); });
       return;
     }
     if (Sent <= 0) {
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -250,9 +250,9 @@
   }
   // Not reusable if the answer came before the request was sent completely, or
   // if bytes that belong to no request came before or behind the answer.
-  const bool Reusable = Stream.isOpen() && Reader.facts().KeepAlive &&
-                        Stream.pending() == 0 && Reader.buffered() == 0 &&
-                        MismatchedAnswers == 0;
+  const bool Reusable = Stream.isOpen() && !Stream.isBroken() &&
+                        Reader.facts().KeepAlive && Stream.pending() == 0 &&
+                        Reader.buffered() == 0 && MismatchedAnswers == 0;
   const Duration Elapsed = EventLoop::now() - Started;
   Attempt = ForwardToUpstream();
   Attempt.Attempt = Answer.Attempt;
