Bound the exports of spans and the answers that hyssopctl reads

A collector that sent white space, other bytes or interim answers without an end kept the exporter reading for ever, and with it the end of the process, which joins the thread. hyssopctl kept a body without a bound.

Cause: as for the store, the time limits of POCO's session are those of single reads.

Change: an export sends and reads within one time limit and 64 KiB; hyssopctl reads at most 128 MiB of an answer.

--- a/include/hyssopford/telemetry/span_exporter.hpp
+++ b/include/hyssopford/telemetry/span_exporter.hpp
@@ -48,7 +48,7 @@
   std::size_t BatchSpans = 512;
   /// Longest wait before an incomplete batch is sent.
   std::chrono::milliseconds Interval{500};
-  /// Limit for each network operation of an export request.
+  /// Limit for one export request.
   std::chrono::milliseconds Timeout{2'000};
   /// Pause after a failed export.
   std::chrono::milliseconds Backoff{1'000};
@@ -106,6 +106,9 @@
   void run();
   void exportBatch(std::unique_lock<std::mutex> &Lock);
   bool send(const std::vector<SpanFinished> &Batch);
+  /// Sends one request within Settings.Timeout, whatever the collector sends.
+  /// @return the status of the answer
+  int post(const std::string &Body) const;
 
   SpanExporterSettings Settings;
   SpanOrigin Origin;
--- a/src/telemetry/span_exporter.cpp
+++ b/src/telemetry/span_exporter.cpp
@@ -3,19 +3,54 @@
 #include "hyssopford/core/error_codes.hpp"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <fmt/format.h>
+#include <optional>
+#include <string_view>
 
 namespace hyssopford {
 
 namespace {
 
 constexpr const char *ExportStep = "spans.export";
+/// Most bytes passed to one system call, and most bytes read of an answer.
+constexpr std::size_t SendSize = 65'536;
+constexpr std::size_t AnswerLimit = 65'536;
+/// Offset and length of the status code in a status line.
+constexpr std::size_t StatusOffset = 9;
+constexpr std::size_t StatusLength = 3;
+
+/// Finds the status of the first answer that is not an interim one.
+/// @return nothing if more bytes are needed
+std::optional<int> statusOf(std::string_view Text) {
+  while (true) {
+    const std::size_t LineEnd = Text.find("\r\n");
+    if (LineEnd == std::string_view::npos) {
+      return std::nullopt;
+    }
+    int Status = 0;
+    const char *const Code = Text.data() + StatusOffset;
+    if (!Text.starts_with("HTTP/1.") || LineEnd < StatusOffset + StatusLength ||
+        std::from_chars(Code, Code + StatusLength, Status).ptr !=
+            Code + StatusLength) {
+      throw Poco::DataFormatException("malformed answer");
+    }
+    if (Status >= Poco::Net::HTTPResponse::HTTP_OK) {
+      return Status;
+    }
+    const std::size_t HeadEnd = Text.find("\r\n\r\n");
+    if (HeadEnd == std::string_view::npos) {
+      return std::nullopt;
+    }
+    Text.remove_prefix(HeadEnd + 4);
+  }
+}
 
 } // namespace
 
@@ -122,6 +157,45 @@
   }
 }
 
+int SpanExporter::post(const std::string &Body) const {
+  const auto Deadline = std::chrono::steady_clock::now() + Settings.Timeout;
+  const auto TimeLeft = [&] {
+    const auto Left = std::chrono::duration_cast<std::chrono::microseconds>(
+        Deadline - std::chrono::steady_clock::now());
+    if (Left.count() <= 0) {
+      throw Poco::TimeoutException("no answer in time");
+    }
+    return Poco::Timespan(Left.count());
+  };
+  Poco::Net::StreamSocket Connection;
+  Connection.connect(Poco::Net::SocketAddress(Settings.Collector), TimeLeft());
+  const std::string Request = fmt::format(
+      "POST /v1/traces HTTP/1.1\r\nHost: {}\r\nContent-Type: "
+      "application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{}",
+      Settings.Collector, Body.size(), Body);
+  for (std::string_view Rest = Request; !Rest.empty();) {
+    Connection.setSendTimeout(TimeLeft());
+    const int Sent = Connection.sendBytes(
+        Rest.data(), static_cast<int>(std::min(Rest.size(), SendSize)));
+    Rest.remove_prefix(static_cast<std::size_t>(std::max(Sent, 0)));
+  }
+  // The body of the answer is not read, as the connection is not reused.
+  std::string Answer;
+  std::array<char, 1'024> Buffer{};
+  while (Answer.size() < AnswerLimit) {
+    Connection.setReceiveTimeout(TimeLeft());
+    const int Received = Connection.receiveBytes(Buffer.data(), Buffer.size());
+    if (Received <= 0) {
+      break;
+    }
+    Answer.append(Buffer.data(), static_cast<std::size_t>(Received));
+    if (const std::optional<int> Status = statusOf(Answer)) {
+      return *Status;
+    }
+  }
+  throw Poco::DataFormatException("malformed answer");
+}
+
 bool SpanExporter::send(const std::vector<SpanFinished> &Batch) {
   const auto Fail = [this](ErrorCode Code, std::string Reason) {
     if (ReportError) {
@@ -131,22 +205,7 @@
     return false;
   };
   try {
-    const std::string Body = renderSpans(Batch, Origin);
-    Poco::Net::HTTPClientSession Session{
-        Poco::Net::SocketAddress(Settings.Collector)};
-    Session.setTimeout(Poco::Timespan(
-        std::chrono::duration_cast<std::chrono::microseconds>(Settings.Timeout)
-            .count()));
-    Poco::Net::HTTPRequest Request(Poco::Net::HTTPRequest::HTTP_POST,
-                                   "/v1/traces",
-                                   Poco::Net::HTTPRequest::HTTP_1_1);
-    Request.setContentType("application/json");
-    Request.setContentLength(static_cast<std::streamsize>(Body.size()));
-    Session.sendRequest(Request) << Body;
-    Poco::Net::HTTPResponse Response;
-    // The body is not read, as the connection is not reused.
-    Session.receiveResponse(Response);
-    const int Status = static_cast<int>(Response.getStatus());
+    const int Status = post(renderSpans(Batch, Origin));
     if (Status / 100 != 2) {
       return Fail(ErrorCode::CollectorRefused,
                   fmt::format("answered with status {}", Status));
--- a/tools/hyssopctl/client.cpp
+++ b/tools/hyssopctl/client.cpp
@@ -6,8 +6,8 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
 #include <Poco/Timespan.h>
+#include <array>
 #include <fmt/format.h>
 
 namespace hyssopford::ctl {
@@ -16,6 +16,9 @@
 
 using nlohmann::json;
 
+/// Longest answer that is read, in bytes; above the largest document.
+constexpr std::size_t AnswerLimit = 134'217'728;
+
 /// Reads the error form of docs/operators-api.md. The node's address is added
 /// where an error names no peer of its own.
 std::vector<Error> errorsOf(const json &Body, const std::string &Step,
@@ -69,7 +72,14 @@
     }
     Session.sendRequest(Request) << Content;
     Poco::Net::HTTPResponse Response;
-    Poco::StreamCopier::copyToString(Session.receiveResponse(Response), Body);
+    std::istream &Stream = Session.receiveResponse(Response);
+    std::array<char, 16'384> Block{};
+    while (Stream.read(Block.data(), Block.size()) || Stream.gcount() > 0) {
+      Body.append(Block.data(), static_cast<std::size_t>(Stream.gcount()));
+      if (Body.size() > AnswerLimit) {
+        throw Poco::DataFormatException("the answer is too large");
+      }
+    }
     // A body cut short by a lost connection is no answer.
     if (Response.hasContentLength() &&
         Response.getContentLength64() != static_cast<long long>(Body.size())) {
