Record at most one trial a second of a fingerprint

An owner records a trial before it admits it. If it then handed the attempt back, as its upstream was busy, the record was withdrawn and the next repeat recorded another one: two calls of the store for each repeat of a quarantined request.

Change: a node records a trial of a fingerprint at most once a second and refuses others meanwhile.

Measured: core_tests "trials that are not sent cause few calls for the record", 1,000 repeats in 10 s: failed without the limit (fewer than 60 calls are allowed), passes with it.

--- a/include/hyssopford/core/quarantine/quarantine_system.hpp
+++ b/include/hyssopford/core/quarantine/quarantine_system.hpp
@@ -84,6 +84,9 @@
   static constexpr std::size_t MaxStoredCrashes = 4;
   /// Longest time for which a trial waits for the store.
   static constexpr Duration RecordTimeout = 1s;
+  /// Least time between two records of trials of one fingerprint. The owner may
+  /// hand a trial back, which withdraws its record.
+  static constexpr Duration RecordPeriod = 1s;
 
   /// @name Construction
   /// @{
@@ -213,6 +216,8 @@
     std::map<CrashId, SightingRow> Crashes;
     TimePoint LastCrash;
     bool Reported = false;
+    /// When a trial may next be recorded by this node.
+    TimePoint NextRecord;
     /// End of the time in which changes are gossiped to random peers.
     TimePoint GossipUntil;
   };
--- a/src/core/quarantine/quarantine_system.cpp
+++ b/src/core/quarantine/quarantine_system.cpp
@@ -61,11 +61,16 @@
 
 void QuarantineSystem::recordTrials(TimePoint Now, Actions &Out) {
   for (GatedRow &Row : std::exchange(NewTrials, {})) {
-    if (isBarred(Row.Attempt.Fingerprint, Now) || Store.failing()) {
+    const auto Found = Fingerprints.find(Row.Attempt.Fingerprint);
+    const bool MayRecord = Found != Fingerprints.end() &&
+                           Found->second.NextRecord <= Now &&
+                           !isBarred(Row.Attempt.Fingerprint, Now);
+    if (!MayRecord || Store.failing()) {
       Refused.push_back(GatedAttempt{Row.From, std::move(Row.Attempt),
                                      OutcomeReason::Quarantined});
       continue;
     }
+    Found->second.NextRecord = Now + RecordPeriod;
     Row.Trial = recordTrial(Row.Attempt.Fingerprint, Now, Out);
     Unrecorded.push_back(
         UnrecordedRow{std::move(Row), Store.change(true, Now)});
--- a/tests/core/quarantine_store_test.cpp
+++ b/tests/core/quarantine_store_test.cpp
@@ -223,6 +223,63 @@
   CHECK(Case.Cores.QuarantineCalls == AtStart);
 }
 
+// Guards against a record for each repeat of a request whose trial the owner
+// hands back.
+TEST_CASE("trials that are not sent cause few calls for the record",
+          "[quarantine][store]") {
+  SeededRandomSource Random{1};
+  const NodeRun Self{NodeId{1}, Incarnation{1}};
+  QuarantineSettings Settings;
+  Settings.Stored = true;
+  QuarantineSystem System{Self, Random, Settings};
+  TimePoint Now{1s};
+  Actions Out;
+  std::uint64_t Calls = 0;
+  const auto Serve = [&] {
+    for (int Round = 0; Round < 4; ++Round) {
+      System.tick(Now, Out);
+      const Actions Sent = std::exchange(Out, {});
+      for (const Action &Each : Sent) {
+        if (const auto *Call = std::get_if<StoreCall>(&Each)) {
+          ++Calls;
+          StoreResult Result;
+          Result.Status = StoreStatus::Done;
+          Result.Value = renderQuarantineRecord({});
+          Result.Revision = Calls;
+          Result.Lease = 1;
+          System.receive(StoreReplied{Call->Call, Result}, Now, Out);
+        }
+      }
+    }
+  };
+  Serve();
+  Now += 1s;
+  Serve();
+  System.receive(Self,
+                 QuarantineNotice{{{7, {NodeId{2}, {1}}, 1, 0, true},
+                                   {7, {NodeId{3}, {1}}, 1, 0, true}}},
+                 Now, Out);
+  Now += 11s;
+  for (std::uint64_t Repeat = 1; Repeat <= 1'000; ++Repeat) {
+    Now += 10ms;
+    Dispatch Attempt;
+    Attempt.Attempt = AttemptId{Self, Repeat};
+    Attempt.Fingerprint = 7;
+    Attempt.Remaining = 1s;
+    System.dispatch(Self, Attempt, Now);
+    System.recordTrials(Now, Out);
+    Serve();
+    for (const GatedAttempt &Each : System.takeGated(Now)) {
+      DispatchReply Reply;
+      Reply.Attempt = Each.Attempt.Attempt;
+      Reply.Result = Outcome::NotRun;
+      Reply.Reason = OutcomeReason::QueueFull;
+      System.attemptEnded(Reply, Now, Out);
+    }
+  }
+  CHECK(Calls < 60);
+}
+
 // Guards against a site whose nodes all read the record when they start.
 TEST_CASE("few nodes of a starting site read the record",
           "[quarantine][store]") {
