Kill all nodes at once in the soak

No test with real processes ended all nodes at the same moment, so that the loss of the quarantine was found by a review.

--- a/tests/platform/soak/crash_checks.py
+++ b/tests/platform/soak/crash_checks.py
@@ -13,6 +13,9 @@
 # A request that has crashed MANY_CRASHES instances may reach instances
 # MAX_LATE_RUNS more times from STABLE_S after the last of these crashes.
 MANY_CRASHES, STABLE_S, MAX_LATE_RUNS = 3, 3.0, 3
+# Crashes of a request in all lives of the nodes together: two until it is
+# quarantined and two trials.
+MAX_CRASHES = 4
 
 
 @dataclasses.dataclass
@@ -77,9 +80,9 @@
     await asyncio.gather(*tasks)
 
 
-def check(report, requests, runs):
-    """Checks how often the requests reached instances after their crashes.
-    Returns a summary."""
+def check(report, requests, runs, bounds_all=False):
+    """Checks how often the requests reached instances after their crashes and,
+    with bounds_all, how many they crashed at all. Returns a summary."""
     parts = []
     for request in requests:
         rows = sorted((when, instance) for request_id, rows in runs.items()
@@ -97,6 +100,9 @@
             report.record_violation(
                 f"{request.method} {request.path} reached instances {late} times "
                 f"after it had crashed {MANY_CRASHES}; {len(ends)} in all")
+        if bounds_all and len(ends) > MAX_CRASHES:
+            report.record_violation(
+                f"{request.method} {request.path} crashed {len(ends)} instances")
         parts.append(f"{request.path} {len(ends)} crashes, {len(rows)} runs, "
                      f"{late} late, {request.count} sent")
     return "; ".join(parts)
--- a/tests/platform/soak/operator_day.py
+++ b/tests/platform/soak/operator_day.py
@@ -28,7 +28,9 @@
             "reuse", "large", "invalid")
 # Drawn apart from the others, so that the seeds of earlier runs keep theirs.
 LATER_FAMILIES = ("late", "frozen", "crashes")
-# Further families, "blackout" among them, are never drawn.
+# Further families, "blackout" and "herd" among them, are never drawn.
+# Time before each of the moments at which all nodes are killed.
+HERD_AFTER_S, HERDS = (4.0, 7.0), 2
 # Deadline of requests whose body takes up to MAX_BODY_S seconds to send.
 LATE_DEADLINE_S, MAX_BODY_S = 2.0, 6.0
 
@@ -321,6 +323,22 @@
             await self._restart(machine, signal.SIGTERM)
         self._release(("roll",))
 
+    async def kill_all_nodes(self):
+        """Kills all nodes at the same moment and starts them at once."""
+        await asyncio.sleep(self.rng.uniform(*HERD_AFTER_S))
+        machines = [machine for machine in range(self.site.machines)
+                    if self._reserve(("node", machine))]
+        self.record_event(f"nodes {machines} are killed at the same moment")
+        for machine in machines:
+            self.report.node_ends(machine, signal.SIGKILL)
+            self.site.nodes[machine].end(signal.SIGKILL)
+        for machine in machines:
+            await self.site.nodes[machine].wait(7.0)
+            self.site.nodes[machine].start()
+            self.site.name_process(machine)
+            self.report.node_starts(machine)
+            self._release(("node", machine))
+
     async def reuse_address(self):
         """Replaces an instance by one of another service at its address."""
         machine = self.rng.randrange(self.site.machines)
@@ -460,6 +478,11 @@
             page = asyncio.create_task(blackout.ask_for_page(
                 site, operator, random.Random(rng.random()), report, until - 2.0))
             power = asyncio.create_task(blackout.run(site, report, faults))
+        if "herd" in families:
+            async def kill_herds():
+                for _ in range(HERDS):
+                    await faults.kill_all_nodes()
+            tasks.append(asyncio.create_task(kill_herds()))
         fault_end = options.seconds * 0.8
         await asyncio.gather(
             operator.run(until - 3.0, report.record_event),
@@ -468,7 +491,8 @@
     finally:
         await site.stop()
     total = report.check_promises(site.run_counts())
-    crashes = crash_checks.check(report, crashing, site.runs())
+    crashes = crash_checks.check(report, crashing, site.runs(),
+                                 bounds_all="herd" in families)
     if page:
         crashes += blackout.check(report, page.result(), power.result())
     lags = sorted(report.client_lags)
