--- a/review/lib-3/loopback.py
+++ b/review/lib-3/loopback.py
@@ -230,12 +230,16 @@
     """An application instance. Its answers carry a signature that names the
     request, so that a client knows whether an answer is its own."""
 
+    # Whether it sends status reports on its own.
+    REPORTS = True
+
     def __init__(self, site, vm, service, name=None, work=0.02, slots=9):
         self.site, self.vm, self.service = site, vm, service
         self.id = name or f"i-{service}-{vm}"
         self.work, self.slots = work, slots
         self.born = int(time.time() * 1000)
-        self.sequence, self.state, self.reports = 0, "ready", True
+        self.sequence, self.state = 0, "ready"
+        self.reports = self.REPORTS
         self.runs = []
         self.alive, self.healthy = True, True
         self.lock = threading.Lock()
