Add review case 13: a withdrawn key is used again after a drill of the store

A node that restarts as the store comes back from an older copy puts that version in force although its peers have the newer one.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# An instance fails a request that it has run with 503: is it passed on as one?
+# A node that restarts right after a drill of the store uses a withdrawn key.
 # Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 cd "$(dirname "$0")" || exit 2
-exec python3 failed_with_503.py
+exec python3 withdrawn_key.py
--- a/review/lib-3/loopback.py
+++ b/review/lib-3/loopback.py
@@ -54,6 +54,7 @@
         self.lock = threading.Condition()
         self.items, self.events, self.revision = {}, [], 10
         self.leases, self.last_lease = {}, 100
+        self.era, self.away = 1, False
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -67,6 +68,7 @@
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
                 self.send_header("Content-Length", str(len(data)))
+                self.send_header("Store-Era", str(store.era))
                 self.end_headers()
                 self.wfile.write(data)
 
@@ -108,6 +110,24 @@
             self._write(key, value.encode(), 0)
             return now()
 
+    def copy(self):
+        """Makes a copy to which return_to() goes back."""
+        with self.lock:
+            return dict(self.items), self.revision
+
+    def return_to(self, copy):
+        """Loses what was written since a copy, and all leases."""
+        with self.lock:
+            self.items, self.revision = dict(copy[0]), copy[1]
+            self.events = [event for event in self.events
+                           if event["revision"] <= self.revision]
+            self.leases = {}
+            for key in [key for key, item in self.items.items()
+                        if item["lease"]]:
+                self._remove(key)
+            self.era += 1
+            self.lock.notify_all()
+
     def _write(self, key, value, lease):
         self.revision += 1
         old = self.items.get(key)
@@ -136,6 +156,8 @@
 
     def call(self, method, name, query, body):
         with self.lock:
+            if self.away:
+                return 503, {}
             self._expire()
             if name == "kv-key":
                 item = self.items.get(query["key"])
@@ -171,7 +193,12 @@
 
     def _watch(self, query):
         end = time.monotonic() + int(query["waitMs"]) / 1000
+        if int(query["after"]) > self.revision:
+            return 410, {"storeRevision": self.revision}
+        era = self.era
         while True:
+            if self.away or self.era != era:
+                return 503, {}
             found = [event for event in self.events
                      if event["revision"] > int(query["after"]) and
                      event["key"].startswith(query["prefix"])]
