Add review case 15: two granters of one allotment after a restart in a cut

The case on slow readers of large answers is removed, as review/7 shows it already, and the others move up: 12 (withdrawn key), 13 (instance that has left), 14 (failure with 503). The scripts now end their processes and exit with 2 when they fail or take over 110 s.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A node that restarts right after a drill of the store uses a withdrawn key.
+# The first report of an instance that has left arrives late, at a restarted node.
 # Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 cd "$(dirname "$0")" || exit 2
-exec python3 withdrawn_key.py
+exec python3 late_first_report.py
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The first report of an instance that has left arrives late, at a restarted node.
+# An instance fails a request that it has run with 503: is it passed on as one?
 # Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 cd "$(dirname "$0")" || exit 2
-exec python3 late_first_report.py
+exec python3 failed_with_503.py
--- a/review/lib-3/loopback.py
+++ b/review/lib-3/loopback.py
@@ -22,7 +22,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / "target/platform/hyssopford-sidecar"
-CALLERS, CONTROL, READY, APP, METRICS, PEER = range(6)
+CALLERS, CONTROL, READY, APP, METRICS, PEER, PROXY = range(7)
 HOST = "demo.example"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 START = time.monotonic()
@@ -451,6 +451,57 @@
         return answer.status == 200
 
 
+class PeerProxy:
+    """Passes connections of other nodes on to a node, and holds the bytes of
+    machines that are cut off from each other."""
+
+    def __init__(self, site, vm):
+        self.site, self.vm = site, vm
+        self.listener = socket.create_server(site.address(vm, PROXY),
+                                             backlog=64)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            connection, _ = self.listener.accept()
+            threading.Thread(target=self._pass_on, args=(connection,),
+                             daemon=True).start()
+
+    def _pass_on(self, opener):
+        try:
+            # The first frame names the address of the node that opens the link.
+            first = opener.recv(65536)
+            vm = next((each for each in range(len(self.site.services))
+                       if "{}:{}".format(*self.site.address(each, PROXY)).encode()
+                       in first and each != self.vm), None)
+            self._wait(vm)
+            node = socket.create_connection(self.site.address(self.vm, PEER))
+            node.sendall(first)
+        except OSError:
+            opener.close()
+            return
+        for source, target in ((opener, node), (node, opener)):
+            threading.Thread(target=self._pump, args=(source, target, vm),
+                             daemon=True).start()
+
+    def _wait(self, vm):
+        while self.site.cut is not None and self.site.cut in (vm, self.vm):
+            time.sleep(0.01)
+
+    def _pump(self, source, target, vm):
+        try:
+            while data := source.recv(65536):
+                self._wait(vm)
+                target.sendall(data)
+        except OSError:
+            pass
+        for each in (source, target):
+            try:
+                each.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class Answer:
     """What a client sees of one request."""
 
@@ -502,11 +553,17 @@
             "maxAttempts": attempts, "service": service, **more}
 
 
+# Longest run of a script; it then ends as one that could not run.
+LONGEST_S = 110.0
+
+
 class Site:
-    """A deployment of some machines, each with a node and an instance."""
+    """A deployment of some machines, each with a node and an instance. A script
+    that fails or takes too long ends its processes and exits with 2."""
 
     heartbeat = 0.5
     grace = 6.0
+    proxies = ()
 
     def __init__(self, folder, services, overrides=None, bounds=None):
         """services: the service of each machine, in order."""
@@ -516,6 +573,10 @@
         self.services = services
         self.overrides, self.bounds = overrides or {}, bounds or {}
         self.record = Record(folder)
+        sys.excepthook = self._fail
+        timer = threading.Timer(LONGEST_S, self._abort, ["it took too long"])
+        timer.daemon = True
+        timer.start()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="hyssopford-review-"))
         self.net = random.randrange(1, 250)
         self.port = self._free_port()
@@ -523,6 +584,20 @@
         self.store = Store(("127.0.0.1", self._free_store_port()))
         self.store_address = "{}:{}".format(*self.store.server.server_address)
         self.instances, self.nodes = {}, {}
+        # Machine that is cut off from the other nodes, with add_proxies().
+        self.cut = None
+
+    def _fail(self, kind, fault, trace):
+        sys.__excepthook__(kind, fault, trace)
+        self._abort(f"{kind.__name__}: {fault}")
+
+    def _abort(self, what):
+        for node in getattr(self, "nodes", {}).values():
+            node.process.kill()
+            node.process.wait()
+        self.record.write("NOT RUN " + what)
+        print("not run:", what, flush=True)
+        os._exit(2)
 
     def ip(self, vm):
         return f"127.77.{self.net}.{vm + 1}"
@@ -564,7 +639,7 @@
                 "upstream_address": text(APP), "caller_address": text(CALLERS),
                 "announcement_address": text(CONTROL),
                 "ready_address": text(READY), "metrics_address": text(METRICS),
-                "ip": self.ip(vm), "ports": [self.port + PEER, self.port + PEER + 1],
+                "ip": self.ip(vm), "ports": [self.port + PEER, self.port + PEER],
                 "store_address": self.store_address, "memory_mb": 260,
                 "max_fds": 4100, "announcement_period_s": self.heartbeat,
                 "bounds": bounds, **self.overrides, **(overrides or {})}
@@ -580,13 +655,19 @@
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576,
                        "headerTimeoutS": 3.0, "idleTimeoutS": 15.0}, **more}))
 
+    def add_proxies(self):
+        """Puts a proxy between the nodes; call it before start_nodes()."""
+        self.proxies = [PeerProxy(self, vm) for vm in range(len(self.services))]
+
     def add_instance(self, vm, kind=Instance, **options):
         self.instances[vm] = kind(self, vm, self.services[vm], **options)
         return self.instances[vm]
 
     def start_nodes(self):
         for vm in range(len(self.services)):
-            self.nodes[vm] = Node(self, vm, None)
+            self.nodes[vm] = Node(self, vm, {
+                "public_peer_address": "{}:{}".format(*self.address(vm, PROXY))}
+                if self.proxies else None)
 
     def wait_ready(self, limit=15.0):
         end = time.monotonic() + limit
