--- a/review/13/late_first_report.py
+++ b/review/13/late_first_report.py
@@ -7,6 +7,8 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+# What was sent, answered and run.
+RECORD = FOLDER / "record.txt"
 sys.path.insert(0, str(FOLDER.parent / "lib-3"))
 from loopback import (TROUBLE, Instance, Site, finish, give_up,  # noqa: E402
                       new_attempt, now, route)
@@ -37,7 +39,7 @@
 
 
 def main():
-    site = Site(FOLDER, ["shop", "orders", "orders"])
+    site = Site(RECORD, ["shop", "orders", "orders"])
     site.heartbeat = 1.5
     site.configure([route("order", "unsafe", "orders")])
     site.add_instance(0)
--- a/review/14/failed_with_503.py
+++ b/review/14/failed_with_503.py
@@ -7,6 +7,8 @@
 import threading
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+# What was sent, answered and run.
+RECORD = FOLDER / "record.txt"
 sys.path.insert(0, str(FOLDER.parent / "lib-3"))
 from loopback import (TROUBLE, Instance, Site, finish, give_up,  # noqa: E402
                       new_attempt, route)
@@ -30,7 +32,7 @@
 
 
 def main():
-    site = Site(FOLDER, ["shop"] + ["orders"] * INSTANCES)
+    site = Site(RECORD, ["shop"] + ["orders"] * INSTANCES)
     site.configure([route("order", "unsafe", "orders")])
     for vm in range(INSTANCES + 1):
         site.add_instance(vm, Failing)
--- a/review/15/two_granters.py
+++ b/review/15/two_granters.py
@@ -7,6 +7,8 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+# What was sent, answered and run.
+RECORD = FOLDER / "record.txt"
 sys.path.insert(0, str(FOLDER.parent / "lib-3"))
 from loopback import (CALLERS, TROUBLE, Site, finish, give_up,  # noqa: E402
                       new_attempt, now, request, route)
@@ -34,7 +36,7 @@
 
 
 def main():
-    site = Site(FOLDER, ["ciw"] * MACHINES, bounds=BOUNDS)
+    site = Site(RECORD, ["ciw"] * MACHINES, bounds=BOUNDS)
     site.configure([route("status", "safe", "ciw")], tenants=[
         {"name": "tenant-1", "apiKeys": [KEY], "perS": PER_S, "burst": BURST}])
     site.add_proxies()
--- a/review/lib-3/loopback.py
+++ b/review/lib-3/loopback.py
@@ -36,9 +36,8 @@
 class Record:
     """The file record.txt: what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w",
-                         encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.lock = threading.Lock()
 
     def write(self, text):
@@ -565,14 +564,15 @@
     grace = 6.0
     proxies = ()
 
-    def __init__(self, folder, services, overrides=None, bounds=None):
-        """services: the service of each machine, in order."""
+    def __init__(self, record, services, overrides=None, bounds=None):
+        """record: path of record.txt. services: the service of each machine, in
+        order."""
         if not PROGRAM.exists():
             print("not built:", PROGRAM)
             sys.exit(2)
         self.services = services
         self.overrides, self.bounds = overrides or {}, bounds or {}
-        self.record = Record(folder)
+        self.record = Record(record)
         sys.excepthook = self._fail
         timer = threading.Timer(LONGEST_S, self._abort, ["it took too long"])
         timer.daemon = True
