Let a report of another start end nothing until a probe confirms it

What callers saw: beside the planned stop of a machine, a status report of another writer came to a second node.

Cause: UpstreamRegistry::apply took an announcement with another identifier and a later start for proof that the earlier start had crashed, so that the owner aborted what was running. The same happened for another start under the own identifier, for a report with another service, and when reports stayed away for eight periods.

An announcement that does not continue the start in use is a claim; a probe on a new connection asks the health endpoint who is at the address, by its identifier. Claims of others are refuted. Reports that name another service than that of the settings get 409. The announcement types move into a header of their own, the fixtures of the platform tests too.

--- a/include/hyssopford/core/event.hpp
+++ b/include/hyssopford/core/event.hpp
@@ -166,6 +166,8 @@
   /// How long the answer states that the upstream stays cold; 0 if it does not
   /// state it.
   Duration ColdTime{0};
+  /// Identifier of the upstream that answered; empty if it does not state it.
+  std::string Instance{};
 
   friend bool operator==(const ProbeFinished &,
                          const ProbeFinished &) = default;
--- a/include/hyssopford/core/probe_purpose.hpp
+++ b/include/hyssopford/core/probe_purpose.hpp
@@ -12,8 +12,7 @@
   Health,
   /// The speed at which the upstream currently runs.
   Speed,
-  /// Whether an upstream that was there before this node started accepts
-  /// requests.
+  /// Which upstream is at the address, and whether it accepts requests.
   Presence
 };
 
--- a/include/hyssopford/net/edge_policy.hpp
+++ b/include/hyssopford/net/edge_policy.hpp
@@ -132,6 +132,14 @@
   /// @param Head the response
   /// @return the time; 0 if it is not cold or the response does not state it
   virtual Duration coldTimeOf(const Poco::Net::HTTPResponse &Head) const = 0;
+
+  /// @brief Reads from a response to a probe which upstream sent it.
+  /// @param Head the response
+  /// @return its identifier; empty if the response does not state it
+  virtual std::string
+  instanceOf(const Poco::Net::HTTPResponse & /*Head*/) const {
+    return {};
+  }
   /// @}
 };
 
--- a/include/hyssopford/node/announcement_decoder.hpp
+++ b/include/hyssopford/node/announcement_decoder.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "hyssopford/core/error.hpp"
-#include "hyssopford/node/upstream_registry.hpp"
+#include "hyssopford/node/announcement.hpp"
 
 #include <optional>
 #include <string>
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -91,7 +91,10 @@
     });
     return;
   }
-  std::shared_ptr<Exchange> Connection = takeIdle(true);
+  // A connection in the pool may belong to an upstream that another one has
+  // replaced.
+  const bool MayReuse = Probe.Purpose != ProbePurpose::Presence;
+  std::shared_ptr<Exchange> Connection = MayReuse ? takeIdle(true) : nullptr;
   if (!Connection) {
     Connection = openConnection();
   }
--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -238,6 +238,8 @@
   const bool WasProbe = isProbe();
   const Duration ColdTime =
       WasProbe ? Client.Edge.coldTimeOf(Reader.response()) : Duration{0};
+  const std::string Instance =
+      WasProbe ? Client.Edge.instanceOf(Reader.response()) : std::string();
   const bool Ran = Kind == AnswerKind::Answer;
   const bool MayRun = Kind == AnswerKind::UnprovenNotRun;
   // The refusal of a request may come again when the same request is sent once
@@ -271,8 +273,8 @@
   }
   if (WasProbe) {
     Receiver.onProbed(ProbeFinished{Status >= 200 && Status < 400, Elapsed,
-                                    ProbedFor, Answer.SlownessPercent,
-                                    ColdTime});
+                                    ProbedFor, Answer.SlownessPercent, ColdTime,
+                                    Instance});
   } else if (Ran) {
     Receiver.onAnswered(std::move(Answer));
   } else {
--- a/src/node/local_service.cpp
+++ b/src/node/local_service.cpp
@@ -46,6 +46,17 @@
     return;
   }
   const AnnouncementResult Result = Registry.apply(*New);
+  if (Result == AnnouncementResult::Foreign) {
+    Log.log(LogLevel::Warning, "announcement_foreign",
+            {{"instance", New->Instance},
+             {"service", New->Service},
+             {"peer", Request.Peer}});
+    LocalServer->reply(
+        Id,
+        makeHttpAnswer(409, JsonField,
+                       "{\"error\":\"another service runs on this VM\"}\n"));
+    return;
+  }
   if (Result != AnnouncementResult::Applied) {
     const bool Holds = Result == AnnouncementResult::Holds;
     Log.log(LogLevel::Info, "announcement_overtaken",
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -154,8 +154,8 @@
   Upstream = std::make_unique<UpstreamClient>(Loop, UpstreamEvents,
                                               UpstreamSettings, *Adapters.Edge);
   Upstream->setHealthPath(Settings.HealthPath);
-  Registry =
-      std::make_unique<UpstreamRegistry>(Loop, *Driver, *Upstream, *Telemetry);
+  Registry = std::make_unique<UpstreamRegistry>(Loop, *Driver, *Upstream,
+                                                *Telemetry, Settings.Service);
   Shares =
       descriptorShares(Settings.Descriptors == 0
                            ? descriptorLimit()
@@ -411,7 +411,7 @@
 
 void NodeRuntime::onProbed(const ProbeFinished &Result) {
   if (Result.Purpose == ProbePurpose::Presence) {
-    Registry->presenceProbed(Result.Succeeded);
+    Registry->presenceProbed(Result);
     return;
   }
   Telemetry->recordProbe(Result);
