Accept messages about an attempt only from its two nodes

Cause: NodeCore took Cancel, StatusQuery and Dispatch from any peer and StatusReply from any node, so that a peer could end or start work in the name of another one; a Cancel ended a request that an instance was running. Found by looking for the cause of the foreign reports on related paths.

Change: an owner acts on messages of the ingress that the attempt names, an ingress on the status from the node to which it sent the attempt. Others have no effect; the owner logs message_foreign.

The fixture of evacuation_test.cpp sent attempts of one ingress as another peer; it now states the peer as ingress.

--- a/include/hyssopford/core/ingress_system.hpp
+++ b/include/hyssopford/core/ingress_system.hpp
@@ -95,6 +95,13 @@
   void finishAttempt(NodeRun From, const DispatchReply &Reply, TimePoint Now,
                      Actions &Out);
 
+  /// @return whether an attempt is open and was sent to a node
+  bool isSentTo(const AttemptId &Attempt, NodeId Owner) const {
+    const auto Found = Attempts.find(Attempt.Sequence);
+    return Attempt.Ingress == Self && Found != Attempts.end() &&
+           Found->second.Owner.Node == Owner;
+  }
+
   /// @brief Handles the reply to a status query.
   void resolveStatus(const StatusReply &Reply, TimePoint Now, Actions &Out);
 
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -401,6 +401,10 @@
 
 void NodeCore::receive(NodeRun From, const Dispatch &Message, TimePoint Now,
                        Actions &Out) {
+  if (Message.Attempt.Ingress != From) {
+    reportForeign(From, Message.Attempt, Out);
+    return;
+  }
   Membership.touchLink(From.Node, Now);
   // A frame that waited during a pause may be long past its deadline and past
   // the retention of its idempotency key.
@@ -418,19 +422,38 @@
   Ingress.finishAttempt(From, Message, Now, Out);
 }
 
-void NodeCore::receive(NodeRun /*From*/, const Cancel &Message, TimePoint Now,
+void NodeCore::receive(NodeRun From, const Cancel &Message, TimePoint Now,
                        Actions &Out) {
+  if (Message.Attempt.Ingress != From) {
+    reportForeign(From, Message.Attempt, Out);
+    return;
+  }
   Owner.cancel(Message.Attempt, Now, Out);
 }
 
 void NodeCore::receive(NodeRun From, const StatusQuery &Message, TimePoint Now,
                        Actions &Out) {
+  // The query cancels an attempt that is queued.
+  if (Message.Attempt.Ingress != From) {
+    reportForeign(From, Message.Attempt, Out);
+    return;
+  }
   Owner.queryStatus(From.Node, Message, Now, Out);
 }
 
-void NodeCore::receive(NodeRun /*From*/, const StatusReply &Message,
-                       TimePoint Now, Actions &Out) {
-  Ingress.resolveStatus(Message, Now, Out);
+void NodeCore::receive(NodeRun From, const StatusReply &Message, TimePoint Now,
+                       Actions &Out) {
+  if (Ingress.isSentTo(Message.Attempt, From.Node)) {
+    Ingress.resolveStatus(Message, Now, Out);
+  }
+}
+
+void NodeCore::reportForeign(NodeRun From, const AttemptId &Attempt,
+                             Actions &Out) {
+  Out.emplace_back(Notice{"message_foreign",
+                          {{"peer", toString(From.Node)},
+                           {"ingress", toString(Attempt.Ingress.Node)},
+                           {"sequence", std::to_string(Attempt.Sequence)}}});
 }
 
 template <typename Message>
--- a/tests/core/evacuation_test.cpp
+++ b/tests/core/evacuation_test.cpp
@@ -188,6 +188,7 @@
   Actions offer(std::uint64_t Sequence) {
     Dispatch Attempt = dispatchOf(Sequence);
     Attempt.Owner = Core.self().Run;
+    Attempt.Attempt.Ingress = Peer;
     Attempt.Fingerprint = Sequence;
     return handle(PeerMessageReceived{Peer, Attempt});
   }
@@ -331,7 +332,7 @@
   CHECK(Test.Core.owner().evacuationHandBacks() == 2);
   // The running attempt ends as usual.
   const Actions Ended = Test.handle(
-      UpstreamAnswered{AttemptId{nodeRun(9), 1}, 200, Payload("ok")});
+      UpstreamAnswered{AttemptId{Test.Peer, 1}, 200, Payload("ok")});
   CHECK(messages<DispatchReply>(Ended).at(0).Message.Result ==
         Outcome::Answered);
   Test.evacuate({"d2"});
