Verify each start of the upstream before it is used

What callers saw: an instance left with an acknowledged DELETE, its node restarted, and the first report of the instance came seconds late.

Cause: departures are kept in memory, and a node took a report with sequence 1 for proof of a start that cannot have left. The same without a restart: a DELETE before the first report, and a draining or a DELETE of an unknown start under the identifier in use, which was acknowledged without effect.

Change: each start that appears is a claim until a probe has confirmed it, whatever its sequence. A departure states its start if its body has one. Draining or departure under the identifier in use drains it until it renews its registration.

--- a/src/node/upstream_starts.cpp
+++ b/src/node/upstream_starts.cpp
@@ -50,10 +50,6 @@
     }
     return Decision::Renewed;
   }
-  if (!Latest && New.Sequence <= 1) {
-    use(New);
-    return Decision::Renewed;
-  }
   return addClaim(New, Now);
 }
 
@@ -158,6 +154,12 @@
       Start = Each.Stated.Start;
     }
   }
+  const bool IsReplaced =
+      Start != 0 && std::any_of(Replaced.begin(), Replaced.end(), IsMeant);
+  if (!IsKnown && !IsReplaced && Current && Current->Instance == Instance) {
+    // A start that this node has not heard of, under the same identifier.
+    Current->State = UpstreamState::Draining;
+  }
   keepNewest(Departures, Departure{Instance, Start});
   return IsKnown;
 }
--- a/tests/platform/foreign_report_test.cpp
+++ b/tests/platform/foreign_report_test.cpp
@@ -123,3 +123,22 @@
   CHECK(Edge.classifyProbeResponse(Head, true) ==
         (IsNamed ? AnswerKind::Answer : AnswerKind::Invalid));
 }
+
+// Guards against the late departure of an earlier start that drains the one
+// which has taken its identifier.
+TEST_CASE("a departure names its start if it states one",
+          "[platform][reports]") {
+  const PlatformAnnouncements Decoder("127.0.0.1:1", 1s);
+  const auto Case =
+      GENERATE(table<const char *, std::uint64_t>({{"{\"born\":12}", 12},
+                                                   {"{\"born\":\"12\"}", 0},
+                                                   {"{}", 0},
+                                                   {"x", 0},
+                                                   {"", 0}}));
+  Error Fault;
+  const auto Decoded = Decoder.decode("DELETE", "/hyssopford/instances/i-1",
+                                      std::get<0>(Case), Fault);
+  REQUIRE(Decoded);
+  CHECK(Decoded->Kind == AnnouncementKind::Departure);
+  CHECK(Decoded->Start == std::get<1>(Case));
+}
