Lend shares of limits only with evidence of the number of members

What callers saw: a machine was cut off from the other nodes, not from the store, and its node restarted.

Cause: after a start the table of members has those that a node can reach. A node that had met nobody for 2 s took itself for the only one, and one whose table had stopped growing took it for the whole site.

Change: MemberCensus holds the evidence. A granter reads the directory in the store once after its start, members learn from the count in its requests, a joining granter from the count of a member that lends. Writers of the directory state the members that they count. A node that knows fewer lends the smaller share, logs it and reads again every 5 s; without an answer of the store it lends nothing. The value of a directory slot moves into a module of its own.

--- a/include/hyssopford/core/allotments/allotment_granter.hpp
+++ b/include/hyssopford/core/allotments/allotment_granter.hpp
@@ -49,9 +49,11 @@
 
   /// @brief Sets the members that can lend shares.
   /// @param Members the member table
-  /// @param Count the members that this node counts
-  void setMembers(const std::map<NodeId, MemberRecord> &Members,
-                  std::uint32_t Count);
+  void setMembers(const std::map<NodeId, MemberRecord> &Members);
+
+  /// @brief Sets the number of members of which this node has evidence.
+  /// @param Count the members; 0 without evidence
+  void setMemberCount(std::uint32_t Count);
 
   /// @brief States whether this node is first in rank for a slot.
   void setFirst(std::uint32_t Slot, bool IsFirst, TimePoint Now, Actions &Out);
--- a/include/hyssopford/core/allotments/allotment_message.hpp
+++ b/include/hyssopford/core/allotments/allotment_message.hpp
@@ -45,7 +45,8 @@
   std::uint32_t Slot = 0;
   /// Number of the request at its sender.
   std::uint64_t Sequence = 0;
-  /// Members that the sender counts. A restarted receiver may know fewer.
+  /// Members of which the sender has evidence; 0 for none. A restarted receiver
+  /// may know fewer.
   std::uint32_t Members = 0;
   /// True if the sender no longer grants from the share.
   bool Release = false;
@@ -59,7 +60,7 @@
   /// Number of the request.
   std::uint64_t Sequence = 0;
   /// Members that the sender counts: the share is one of so many. 0 if the
-  /// share is not lent.
+  /// share is not lent. The sender has evidence of them.
   std::uint32_t Members = 0;
   /// Time until the share may be lent; 0 if it is lent.
   Duration RetryAfter{0};
--- a/include/hyssopford/core/allotments/allotment_system.hpp
+++ b/include/hyssopford/core/allotments/allotment_system.hpp
@@ -5,6 +5,7 @@
 #include "hyssopford/core/allotments/allotment_counters.hpp"
 #include "hyssopford/core/allotments/allotment_granter.hpp"
 #include "hyssopford/core/allotments/allotment_holder.hpp"
+#include "hyssopford/core/allotments/member_census.hpp"
 #include "hyssopford/core/allotments/member_count.hpp"
 #include "hyssopford/core/allotments/share_lender.hpp"
 #include "hyssopford/core/decision_settings.hpp"
@@ -31,8 +32,8 @@
 /// docs/design/allotments.md describes the protocol.
 class AllotmentSystem {
 public:
-  /// Time after which a node that has met no other member takes itself for the
-  /// only one.
+  /// Time after which a node that has met no other member may be the only one.
+  /// The directory then shows whether it is.
   static constexpr Duration AloneTime = 2s;
 
   /// @param Run this run of this node
@@ -72,6 +73,9 @@
   void receive(NodeRun From, const ShareReply &Message, TimePoint Now,
                Actions &Out);
 
+  /// @brief Handles the result of a store call; others are ignored.
+  void receive(const StoreReplied &Reply, TimePoint Now, Actions &Out);
+
   void linkUp(NodeId Peer, TimePoint Now, Actions &Out);
   void linkDown(NodeId Peer, TimePoint Now, Actions &Out);
 
@@ -111,12 +115,24 @@
   std::optional<NodeId> granterOf(std::string_view Account) const;
 
   const AllotmentGranter &granter() const { return Granter; }
+  const MemberCensus &census() const { return Census; }
+
+  /// @return the members that this node counts; 0 without allotments
+  std::uint32_t memberCount(TimePoint Now) const {
+    return Enabled ? Members.count(Now) : 0;
+  }
   /// @}
 
 private:
   void updateGranters(const AllotmentMembers &Members, TimePoint Now,
                       Actions &Out);
-  std::uint32_t countToLend(TimePoint Now);
+  std::uint32_t countToLend(TimePoint Now) const;
+  /// Whether the members have had time to be found.
+  bool isSettled(TimePoint Now) const;
+  /// Whether this node grants, so that it needs evidence of the members.
+  bool isGranter() const;
+  /// Passes a change of the evidence to the granter.
+  void updateCount(TimePoint Now, Actions &Out);
   /// Counts the messages that were appended since a position.
   void countMessages(const Actions &Out, std::size_t First);
 
@@ -127,6 +143,9 @@
   AllotmentGranter Granter;
   ShareLender Lender;
   MemberCount Members;
+  MemberCensus Census;
+  /// The directory names more members than this node knows.
+  bool IsReduced = false;
   std::optional<std::vector<ClientAccount>> PendingAccounts;
   std::array<bool, AllotmentSlots> UsedSlots{};
   std::array<std::vector<NodeId>, AllotmentSlots> Ranked;
--- a/include/hyssopford/core/directory_system.hpp
+++ b/include/hyssopford/core/directory_system.hpp
@@ -9,6 +9,7 @@
 #include "hyssopford/core/random_source.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -47,6 +48,12 @@
   void setDirectorySlot(std::optional<std::uint32_t> NewSlot,
                         std::vector<std::string> Addresses, TimePoint Now);
 
+  /// @brief Sets how the members are counted that written values state. Without
+  /// it they state none.
+  void setMemberCount(std::function<std::uint32_t(TimePoint)> Count) {
+    CountMembers = std::move(Count);
+  }
+
   /// @brief Sets whether the node has no usable link.
   void setIsolated(bool Value, TimePoint Now);
 
@@ -82,7 +89,7 @@
   void finishWrite(const StoreResult &Result, TimePoint Now);
   void finishLease(Step Done, const StoreResult &Result, TimePoint Now);
   void addContacts(const std::string &Value);
-  std::string renderContacts() const;
+  std::string renderContacts(TimePoint Now) const;
 
   std::string Address;
   RandomSource &Random;
@@ -107,6 +114,9 @@
   TimePoint LeaseEnd;
   std::uint64_t Revision = 0;
   std::string WrittenValue;
+  /// Value of the last write.
+  std::string SentValue;
+  std::function<std::uint32_t(TimePoint)> CountMembers;
   TimePoint NextRenewal;
   TimePoint NextWrite;
   /// @}
--- a/include/hyssopford/core/store_call.hpp
+++ b/include/hyssopford/core/store_call.hpp
@@ -99,8 +99,9 @@
   /// store has lost what it had acknowledged; revisions are comparable only
   /// within an era.
   std::uint64_t Era = 0;
-  /// Rest of each key below the prefix of a StoreList.
+  /// Rest of each key below the prefix of a StoreList, and the values.
   std::vector<std::string> Keys{};
+  std::vector<std::string> Values{};
 
   friend bool operator==(const StoreResult &, const StoreResult &) = default;
 };
@@ -114,6 +115,7 @@
   Directory,
   Evacuation,
   Quarantine,
+  Census,
   Roster = 16
 };
 
--- a/src/core/allotments/allotment_granter.cpp
+++ b/src/core/allotments/allotment_granter.cpp
@@ -58,10 +58,9 @@
   Buckets = std::move(Adopted);
 }
 
-void AllotmentGranter::setMembers(const std::map<NodeId, MemberRecord> &Records,
-                                  std::uint32_t Count) {
+void AllotmentGranter::setMembers(
+    const std::map<NodeId, MemberRecord> &Records) {
   Members.clear();
-  MemberCount = Count;
   for (const auto &[Node, Record] : Records) {
     if (Record.State == MemberState::Alive ||
         Record.State == MemberState::Suspect) {
@@ -73,6 +72,20 @@
   }
 }
 
+void AllotmentGranter::setMemberCount(std::uint32_t Count) {
+  const bool HadEvidence = std::exchange(MemberCount, Count) > 0;
+  if (HadEvidence || Count == 0) {
+    return;
+  }
+  // Members without evidence have declined so far.
+  for (Slot &Row : Slots) {
+    Row.NextRequest = TimePoint{};
+    for (auto &[Node, Each] : Row.Lenders) {
+      Each.NextRequest = TimePoint{};
+    }
+  }
+}
+
 void AllotmentGranter::setFirst(std::uint32_t Number, bool IsFirst,
                                 TimePoint Now, Actions &Out) {
   Slot &Row = Slots.at(Number);
--- a/src/core/allotments/allotment_system.cpp
+++ b/src/core/allotments/allotment_system.cpp
@@ -7,7 +7,8 @@
 namespace hyssopford {
 
 AllotmentSystem::AllotmentSystem(NodeRun Run, const AllotmentSettings &Chosen)
-    : Self(Run), Enabled(Chosen.Enabled), Holder(Run), Granter(Run) {}
+    : Self(Run), Enabled(Chosen.Enabled), Holder(Run), Granter(Run),
+      Census(Run.Node) {}
 
 void AllotmentSystem::adopt(const RoutingConfig &Config) {
   if (!Enabled) {
@@ -39,6 +40,10 @@
   if (!Enabled) {
     return;
   }
+  if (Message.Members > 0) {
+    Census.learn(Message.Members, Now);
+    updateCount(Now, Out);
+  }
   const auto Reply = Lender.answer(From, Message, countToLend(Now), Now);
   if (Reply) {
     const std::size_t First = Out.size();
@@ -49,11 +54,22 @@
 
 void AllotmentSystem::receive(NodeRun From, const ShareReply &Message,
                               TimePoint Now, Actions &Out) {
+  if (Message.Members > 0) {
+    Census.learn(Message.Members, Now);
+    updateCount(Now, Out);
+  }
   const std::size_t First = Out.size();
   Granter.receive(From, Message, Now, Out);
   countMessages(Out, First);
 }
 
+void AllotmentSystem::receive(const StoreReplied &Reply, TimePoint Now,
+                              Actions &Out) {
+  if (Census.receive(Reply, Now)) {
+    updateCount(Now, Out);
+  }
+}
+
 void AllotmentSystem::linkUp(NodeId Peer, TimePoint Now, Actions &Out) {
   const std::size_t First = Out.size();
   HasMet = true;
@@ -84,12 +100,12 @@
   if (!Started) {
     Started = Now;
   }
-  Settled = Seen.Settled;
-  bool Changed = SeenRevision != Seen.Revision;
-  if (Changed) {
+  const bool WasSettled = std::exchange(Settled, Seen.Settled);
+  bool Changed = SeenRevision != Seen.Revision || WasSettled != Settled;
+  if (SeenRevision != Seen.Revision) {
     SeenRevision = Seen.Revision;
     Members.observe(Seen.Records, Now);
-    Granter.setMembers(Seen.Records, Members.count(Now));
+    Granter.setMembers(Seen.Records);
   }
   if (PendingAccounts) {
     Granter.adopt(*PendingAccounts, Now);
@@ -106,7 +122,39 @@
   }
   if (Changed) {
     updateGranters(Seen, Now, Out);
+    updateCount(Now, Out);
   }
+  const bool IsComplete = Census.isProven() && !IsReduced;
+  Census.setNeeded(
+      HasLimits && !Left && !IsComplete && isGranter() && isSettled(Now), Now);
+}
+
+void AllotmentSystem::updateCount(TimePoint Now, Actions &Out) {
+  const std::uint32_t Known = Members.count(Now);
+  const std::uint32_t Least = Census.atLeast(Known, Now);
+  Granter.setMemberCount(Census.isProven() ? Least : 0);
+  if (!isSettled(Now)) {
+    return;
+  }
+  if (Least == Known) {
+    Census.confirm();
+  }
+  const bool WasReduced = std::exchange(IsReduced, Least > Known);
+  if (IsReduced != WasReduced) {
+    Out.emplace_back(Notice{
+        IsReduced ? "allotment_share_reduced" : "allotment_share_restored",
+        {{"known", std::to_string(Known)}, {"named", std::to_string(Least)}}});
+  }
+}
+
+bool AllotmentSystem::isGranter() const {
+  return std::any_of(Ranked.begin(), Ranked.end(), [&](const auto &Nodes) {
+    return std::find(Nodes.begin(), Nodes.end(), Self.Node) != Nodes.end();
+  });
+}
+
+bool AllotmentSystem::isSettled(TimePoint Now) const {
+  return Settled || (!HasMet && Started && *Started + AloneTime <= Now);
 }
 
 void AllotmentSystem::updateGranters(const AllotmentMembers &Seen,
@@ -142,11 +190,10 @@
   countMessages(Out, First);
 }
 
-std::uint32_t AllotmentSystem::countToLend(TimePoint Now) {
+std::uint32_t AllotmentSystem::countToLend(TimePoint Now) const {
   // A table that still grows counts too few members.
-  const bool IsAlone = !HasMet && Started && *Started + AloneTime <= Now;
-  const bool MayLend = (Settled || IsAlone) && !Left;
-  return MayLend ? Members.count(Now) : 0;
+  const bool MayLend = isSettled(Now) && Census.isProven() && !Left;
+  return MayLend ? Census.atLeast(Members.count(Now), Now) : 0;
 }
 
 void AllotmentSystem::tick(TimePoint Now, Actions &Out) {
@@ -156,6 +203,7 @@
   const std::size_t First = Out.size();
   Holder.tick(Now, Out);
   Granter.tick(Now, Out);
+  Census.tick(Now, Out);
   countMessages(Out, First);
 }
 
@@ -163,12 +211,14 @@
   if (!Enabled || !HasLimits) {
     return std::nullopt;
   }
-  const std::optional<TimePoint> Asking = Holder.nextWakeup();
-  const std::optional<TimePoint> Granting = Granter.nextWakeup();
-  if (!Asking || !Granting) {
-    return Asking ? Asking : Granting;
+  std::optional<TimePoint> Next;
+  for (const std::optional<TimePoint> &Each :
+       {Holder.nextWakeup(), Granter.nextWakeup(), Census.nextWakeup()}) {
+    if (Each && (!Next || *Each < *Next)) {
+      Next = Each;
+    }
   }
-  return std::min(*Asking, *Granting);
+  return Next;
 }
 
 AllotmentCounters AllotmentSystem::counters() const {
--- a/src/core/directory_system.cpp
+++ b/src/core/directory_system.cpp
@@ -1,8 +1,8 @@
 #include "hyssopford/core/directory_system.hpp"
 
+#include "hyssopford/core/directory_value.hpp"
+
 #include <algorithm>
-#include <charconv>
-#include <string_view>
 #include <utility>
 
 namespace hyssopford {
@@ -13,34 +13,14 @@
 // Half the lease, after which a slot that another node holds is tried again.
 constexpr Duration HeldSlotRetryPeriod = 15s;
 
-// Rounds with unreachable contacts after which the slot may be taken over.
-constexpr std::uint32_t UnreachableRoundLimit = 2;
-
-// Most contacts taken from one value, which another program may have written.
+// Most contacts that are kept.
 constexpr std::size_t ContactsMax = 64;
-// Longest "ip:port", with an IPv6 address in brackets.
-constexpr std::size_t AddressLengthMax = 47;
 
-/// Tells whether a text has the form "ip:port", with a port from 1 to 65535. A
-/// name would be looked up, which blocks.
-bool isPeerAddress(std::string_view Text) {
-  const std::size_t Colon = Text.rfind(':');
-  if (Text.size() > AddressLengthMax || Colon == std::string_view::npos ||
-      Colon == 0) {
-    return false;
-  }
-  const std::string_view Host = Text.substr(0, Colon);
-  const bool IsIp = Host.find_first_not_of("0123456789abcdefABCDEF.:[]") ==
-                        std::string_view::npos &&
-                    Host.find_first_of(".:") != std::string_view::npos;
-  std::uint16_t Port = 0;
-  const char *const End = Text.data() + Text.size();
-  const auto [At, Code] = std::from_chars(Text.data() + Colon + 1, End, Port);
-  return IsIp && Code == std::errc() && At == End && Port != 0;
-}
+// Rounds with unreachable contacts after which the slot may be taken over.
+constexpr std::uint32_t UnreachableRoundLimit = 2;
 
 std::string slotKey(std::uint32_t Slot) {
-  return "hyssopford/directory/" + std::to_string(Slot);
+  return DirectoryPrefix + std::to_string(Slot);
 }
 
 } // namespace
@@ -172,11 +152,11 @@
 void DirectorySystem::writeSlot(TimePoint Now, Actions &Out) {
   if (Lease == 0) {
     callStore(Step::Grant, StoreLease{0, LeaseDuration}, Now, Out);
-  } else if (WrittenValue.empty() ||
-             (WrittenValue != renderContacts() && NextRenewal > Now)) {
+  } else if (SentValue = renderContacts(Now);
+             WrittenValue.empty() ||
+             (WrittenValue != SentValue && NextRenewal > Now)) {
     callStore(Step::Write,
-              StoreWrite{slotKey(*Slot), renderContacts(), Revision, Lease},
-              Now, Out);
+              StoreWrite{slotKey(*Slot), SentValue, Revision, Lease}, Now, Out);
   } else {
     callStore(Step::Renew, StoreLease{Lease, LeaseDuration}, Now, Out);
   }
@@ -215,7 +195,7 @@
   NextWrite = Now + RetryPeriod;
   if (Result.Status == StoreStatus::Done) {
     Revision = Result.Revision;
-    WrittenValue = renderContacts();
+    WrittenValue = SentValue;
     NextWrite = NextRenewal;
   } else if (Result.Status == StoreStatus::Conflict) {
     const bool Own = Result.Value.starts_with(Address + "\n");
@@ -243,7 +223,7 @@
     // the lease at any time since.
     LeaseEnd = CallStart + LeaseDuration - LeaseMargin;
     NextRenewal = CallStart + RenewPeriod;
-    NextWrite = Done == Step::Grant || WrittenValue != renderContacts()
+    NextWrite = Done == Step::Grant || WrittenValue != renderContacts(Now)
                     ? Now
                     : NextRenewal;
   } else if (Result.Status == StoreStatus::Missing) {
@@ -254,24 +234,15 @@
 }
 
 void DirectorySystem::addContacts(const std::string &Value) {
-  std::size_t Begin = 0;
-  while (Begin < Value.size()) {
-    const std::size_t End = std::min(Value.find('\n', Begin), Value.size());
-    const std::string Each = Value.substr(Begin, End - Begin);
-    if (Each != Address && isPeerAddress(Each) &&
-        FoundContacts.size() < ContactsMax) {
-      FoundContacts.push_back(Each);
+  for (std::string &Each : parseDirectoryValue(Value).Contacts) {
+    if (Each != Address && FoundContacts.size() < ContactsMax) {
+      FoundContacts.push_back(std::move(Each));
     }
-    Begin = End + 1;
   }
 }
 
-std::string DirectorySystem::renderContacts() const {
-  std::string Text;
-  for (const std::string &Each : Contacts) {
-    Text += Each + "\n";
-  }
-  return Text;
+std::string DirectorySystem::renderContacts(TimePoint Now) const {
+  return renderDirectoryValue({Contacts, CountMembers ? CountMembers(Now) : 0});
 }
 
 } // namespace hyssopford
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -70,6 +70,8 @@
   if (Codec != nullptr) {
     Configs.emplace(*Codec, Random, Settings.Decisions.Start);
   }
+  Directory.setMemberCount(
+      [this](TimePoint Now) { return Allotments.memberCount(Now); });
   Actions None;
   Ingress.linkUp(Self, TimePoint{}, None);
 }
@@ -351,6 +353,7 @@
   Directory.receive(Input, Now);
   Evacuations.receive(Input, Now, Out);
   Quarantine.receive(Input, Now, Out);
+  Allotments.receive(Input, Now, Out);
   if (Configs) {
     Configs->receive(Input, Now, Out);
   }
--- a/tests/core/allotment_site.cpp
+++ b/tests/core/allotment_site.cpp
@@ -9,7 +9,7 @@
                              std::uint64_t Seed)
     : Nodes(Count), Config(std::move(Limits)), Random(Seed) {
   for (std::size_t Index = 0; Index < Count; ++Index) {
-    Nodes[Index].Run.Node = nodeIdOf("10.0.0.1:" + std::to_string(Index + 1));
+    Nodes[Index].Run.Node = nodeIdOf(addressOf(Index));
   }
 }
 
@@ -64,6 +64,7 @@
 void AllotmentSite::kill(std::size_t Index) {
   EndedMessages += Nodes[Index].System->counters().Messages;
   Nodes[Index].Up = false;
+  Nodes[Index].ListedUntil = Now + DirectorySystem::LeaseDuration;
   for (std::size_t Peer = 0; Peer < Nodes.size(); ++Peer) {
     if (Nodes[Peer].Up) {
       input(Peer,
@@ -154,6 +155,8 @@
       Refused.push_back(*Reply);
     } else if (const auto *Message = std::get_if<SendToPeer>(&Each)) {
       send(Index, *Message);
+    } else if (const auto *Call = std::get_if<StoreCall>(&Each)) {
+      answerStore(Index, Call->Call);
     }
   }
   for (const AllottedRequest &Each : Nodes[Index].System->takeAllotted()) {
@@ -161,6 +164,30 @@
   }
 }
 
+void AllotmentSite::answerStore(std::size_t Index, std::uint64_t Call) {
+  ++StoreCalls;
+  StoreResult Result;
+  if (!StoreDown) {
+    Result.Status = StoreStatus::Done;
+    const std::size_t Writers =
+        std::min<std::size_t>(Nodes.size(), DirectorySystem::Slots);
+    for (std::size_t Writer = 0; Writer < Writers; ++Writer) {
+      const Node &Each = Nodes[Writer];
+      if (Each.Up || Each.ListedUntil > Now) {
+        Result.Values.push_back(renderDirectoryValue(
+            {{addressOf(Writer)}, Each.System->memberCount(Now)}));
+      }
+    }
+  }
+  at(Now + 4ms, [=, this, Run = Nodes[Index].Run] {
+    if (Nodes[Index].Run == Run) {
+      input(Index, [=, this](Node &Each, Actions &Out) {
+        Each.System->receive(StoreReplied{Call, Result}, Now, Out);
+      });
+    }
+  });
+}
+
 void AllotmentSite::send(std::size_t From, const SendToPeer &Message) {
   const std::size_t To = indexOf(Message.To);
   if (Nodes[From].Group != Nodes[To].Group ||
--- a/tests/core/allotment_site.hpp
+++ b/tests/core/allotment_site.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "hyssopford/core/allotments/allotment_system.hpp"
+#include "hyssopford/core/directory_system.hpp"
+#include "hyssopford/core/directory_value.hpp"
 #include "hyssopford/core/random_source.hpp"
 
 #include <cstddef>
@@ -26,6 +28,8 @@
     std::uint64_t Revision = 1;
     bool Up = false;
     bool Frozen = false;
+    /// End of its entry in the directory once it is down.
+    TimePoint ListedUntil;
     /// Nodes reach each other within a group.
     int Group = 0;
     std::vector<std::function<void()>> Delayed;
@@ -67,6 +71,9 @@
   std::vector<Node> Nodes;
   TimePoint Now{std::chrono::hours(1)};
   double Loss = 0.0;
+  /// The store answers no call.
+  bool StoreDown = false;
+  std::uint64_t StoreCalls = 0;
   RoutingConfig Config;
   SeededRandomSource Random;
   std::map<std::string, std::vector<TimePoint>> Started;
@@ -84,6 +91,10 @@
   void input(std::size_t Index,
              const std::function<void(Node &, Actions &)> &Work);
   void carryOut(std::size_t Index, Actions &Out);
+  void answerStore(std::size_t Index, std::uint64_t Call);
+  static std::string addressOf(std::size_t Index) {
+    return "10.0.0.1:" + std::to_string(Index + 1);
+  }
   void send(std::size_t From, const SendToPeer &Message);
 
   std::map<Key, std::function<void()>> Queue;
--- a/tests/core/allotment_test.cpp
+++ b/tests/core/allotment_test.cpp
@@ -305,6 +305,15 @@
   Actions Out;
   for (int Step = 0; Step < 6'000; ++Step, Now += 1ms) {
     Core.tick(Now, Out);
+    for (const Action &Each : std::exchange(Out, {})) {
+      const auto *Call = std::get_if<StoreCall>(&Each);
+      if (Call != nullptr && isCallOf(StoreUser::Census, Call->Call)) {
+        // The directory names nobody else.
+        StoreResult Empty;
+        Empty.Status = StoreStatus::Done;
+        Core.handle(StoreReplied{Call->Call, Empty}, Now, Out);
+      }
+    }
   }
   Out.clear();
   for (std::uint64_t Id = 1; Id <= 4; ++Id) {
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -244,6 +244,7 @@
   Change("op/other");
   const StoreResult All = Test.run(StoreList{EvacuationPrefix});
   CHECK(All.Keys == std::vector<std::string>{"a", "b", "c", "d", "e"});
+  CHECK(All.Values == std::vector<std::string>(5, "any"));
   const StoreResult Quiet =
       Test.run(StoreList{EvacuationPrefix, All.Revision, 50ms});
   CHECK(Quiet.Status == StoreStatus::Unchanged);
