Take an upstream of another service over once its health endpoint names it

Change: a report of another service is a claim like any other, so that the identifier in the answer of the health endpoint decides. Only under the identifier in use another service is refused.

--- a/include/hyssopford/node/announcement.hpp
+++ b/include/hyssopford/node/announcement.hpp
@@ -30,7 +30,8 @@
   Holds,
   /// It was dropped: another one is in force. Must not be acknowledged.
   Dropped,
-  /// It names a service that does not run on this VM. Must not be acknowledged.
+  /// It names a service that the upstream does not have. Must not be
+  /// acknowledged.
   Foreign
 };
 
--- a/include/hyssopford/node/upstream_registry.hpp
+++ b/include/hyssopford/node/upstream_registry.hpp
@@ -27,7 +27,8 @@
   /// @param Driver receives changes of the upstream's state
   /// @param Client receives the address of the upstream
   /// @param Log receives a log line for each change
-  /// @param Service the service that runs on this VM; empty for any
+  /// @param Service the service that the settings name for this VM; empty if
+  /// they name none
   UpstreamRegistry(EventLoop &Loop, CoreDriver &Driver, UpstreamClient &Client,
                    NodeTelemetry &Log, std::string Service = {});
   ~UpstreamRegistry();
--- a/include/hyssopford/node/upstream_starts.hpp
+++ b/include/hyssopford/node/upstream_starts.hpp
@@ -50,7 +50,8 @@
     std::vector<Announcement> Refuted;
   };
 
-  /// @param OwnService the service that runs on this VM; empty for any
+  /// @param OwnService the service that the settings name for this VM; empty if
+  /// they name none
   explicit UpstreamStarts(std::string OwnService = {})
       : Service(std::move(OwnService)) {}
 
--- a/src/node/local_service.cpp
+++ b/src/node/local_service.cpp
@@ -54,7 +54,7 @@
     LocalServer->reply(
         Id,
         makeHttpAnswer(409, JsonField,
-                       "{\"error\":\"another service runs on this VM\"}\n"));
+                       "{\"error\":\"the upstream has another service\"}\n"));
     return;
   }
   if (Result != AnnouncementResult::Applied) {
--- a/src/node/upstream_starts.cpp
+++ b/src/node/upstream_starts.cpp
@@ -23,7 +23,10 @@
 
 UpstreamStarts::Decision UpstreamStarts::consider(const Announcement &New,
                                                   TimePoint Now) {
-  if (!Service.empty() && New.Service != Service) {
+  if (!Service.empty() && New.Service != Service && Current &&
+      Current->Instance == New.Instance && Current->Service != New.Service) {
+    // An upstream has one service; only another one at its address may have
+    // another.
     return Decision::Foreign;
   }
   if (New.Start == 0) {
--- a/tests/node/upstream_starts_test.cpp
+++ b/tests/node/upstream_starts_test.cpp
@@ -111,3 +111,28 @@
         Decision::Renewed);
   CHECK(Starts.current()->State == UpstreamState::Serving);
 }
+
+// Guards against an address that is used again by another service and gets no
+// work, and against a report that changes the service of the upstream in use.
+TEST_CASE("an upstream of another service takes over by its identifier only",
+          "[node][starts]") {
+  using Decision = UpstreamStarts::Decision;
+  UpstreamStarts Starts("service");
+  Starts.use(announcementOf("one", 1'000, 5));
+  const char *const Instance = GENERATE("one", "two");
+  Announcement Other = announcementOf(Instance, 2'000, 1);
+  Other.Service = "other";
+  const Decision Result = Starts.consider(Other, TimePoint());
+  const auto Found = Starts.conclude(Instance, true, TimePoint());
+  if (Other.Instance == "one") {
+    CHECK(Result == Decision::Foreign);
+    CHECK_FALSE(Found.Confirmed);
+  } else {
+    CHECK(Result == Decision::Claimed);
+    CHECK(Found.Confirmed == Other);
+    // The service of the settings may always come back.
+    Starts.use(Other);
+    CHECK(Starts.consider(announcementOf("two", 3'000, 1), TimePoint()) ==
+          Decision::Claimed);
+  }
+}
