Start no run of a node after the request to shut down

Cause: the request belonged to the object of one run. After that run the daemon asked only whether a higher incarnation was required, and between two runs nobody waited for signals.

--- a/include/hyssopford/node/node_runtime.hpp
+++ b/include/hyssopford/node/node_runtime.hpp
@@ -13,6 +13,7 @@
 #include "hyssopford/node/announcement_decoder.hpp"
 #include "hyssopford/node/caller_service.hpp"
 #include "hyssopford/node/core_driver.hpp"
+#include "hyssopford/node/node_supervisor.hpp"
 #include "hyssopford/node/node_telemetry.hpp"
 #include "hyssopford/node/operator_service.hpp"
 #include "hyssopford/node/trace_recorder.hpp"
@@ -117,7 +118,8 @@
 };
 
 /// @brief Connects the decision core to the network and runs the event loop.
-class NodeRuntime final : ActionHandler,
+class NodeRuntime final : public NodeRunner,
+                          ActionHandler,
                           PeerLinkHandler,
                           UpstreamClientHandler {
 public:
@@ -144,10 +146,10 @@
   /// @brief Runs until shutdown.
   /// @return whether all requests in flight ended before the drain deadline
   /// with their own outcome
-  bool run();
+  bool run() override;
 
   /// @brief Starts a graceful shutdown. May be called from any thread.
-  void requestShutdown();
+  void requestShutdown() override;
   /// @}
 
   /// @name Observers
@@ -171,7 +173,7 @@
 
   /// @return the incarnation with which the node must restart, if its peers
   /// know a newer one
-  std::optional<Incarnation> requiredIncarnation() const {
+  std::optional<Incarnation> requiredIncarnation() const override {
     return Driver->core().requiredIncarnation();
   }
   /// @}
--- a/tools/node/main.cpp
+++ b/tools/node/main.cpp
@@ -64,29 +64,24 @@
   return parseRoutingConfig(Text, 1, Faults);
 }
 
-/// Runs the node until shutdown. Sets RestartAs to the least incarnation for a
-/// restart if one is required.
-/// Returns the exit status.
-int runOnce(const NodeRuntimeSettings &Settings, const CommandLine &Options,
-            const std::optional<RoutingConfig> &Routing,
-            std::optional<Incarnation> &RestartAs) {
-  NodeRuntime Node(Settings);
+/// Starts a run of the node.
+/// @throws std::runtime_error if the ready file cannot be written
+std::unique_ptr<NodeRuntime>
+startRun(const NodeRuntimeSettings &Settings, const CommandLine &Options,
+         const std::optional<RoutingConfig> &Routing) {
+  auto Node = std::make_unique<NodeRuntime>(Settings);
   if (Routing) {
-    Node.adopt(*Routing);
+    Node->adopt(*Routing);
   }
-  if (!Options.ReadyPath.empty() && !writeReadyFile(Node, Options.ReadyPath)) {
-    fmt::print(stderr, "event=ready_file_failed path=\"{}\"\n",
-               Options.ReadyPath);
-    return ExitSettings;
+  if (!Options.ReadyPath.empty() && !writeReadyFile(*Node, Options.ReadyPath)) {
+    throw std::runtime_error("cannot write the ready file " +
+                             Options.ReadyPath);
   }
   fmt::print(stderr, "event=ready node={} caller={} local={} peer={} ops={}\n",
-             toString(Node.core().self().Node), Node.callerAddress(),
-             Node.localAddress(), Node.peerAddress(), Node.operatorAddress());
-  const ProcessSignals Signals([&] { Node.requestShutdown(); }, [] {});
-  const bool Finished = Node.run();
-  RestartAs = Node.requiredIncarnation();
-  fmt::print(stderr, "event=stopped complete={}\n", Finished);
-  return Finished ? EXIT_SUCCESS : ExitIncomplete;
+             toString(Node->core().self().Node), Node->callerAddress(),
+             Node->localAddress(), Node->peerAddress(),
+             Node->operatorAddress());
+  return Node;
 }
 
 int runNode(const CommandLine &Options) {
@@ -113,14 +108,15 @@
       std::fflush(stdout);
     };
   }
-  while (true) {
-    std::optional<Incarnation> RestartAs;
-    const int Status = runOnce(Runtime, Options, Routing, RestartAs);
-    if (!RestartAs) {
-      return Status;
-    }
-    Runtime.MinIncarnation = *RestartAs;
-  }
+  NodeSupervisor Supervisor([&](Incarnation Least) {
+    Runtime.MinIncarnation = Least;
+    return startRun(Runtime, Options, Routing);
+  });
+  // Signals are handled for all runs, so that none falls between two of them.
+  const ProcessSignals Signals([&] { Supervisor.requestShutdown(); }, [] {});
+  const bool IsComplete = Supervisor.run();
+  fmt::print(stderr, "event=stopped complete={}\n", IsComplete);
+  return IsComplete ? EXIT_SUCCESS : ExitIncomplete;
 }
 
 int check(const std::string &Path) {
