--- a/include/hyssopford/core/allotments/allotment_system.hpp
+++ b/include/hyssopford/core/allotments/allotment_system.hpp
@@ -115,7 +115,6 @@
   std::optional<NodeId> granterOf(std::string_view Account) const;
 
   const AllotmentGranter &granter() const { return Granter; }
-  const MemberCensus &census() const { return Census; }
 
   /// @return the members that this node counts; 0 without allotments
   std::uint32_t memberCount(TimePoint Now) const {
@@ -131,6 +130,8 @@
   bool isSettled(TimePoint Now) const;
   /// Whether this node grants, so that it needs evidence of the members.
   bool isGranter() const;
+  /// Takes over the evidence of another member; 0 if it has none.
+  void learnCount(std::uint32_t Stated, TimePoint Now, Actions &Out);
   /// Passes a change of the evidence to the granter.
   void updateCount(TimePoint Now, Actions &Out);
   /// Counts the messages that were appended since a position.
--- a/include/hyssopford/core/allotments/member_census.hpp
+++ b/include/hyssopford/core/allotments/member_census.hpp
@@ -37,7 +37,8 @@
   /// @brief Sets whether this node needs evidence of its own.
   void setNeeded(bool Value, TimePoint Now);
 
-  /// @brief Takes over the count of a member that has evidence.
+  /// @brief Takes over the count of a member that has evidence, unless this
+  /// node has it already.
   void learn(std::uint32_t Members, TimePoint Now);
 
   /// @brief Records that the node knows all members of the evidence. From then
@@ -63,9 +64,6 @@
   /// @return at least @p Known
   std::uint32_t atLeast(std::uint32_t Known, TimePoint Now) const;
 
-  /// @return the number of reads of the directory
-  std::uint64_t reads() const { return Reads; }
-
   /// @return the time of the next read or time limit, if any
   std::optional<TimePoint> nextWakeup() const;
   /// @}
@@ -74,10 +72,11 @@
   NodeId Self;
   bool Needed = false;
   bool Proven = false;
+  /// Members that the evidence shows; 0 once the node knows them all.
   std::uint32_t Named = 0;
   /// End of a count that another member stated.
   std::optional<TimePoint> LearnedUntil;
-  std::uint64_t Reads = 0;
+  std::uint64_t LastCall = 0;
   std::uint64_t OpenCall = 0;
   TimePoint CallStart;
   TimePoint NextRead;
--- a/include/hyssopford/node/upstream_starts.hpp
+++ b/include/hyssopford/node/upstream_starts.hpp
@@ -33,6 +33,7 @@
     /// As Claimed, but must not be acknowledged: the start in use may be a
     /// later one, or another upstream.
     Contested,
+    /// As the AnnouncementResult of the same name.
     Holds,
     Dropped,
     Foreign
@@ -64,7 +65,7 @@
   /// @brief Records a departure.
   /// @param Instance the identifier of the upstream that departs
   /// @param Start its start; 0 if it states none
-  /// @return whether this node has heard of that start
+  /// @return whether that start is known from an announcement
   bool depart(const std::string &Instance, std::uint64_t Start);
 
   /// @brief Handles the answer of a probe at the address.
--- a/src/core/allotments/allotment_system.cpp
+++ b/src/core/allotments/allotment_system.cpp
@@ -40,10 +40,7 @@
   if (!Enabled) {
     return;
   }
-  if (Message.Members > 0) {
-    Census.learn(Message.Members, Now);
-    updateCount(Now, Out);
-  }
+  learnCount(Message.Members, Now, Out);
   const auto Reply = Lender.answer(From, Message, countToLend(Now), Now);
   if (Reply) {
     const std::size_t First = Out.size();
@@ -54,10 +51,7 @@
 
 void AllotmentSystem::receive(NodeRun From, const ShareReply &Message,
                               TimePoint Now, Actions &Out) {
-  if (Message.Members > 0) {
-    Census.learn(Message.Members, Now);
-    updateCount(Now, Out);
-  }
+  learnCount(Message.Members, Now, Out);
   const std::size_t First = Out.size();
   Granter.receive(From, Message, Now, Out);
   countMessages(Out, First);
@@ -129,6 +123,14 @@
       HasLimits && !Left && !IsComplete && isGranter() && isSettled(Now), Now);
 }
 
+void AllotmentSystem::learnCount(std::uint32_t Stated, TimePoint Now,
+                                 Actions &Out) {
+  if (Stated > 0 && !Census.isProven()) {
+    Census.learn(Stated, Now);
+    updateCount(Now, Out);
+  }
+}
+
 void AllotmentSystem::updateCount(TimePoint Now, Actions &Out) {
   const std::uint32_t Known = Members.count(Now);
   const std::uint32_t Least = Census.atLeast(Known, Now);
--- a/src/core/allotments/member_census.cpp
+++ b/src/core/allotments/member_census.cpp
@@ -68,7 +68,7 @@
     receive(StoreReplied{OpenCall, StoreResult()}, Now);
   }
   if (Needed && OpenCall == 0 && NextRead <= Now) {
-    OpenCall = storeCallNumber(StoreUser::Census, ++Reads);
+    OpenCall = storeCallNumber(StoreUser::Census, ++LastCall);
     CallStart = Now;
     Out.emplace_back(StoreCall{OpenCall, StoreList{DirectoryPrefix}});
   }
--- a/src/node/upstream_starts.cpp
+++ b/src/node/upstream_starts.cpp
@@ -90,7 +90,7 @@
 
 UpstreamStarts::Decision UpstreamStarts::addClaim(const Announcement &New,
                                                   TimePoint Now) {
-  auto Found =
+  const auto Found =
       std::find_if(Claims.begin(), Claims.end(), [&](const Claim &Each) {
         return isSameStart(Each.Stated, New);
       });
