--- a/src/net/upstream_exchange.cpp
+++ b/src/net/upstream_exchange.cpp
@@ -238,7 +238,7 @@
   const bool WasProbe = isProbe();
   const Duration ColdTime =
       WasProbe ? Client.Edge.coldTimeOf(Reader.response()) : Duration{0};
-  const std::string Instance =
+  const std::string AnsweredBy =
       WasProbe ? Client.Edge.instanceOf(Reader.response()) : std::string();
   const bool Ran = Kind == AnswerKind::Answer;
   const bool MayRun = Kind == AnswerKind::UnprovenNotRun;
@@ -274,7 +274,7 @@
   if (WasProbe) {
     Receiver.onProbed(ProbeFinished{Status >= 200 && Status < 400, Elapsed,
                                     ProbedFor, Answer.SlownessPercent, ColdTime,
-                                    Instance});
+                                    AnsweredBy});
   } else if (Ran) {
     Receiver.onAnswered(std::move(Answer));
   } else {
