Check the ingress of a message, and the use of a claim, in one place each

Cause: reading the change once more: three handlers of NodeCore repeated the check of the sender, two functions of UpstreamStarts what makes a claim usable, and MemberCensus set the time of a read that its default already gives.

Change: isFromIngress() checks and reports, Claim::isUsable() names the condition, setNeeded() only keeps its value. Behaviour is unchanged.

Ruled out: one piece for the rows of duplicates in member_census.hpp (include blocks) and in platform_site.hpp (moved as it was, and a configuration of its own).

--- a/include/hyssopford/core/allotments/member_census.hpp
+++ b/include/hyssopford/core/allotments/member_census.hpp
@@ -35,7 +35,7 @@
   /// @{
 
   /// @brief Sets whether this node needs evidence of its own.
-  void setNeeded(bool Value, TimePoint Now);
+  void setNeeded(bool Value) { Needed = Value; }
 
   /// @brief Takes over the count of a member that has evidence, unless this
   /// node has it already.
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -192,8 +192,9 @@
                Actions &Out);
   void receive(NodeRun From, const EvacuationNotice &Message, TimePoint Now,
                Actions &Out);
-  /// Reports a message about an attempt of another ingress than its sender.
-  static void reportForeign(NodeRun From, const AttemptId &Attempt,
+  /// Checks that the sender of a message is the ingress of its attempt; reports
+  /// others.
+  static bool isFromIngress(NodeRun From, const AttemptId &Attempt,
                             Actions &Out);
   /// Passes a message to the system of membership, keys or configuration.
   template <typename Message>
--- a/include/hyssopford/node/node_supervisor.hpp
+++ b/include/hyssopford/node/node_supervisor.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <utility>
 
 namespace hyssopford {
 
--- a/include/hyssopford/node/upstream_starts.hpp
+++ b/include/hyssopford/node/upstream_starts.hpp
@@ -97,6 +97,11 @@
     TimePoint Received;
     bool Departed = false;
     bool IsNewRun = false;
+
+    /// Whether the start may be used once a probe has confirmed it.
+    bool isUsable() const {
+      return !Departed && Stated.State != UpstreamState::Draining;
+    }
   };
   struct Departure {
     std::string Instance;
--- a/src/core/allotments/allotment_system.cpp
+++ b/src/core/allotments/allotment_system.cpp
@@ -119,8 +119,8 @@
     updateCount(Now, Out);
   }
   const bool IsComplete = Census.isProven() && !IsReduced;
-  Census.setNeeded(
-      HasLimits && !Left && !IsComplete && isGranter() && isSettled(Now), Now);
+  Census.setNeeded(HasLimits && !Left && !IsComplete && isGranter() &&
+                   isSettled(Now));
 }
 
 void AllotmentSystem::learnCount(std::uint32_t Stated, TimePoint Now,
--- a/src/core/allotments/member_census.cpp
+++ b/src/core/allotments/member_census.cpp
@@ -30,13 +30,6 @@
 
 } // namespace
 
-void MemberCensus::setNeeded(bool Value, TimePoint Now) {
-  if (Value && !Needed && OpenCall == 0) {
-    NextRead = std::max(NextRead, Now);
-  }
-  Needed = Value;
-}
-
 void MemberCensus::learn(std::uint32_t Members, TimePoint Now) {
   if (!Proven) {
     Proven = true;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -404,8 +404,7 @@
 
 void NodeCore::receive(NodeRun From, const Dispatch &Message, TimePoint Now,
                        Actions &Out) {
-  if (Message.Attempt.Ingress != From) {
-    reportForeign(From, Message.Attempt, Out);
+  if (!isFromIngress(From, Message.Attempt, Out)) {
     return;
   }
   Membership.touchLink(From.Node, Now);
@@ -427,21 +426,17 @@
 
 void NodeCore::receive(NodeRun From, const Cancel &Message, TimePoint Now,
                        Actions &Out) {
-  if (Message.Attempt.Ingress != From) {
-    reportForeign(From, Message.Attempt, Out);
-    return;
+  if (isFromIngress(From, Message.Attempt, Out)) {
+    Owner.cancel(Message.Attempt, Now, Out);
   }
-  Owner.cancel(Message.Attempt, Now, Out);
 }
 
 void NodeCore::receive(NodeRun From, const StatusQuery &Message, TimePoint Now,
                        Actions &Out) {
   // The query cancels an attempt that is queued.
-  if (Message.Attempt.Ingress != From) {
-    reportForeign(From, Message.Attempt, Out);
-    return;
+  if (isFromIngress(From, Message.Attempt, Out)) {
+    Owner.queryStatus(From.Node, Message, Now, Out);
   }
-  Owner.queryStatus(From.Node, Message, Now, Out);
 }
 
 void NodeCore::receive(NodeRun From, const StatusReply &Message, TimePoint Now,
@@ -451,12 +446,16 @@
   }
 }
 
-void NodeCore::reportForeign(NodeRun From, const AttemptId &Attempt,
+bool NodeCore::isFromIngress(NodeRun From, const AttemptId &Attempt,
                              Actions &Out) {
+  if (Attempt.Ingress == From) {
+    return true;
+  }
   Out.emplace_back(Notice{"message_foreign",
                           {{"peer", toString(From.Node)},
                            {"ingress", toString(Attempt.Ingress.Node)},
                            {"sequence", std::to_string(Attempt.Sequence)}}});
+  return false;
 }
 
 template <typename Message>
--- a/src/node/upstream_starts.cpp
+++ b/src/node/upstream_starts.cpp
@@ -169,7 +169,7 @@
 
 bool UpstreamStarts::isProvable(const Claim &Each,
                                 const std::string &Instance) const {
-  if (Each.Departed || Each.Stated.State == UpstreamState::Draining) {
+  if (!Each.isUsable()) {
     return false;
   }
   // An answer that does not state who gave it may come from the upstream in
@@ -179,9 +179,8 @@
 
 const Announcement *UpstreamStarts::pendingClaim() const {
   const auto Found =
-      std::find_if(Claims.rbegin(), Claims.rend(), [](const Claim &Each) {
-        return !Each.Departed && Each.Stated.State != UpstreamState::Draining;
-      });
+      std::find_if(Claims.rbegin(), Claims.rend(),
+                   [](const Claim &Each) { return Each.isUsable(); });
   return Found == Claims.rend() ? nullptr : &Found->Stated;
 }
 
--- a/tests/core/member_census_test.cpp
+++ b/tests/core/member_census_test.cpp
@@ -139,7 +139,7 @@
           "[allotments][census]") {
   MemberCensus Census(nodeIdOf("10.0.0.1:1"));
   Actions Out;
-  Census.setNeeded(true, TimePoint());
+  Census.setNeeded(true);
   Census.tick(TimePoint(), Out);
   REQUIRE(Out.size() == 1);
   StoreResult Result;
