Let the ingress check who replies to a status query

Cause: NodeCore asked IngressSystem::isSentTo() before resolveStatus(), which looked the attempt up once more; finishAttempt() checks its sender itself.

Change: resolveStatus() takes the sender, as finishAttempt() does; isSentTo() is gone. The calls in tests name the owner of the attempt; a test sends the reply of another node first.

--- a/include/hyssopford/core/ingress_system.hpp
+++ b/include/hyssopford/core/ingress_system.hpp
@@ -95,15 +95,14 @@
   void finishAttempt(NodeRun From, const DispatchReply &Reply, TimePoint Now,
                      Actions &Out);
 
-  /// @return whether an attempt is open and was sent to a node
-  bool isSentTo(const AttemptId &Attempt, NodeId Owner) const {
-    const auto Found = Attempts.find(Attempt.Sequence);
-    return Attempt.Ingress == Self && Found != Attempts.end() &&
-           Found->second.Owner.Node == Owner;
-  }
-
-  /// @brief Handles the reply to a status query.
-  void resolveStatus(const StatusReply &Reply, TimePoint Now, Actions &Out);
+  /// @brief Handles the reply to a status query. Has no effect unless the
+  /// attempt is open and was sent to the node that replies.
+  /// @param From the node that sent the reply
+  /// @param Reply the reply
+  /// @param Now the current time
+  /// @param Out receives the actions
+  void resolveStatus(NodeId From, const StatusReply &Reply, TimePoint Now,
+                     Actions &Out);
 
   /// @brief Handles a new link to a peer or to this node itself. Sends status
   /// queries for attempts sent to the same run; those sent to an earlier run
--- a/src/core/ingress_system.cpp
+++ b/src/core/ingress_system.cpp
@@ -144,10 +144,11 @@
   retry(Row, Now, Out, IsHandBack);
 }
 
-void IngressSystem::resolveStatus(const StatusReply &Reply, TimePoint Now,
-                                  Actions &Out) {
+void IngressSystem::resolveStatus(NodeId From, const StatusReply &Reply,
+                                  TimePoint Now, Actions &Out) {
   const auto Found = Attempts.find(Reply.Attempt.Sequence);
-  if (Reply.Attempt.Ingress != Self || Found == Attempts.end()) {
+  if (Reply.Attempt.Ingress != Self || Found == Attempts.end() ||
+      Found->second.Owner.Node != From) {
     return;
   }
   if (Reply.State == AttemptState::Running ||
@@ -175,7 +176,8 @@
     if (Found->second.Owner == Peer) {
       Out.emplace_back(SendToPeer{Peer.Node, StatusQuery{Id, Peer.Run}});
     } else {
-      resolveStatus(StatusReply{Id, AttemptState::CannotTell}, Now, Out);
+      resolveStatus(Peer.Node, StatusReply{Id, AttemptState::CannotTell}, Now,
+                    Out);
     }
   }
 }
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -441,9 +441,7 @@
 
 void NodeCore::receive(NodeRun From, const StatusReply &Message, TimePoint Now,
                        Actions &Out) {
-  if (Ingress.isSentTo(Message.Attempt, From.Node)) {
-    Ingress.resolveStatus(Message, Now, Out);
-  }
+  Ingress.resolveStatus(From.Node, Message, Now, Out);
 }
 
 bool NodeCore::isFromIngress(NodeRun From, const AttemptId &Attempt,
--- a/tests/core/ingress_system_test.cpp
+++ b/tests/core/ingress_system_test.cpp
@@ -122,12 +122,13 @@
     Test.Out.clear();
     SECTION("an attempt that was still queued is retried") {
       Test.Ingress.resolveStatus(
-          {First.Message.Attempt, AttemptState::WillNotRun}, at(50ms),
+          First.To, {First.Message.Attempt, AttemptState::WillNotRun}, at(50ms),
           Test.Out);
       REQUIRE(messages<Dispatch>(Test.Out).at(0).To != First.To);
     }
     SECTION("an attempt that runs is waited for") {
-      Test.Ingress.resolveStatus({First.Message.Attempt, AttemptState::Running},
+      Test.Ingress.resolveStatus(First.To,
+                                 {First.Message.Attempt, AttemptState::Running},
                                  at(50ms), Test.Out);
       REQUIRE(Test.Out.empty());
       REQUIRE(Test.Ingress.inFlight() == 1);
@@ -191,23 +192,29 @@
             Sent.Message.Attempt);
     Test.Out.clear();
     SECTION("an attempt that will not run is retried") {
+      // Only the owner of the attempt can tell.
       Test.Ingress.resolveStatus(
+          NodeId{99},
           StatusReply{Sent.Message.Attempt, AttemptState::WillNotRun}, at(21ms),
           Test.Out);
+      REQUIRE(Test.Out.empty());
+      Test.Ingress.resolveStatus(
+          Sent.To, StatusReply{Sent.Message.Attempt, AttemptState::WillNotRun},
+          at(21ms), Test.Out);
       REQUIRE(messages<Dispatch>(Test.Out).size() == 1);
     }
     SECTION("a running attempt is waited for") {
       Test.Ingress.resolveStatus(
-          StatusReply{Sent.Message.Attempt, AttemptState::Running}, at(21ms),
-          Test.Out);
+          Sent.To, StatusReply{Sent.Message.Attempt, AttemptState::Running},
+          at(21ms), Test.Out);
       REQUIRE(Test.Out.empty());
       Test.end(Sent, Outcome::Answered, OutcomeReason::None, 30ms);
       REQUIRE(Test.reply().Result == Outcome::Answered);
     }
     SECTION("an owner that cannot tell leaves it unknown") {
       Test.Ingress.resolveStatus(
-          StatusReply{Sent.Message.Attempt, AttemptState::CannotTell}, at(21ms),
-          Test.Out);
+          Sent.To, StatusReply{Sent.Message.Attempt, AttemptState::CannotTell},
+          at(21ms), Test.Out);
       REQUIRE(Test.reply().Result == Outcome::Unknown);
     }
   }
--- a/tools/experiment/site.cpp
+++ b/tools/experiment/site.cpp
@@ -236,7 +236,7 @@
     } else if (const auto *Query = std::get_if<StatusQuery>(&Message)) {
       On.Owner.queryStatus(From, *Query, Now, Out);
     } else if (const auto *Status = std::get_if<StatusReply>(&Message)) {
-      On.Ingress.resolveStatus(*Status, Now, Out);
+      On.Ingress.resolveStatus(From, *Status, Now, Out);
     }
   });
 }
