Believe a store that lost history only with evidence

The answer of the store counted as the newest at a start, after a start that had ended without a version, and as the proof of a running node that had missed the change.

Change: StoreEvidence (core/evidence) decides whether answers of an era count: in the first era at once, later once a node that ran through the loss has written the era mark, or after 10 s. A starting node has nothing in force until then, unless a peer has more than the store showed. Versions that peers named stay known; directory slots are written again within 100 ms of a new era.

--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -8,6 +8,7 @@
 #include "hyssopford/core/config_message.hpp"
 #include "hyssopford/core/decision_settings.hpp"
 #include "hyssopford/core/event.hpp"
+#include "hyssopford/core/evidence/store_evidence.hpp"
 #include "hyssopford/core/patch_writer.hpp"
 #include "hyssopford/core/random_source.hpp"
 
@@ -61,16 +62,19 @@
   /// half as much longer. They find what watches passed over.
   static constexpr Duration PlainReadPeriod = 40s;
   /// @}
-  /// Time for which a starting node waits for the versions of its peers.
-  /// Without this wait a restarted node could put an older value of the store
-  /// in force.
+  /// Time for which a starting node waits for the versions of its peers if the
+  /// store may serve an older value, or does not answer.
   static constexpr Duration StartWait = 2s;
   /// Time after the first peer's version in which a starting node waits for
   /// those of others.
   static constexpr Duration SettleTime = 300ms;
-  /// Time after which the start ends although a version that a peer announced
-  /// has not arrived.
-  static constexpr Duration StartTimeout = 10s;
+  /// Time after which the start ends although a version that is known to exist
+  /// has not arrived, or nothing shows that there is no newer one. It counts
+  /// again from a rise of the store's era.
+  static constexpr Duration StartTimeout = StoreEvidence::Limit;
+  /// Least time between two reads of the store by a node that waits for
+  /// evidence; up to half as much is added at random.
+  static constexpr Duration StartReadPeriod = 250ms;
   /// Bounds of the time for the answer to a ConfigRequest, which grows by 1 ms
   /// for each kB of the document in force.
   static constexpr Duration MinFetchTimeout = 250ms;
@@ -128,6 +132,14 @@
   void setWatching(bool Value, std::vector<NodeId> Candidates, TimePoint Now,
                    Actions &Out);
 
+  /// @brief Sets the addresses by which nodes that know no peer find this one.
+  void setContacts(std::vector<std::string> Addresses) {
+    Evidence.setContacts(std::move(Addresses));
+  }
+
+  /// @brief Notes that a member with a version in force is in contact.
+  void noteContact(TimePoint Now) { Evidence.noteContact(Now); }
+
   /// @brief Runs the timers.
   void tick(TimePoint Now, Actions &Out);
   /// @}
@@ -138,6 +150,13 @@
   /// @return the time of the next timer, if any
   std::optional<TimePoint> nextWakeup() const;
 
+  /// @return addresses of peers found in the store since the last call
+  std::vector<std::string> takeContacts() { return Evidence.takeContacts(); }
+
+  /// @return whether answers of the store in its present era count as the
+  /// newest
+  bool storeProven() const { return Evidence.isProven(); }
+
   /// @return the configuration that came into force since the last call, if any
   std::optional<RoutingConfig> takeAdopted();
 
@@ -222,23 +241,35 @@
   void readStore(TimePoint Now, Actions &Out);
   void receiveHead(const OpenCall &Call, const StoreResult &Result,
                    TimePoint Now, Actions &Out);
+  /// Whether the start may end with the pending version.
+  bool hasStartEvidence(TimePoint Now) const;
+  TimePoint startLimit() const;
+  /// Whether the start waits although the store has answered.
+  bool awaitsEvidence() const {
+    return !Started && Settings.StoreIsAuthoritative && StoreAnsweredAt &&
+           Pending;
+  }
   /// Handles a value that is not a head value or has a lower version than the
   /// one in force.
   void rejectHead(const OpenCall &Call, const StoreResult &Result,
                   std::uint64_t HeadVersion, const std::string &Reason,
                   TimePoint Now, Actions &Out);
-  /// Records the era that a result states. After a rise, the revisions held are
+  /// Notes the era that a result states. After a rise, the revisions held are
   /// void.
   /// @return false if the result is of an earlier era
-  bool noteEra(const StoreResult &Result, Actions &Out);
+  bool noteEra(const StoreResult &Result, TimePoint Now, Actions &Out);
   /// Whether the store is known to hold the version in force or a higher one,
   /// in the era in which a call started.
   bool startedAtVersionInForce(const OpenCall &Call) const {
-    return Call.Era == Era && Revision != 0 && StoredVersion >= Version;
+    return Call.Era == Evidence.era() && Revision != 0 &&
+           StoredVersion >= Version;
   }
-  /// Records that the version in force was the newest when a call started.
+  /// Records that the version in force was the newest when a call started, if
+  /// the store is known to hold the newest one.
   void recordProof(const OpenCall &Call) {
-    Proof = std::max(Proof.value_or(Call.Start), Call.Start);
+    if (Evidence.isProven() && StoredVersion >= Evidence.leastVersion()) {
+      Proof = std::max(Proof.value_or(Call.Start), Call.Start);
+    }
   }
   /// Plans the call after the latest one, which failed or is overdue.
   void storeFailed(const OpenCall &Call, const std::string &Reason,
@@ -320,9 +351,9 @@
   /// Revision of the highest head value read in this era of the store; 0 for
   /// none.
   std::uint64_t Revision = 0;
-  /// Version of the head value at this revision.
+  /// Version of the head value that the store showed last.
   std::uint64_t StoredVersion = 0;
-  std::uint64_t Era = 0;
+  StoreEvidence Evidence;
   std::optional<TimePoint> Proof;
   Duration Backoff = MinBackoff;
   TimePoint NextStoreCall;
--- a/include/hyssopford/core/node_core.hpp
+++ b/include/hyssopford/core/node_core.hpp
@@ -190,6 +190,9 @@
                Actions &Out);
   void receive(NodeRun From, const ConfigDigest &Message, TimePoint Now,
                Actions &Out);
+  /// Handles the version that a message of a peer states.
+  void receiveDigest(NodeRun From, const ConfigDigest &Message, TimePoint Now,
+                     Actions &Out);
   void receive(NodeRun From, const EvacuationNotice &Message, TimePoint Now,
                Actions &Out);
   /// Checks that the sender of a message is the ingress of its attempt; reports
@@ -219,6 +222,10 @@
                      TimePoint Now, Actions &Out);
   /// Refuses dispatches of peers for a while if the process was paused.
   void detectPause(TimePoint Now);
+  /// Whether messages may have waited while the process was paused.
+  bool mayBeOld(TimePoint Now) const {
+    return RefuseFramesUntil && Now < *RefuseFramesUntil;
+  }
   /// Passes the produced actions on to Out; messages to this node itself are
   /// handled at once.
   void deliverLocal(TimePoint Now, Actions &Produced, Actions &Out);
--- a/include/hyssopford/core/store_call.hpp
+++ b/include/hyssopford/core/store_call.hpp
@@ -116,6 +116,7 @@
   Evacuation,
   Quarantine,
   Census,
+  Evidence,
   Roster = 16
 };
 
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -24,7 +24,8 @@
 
 ConfigSystem::ConfigSystem(const ConfigCodec &Json, RandomSource &Source,
                            const StartSettings &Chosen)
-    : Codec(Json), Random(Source), Settings(Chosen), Writer(Json) {}
+    : Codec(Json), Random(Source), Settings(Chosen), Writer(Json),
+      Evidence(Source) {}
 
 void ConfigSystem::submit(const PatchSubmitted &Input, TimePoint Now,
                           Actions &Out) {
@@ -103,8 +104,11 @@
 
 void ConfigSystem::receive(const StoreReplied &Reply, TimePoint Now,
                            Actions &Out) {
-  const bool IsCurrentEra = noteEra(Reply.Result, Out);
-  if (isCallOf(StoreUser::Patch, Reply.Call)) {
+  const bool IsCurrentEra = noteEra(Reply.Result, Now, Out);
+  if (isCallOf(StoreUser::Evidence, Reply.Call)) {
+    Evidence.receive(Reply, Now, Out);
+    endStartIfReady(Now, Out);
+  } else if (isCallOf(StoreUser::Patch, Reply.Call)) {
     Writer.receive(Reply, Now, Out);
     takeStored(Now, Out);
   } else if (isCallOf(StoreUser::History, Reply.Call)) {
@@ -172,8 +176,12 @@
     NextStoreCall = Now + Settings.PeerConfigWait;
   }
   Writer.tick(Now, Out);
+  Evidence.tick(Now, Out);
   takeStored(Now, Out);
   endStartIfReady(Now, Out);
+  if (awaitsEvidence()) {
+    askPeers(Now, Out);
+  }
   fetchFromPeer(Now, Out);
   superviseWatchers(Now, Out);
   endOverdueCalls(Now, Out);
@@ -191,6 +199,9 @@
   const auto Consider = [&](TimePoint Time) {
     Next = Next ? std::min(*Next, Time) : Time;
   };
+  if (const auto Time = Evidence.nextWakeup()) {
+    Consider(*Time);
+  }
   // A time limit of the start that has passed without ending it must not cause
   // another wake-up, which would keep the loop busy.
   const auto ConsiderLater = [&](TimePoint Time) {
@@ -200,7 +211,10 @@
   };
   if (!Started) {
     ConsiderLater(*StartBegin + StartWait);
-    ConsiderLater(*StartBegin + StartTimeout);
+    ConsiderLater(startLimit());
+    if (awaitsEvidence() && !Links.empty()) {
+      ConsiderLater(NextAsk);
+    }
     if (FirstPeerVersionAt) {
       ConsiderLater(*FirstPeerVersionAt + SettleTime);
     }
@@ -239,6 +253,7 @@
 }
 
 void ConfigSystem::noteVersion(std::uint64_t Named, TimePoint Now) {
+  Evidence.noteVersion(Named);
   if (Named > Version && NamedAt.size() < NamedVersionLimit) {
     NamedAt.try_emplace(Named, Now);
   }
@@ -292,6 +307,7 @@
   CompressedDocument = Payload();
   Adopted = std::move(Config);
   Writer.setVersion(Version);
+  Evidence.noteInForce(Version, Now, Out);
   reportInForce(Next.From, Now, Out);
   if (Watching && CurrentCall == 0) {
     // A watching node that found no value need not wait to look again.
@@ -322,21 +338,40 @@
 }
 
 void ConfigSystem::endStartIfReady(TimePoint Now, Actions &Out) {
-  if (Started || !StartBegin) {
+  if (Started || !StartBegin || !Pending) {
     return;
   }
-  const std::uint64_t Held = Pending ? Pending->Version : 0;
-  const bool Complete = Held >= highestPeerVersion();
-  const bool Settled = FirstPeerVersionAt &&
-                       *FirstPeerVersionAt + SettleTime <= Now &&
-                       !PeerVersions.empty() && Pending.has_value();
-  const bool Waited = *StartBegin + StartWait <= Now;
-  if ((Complete && (Settled || Waited)) || *StartBegin + StartTimeout <= Now) {
-    Started = true;
-    if (Pending) {
-      putInForce(*std::exchange(Pending, std::nullopt), Now, Out);
-    }
+  const bool IsComplete = Pending->Version >= Evidence.leastVersion();
+  const bool HasWaited = startLimit() <= Now;
+  if (!HasWaited && !(IsComplete && hasStartEvidence(Now))) {
+    return;
+  }
+  if (!IsComplete) {
+    Out.emplace_back(
+        Notice{"config_start_incomplete",
+               {{"version", std::to_string(Pending->Version)},
+                {"least_version", std::to_string(Evidence.leastVersion())},
+                {"waited_ms", milliseconds(Now - *StartBegin)}}});
   }
+  Started = true;
+  putInForce(*std::exchange(Pending, std::nullopt), Now, Out);
+}
+
+bool ConfigSystem::hasStartEvidence(TimePoint Now) const {
+  const bool IsSettled = FirstPeerVersionAt &&
+                         *FirstPeerVersionAt + SettleTime <= Now &&
+                         !PeerVersions.empty();
+  if (!Settings.StoreIsAuthoritative || !StoreAnsweredAt) {
+    return IsSettled || *StartBegin + StartWait <= Now;
+  }
+  // A peer that has more than a store which lost history has seen what was
+  // lost; one that has the same may have missed it.
+  return Evidence.isProven() || (IsSettled && Pending->Version > StoredVersion);
+}
+
+TimePoint ConfigSystem::startLimit() const {
+  return std::max(*StartBegin, Evidence.unprovenSince().value_or(TimePoint{})) +
+         StartTimeout;
 }
 
 std::uint64_t ConfigSystem::highestPeerVersion() const {
@@ -432,7 +467,7 @@
   CurrentCall = storeCallNumber(StoreUser::Config, ++LastCall);
   OpenCalls[CurrentCall] =
       OpenCall{Now, Now + Wait + ReadTimeout + ClientMargin,
-               std::holds_alternative<StoreWatch>(Operation), Era};
+               std::holds_alternative<StoreWatch>(Operation), Evidence.era()};
   OverdueAt = Now + Wait + AnswerTime;
   NextStoreCall = TimePoint::max();
   Out.emplace_back(StoreCall{CurrentCall, std::move(Operation), ReadTimeout});
@@ -458,7 +493,8 @@
   // Once a peer is linked they leave retries to the watching nodes, so that the
   // calls per second do not grow with the site.
   const bool Knows = Version != 0 || Pending || highestPeerVersion() != 0;
-  const bool LeaveToWatchers = Knows || (StoreTried && !Links.empty());
+  const bool LeaveToWatchers =
+      !awaitsEvidence() && (Knows || (StoreTried && !Links.empty()));
   const bool Asked = std::exchange(CheckRequested, false) || standsIn(Now);
   if (!Watching && LeaveToWatchers && !Asked) {
     NextStoreCall = TimePoint::max();
@@ -513,9 +549,9 @@
                             Origin{Call.IsWatch ? "store-watch" : "store-read",
                                    std::nullopt, Result.Revision}},
                   Now, Out);
-  if (Settings.StoreIsAuthoritative && !Started && Pending) {
-    Started = true;
-    putInForce(*std::exchange(Pending, std::nullopt), Now, Out);
+  if (awaitsEvidence()) {
+    Next(Now + StartReadPeriod +
+         Duration(Random.below(StartReadPeriod.count() / 2)));
   }
   if (Started && Version != 0) {
     // A higher version that is still not in force is invalid and counts as not
@@ -547,23 +583,24 @@
   }
 }
 
-bool ConfigSystem::noteEra(const StoreResult &Result, Actions &Out) {
-  if (Result.Era == 0 || Result.Era == Era) {
-    return true;
-  }
-  if (Result.Era < Era) {
-    return false;
+bool ConfigSystem::noteEra(const StoreResult &Result, TimePoint Now,
+                           Actions &Out) {
+  const std::uint64_t Before = Evidence.era();
+  const StoreEvidence::EraChange Change = Evidence.noteEra(Result, Now, Out);
+  if (Change != StoreEvidence::EraChange::Risen) {
+    return Change == StoreEvidence::EraChange::None;
   }
-  if (StoreAnsweredAt) {
+  if (Before != 0) {
     Out.emplace_back(Notice{"store_lost_history",
                             {{"era", std::to_string(Result.Era)},
                              {"version", std::to_string(Version)},
                              {"revision", std::to_string(Revision)}}});
   }
-  Era = Result.Era;
   Revision = 0;
-  StoredVersion = 0;
   Writer.forgetRevisions();
+  if (Started && !Evidence.isProven()) {
+    standIn(Now);
+  }
   return true;
 }
 
--- a/src/core/directory_system.cpp
+++ b/src/core/directory_system.cpp
@@ -68,7 +68,9 @@
     Lease = 0;
     Revision = 0;
     WrittenValue.clear();
-    NextWrite = std::min(NextWrite, Now + RetryPeriod);
+    NextWrite = std::min(
+        NextWrite,
+        Now + Duration(Random.below(Settings.DirectoryWriteJitter.count())));
   }
   if (OpenCall == 0 || Reply.Call != OpenCall) {
     return;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -69,6 +69,7 @@
       Evacuations(Settings.Decisions.Evacuation) {
   if (Codec != nullptr) {
     Configs.emplace(*Codec, Random, Settings.Decisions.Start);
+    Configs->setContacts({Settings.Address});
   }
   Directory.setMemberCount(
       [this](TimePoint Now) { return Allotments.memberCount(Now); });
@@ -349,14 +350,14 @@
 }
 
 void NodeCore::on(const StoreReplied &Input, TimePoint Now, Actions &Out) {
+  if (Configs) {
+    Configs->receive(Input, Now, Out);
+  }
   Keys.receive(Input, Now, Out);
   Directory.receive(Input, Now);
   Evacuations.receive(Input, Now, Out);
   Quarantine.receive(Input, Now, Out);
   Allotments.receive(Input, Now, Out);
-  if (Configs) {
-    Configs->receive(Input, Now, Out);
-  }
 }
 
 void NodeCore::on(const PatchSubmitted &Input, TimePoint Now, Actions &Out) {
@@ -410,8 +411,7 @@
   Membership.touchLink(From.Node, Now);
   // A frame that waited during a pause may be long past its deadline and past
   // the retention of its idempotency key.
-  const bool MayBeOld =
-      RefuseFramesUntil && Now < *RefuseFramesUntil && From != Self;
+  const bool MayBeOld = mayBeOld(Now) && From != Self;
   Quarantine.dispatch(From, Message, Now,
                       MayBeOld ? OutcomeReason::StaleFrame
                                : OutcomeReason::None);
@@ -473,10 +473,19 @@
   if constexpr (requires { Received.ConfigVersion; }) {
     // Anti-entropy: pings go to random members and carry the configuration
     // version.
-    if (Configs) {
-      Configs->receive(From, ConfigDigest{Received.ConfigVersion}, Now, Out);
-    }
+    receiveDigest(From, ConfigDigest{Received.ConfigVersion}, Now, Out);
+  }
+}
+
+void NodeCore::receiveDigest(NodeRun From, const ConfigDigest &Message,
+                             TimePoint Now, Actions &Out) {
+  if (!Configs) {
+    return;
   }
+  if (Message.Version != 0 && !mayBeOld(Now)) {
+    Configs->noteContact(Now);
+  }
+  Configs->receive(From, Message, Now, Out);
 }
 
 void NodeCore::receive(NodeRun From, const QuarantineNotice &Message,
@@ -488,12 +497,10 @@
                        Actions &Out) {
   // What waited during a pause may be the first message of its link, so that
   // its delay cannot be seen.
-  if (!RefuseFramesUntil || *RefuseFramesUntil <= Now) {
+  if (!mayBeOld(Now)) {
     Freshness.receive(From, Message, Now, Out);
   }
-  if (Configs) {
-    Configs->receive(From, Message, Now, Out);
-  }
+  receiveDigest(From, Message, Now, Out);
 }
 
 void NodeCore::receive(NodeRun From, const EvacuationNotice &Message,
@@ -565,6 +572,9 @@
     }
   }
   Membership.addContacts(Directory.takeContacts());
+  if (Configs) {
+    Membership.addContacts(Configs->takeContacts());
+  }
   Directory.setIsolated(Membership.linkedPeers().empty(), Now);
   updateDuties(Now, Out);
   Evacuations.setWatching(Configs && Configs->readsStore(Now), Now);
@@ -615,6 +625,9 @@
   }
   SiteDuties Duties =
       dutiesOf(Membership.members(), Self.Node, DirectorySystem::Slots);
+  if (Configs) {
+    Configs->setContacts(Duties.Contacts);
+  }
   Directory.setDirectorySlot(Duties.DirectorySlot, std::move(Duties.Contacts),
                              Now);
   if (Configs) {
