Take a directory for evidence only in an era that is proven

Cause: a store that comes back older has lost the leases of the directory. A granter that restarted beside it read an empty directory, counted itself as the only member and lent the whole limit of an account.

--- a/include/hyssopford/core/allotments/allotment_system.hpp
+++ b/include/hyssopford/core/allotments/allotment_system.hpp
@@ -76,6 +76,9 @@
   /// @brief Handles the result of a store call; others are ignored.
   void receive(const StoreReplied &Reply, TimePoint Now, Actions &Out);
 
+  /// @brief Sets whether answers of the store count.
+  void setStoreProven(bool Value) { Census.setStoreProven(Value); }
+
   void linkUp(NodeId Peer, TimePoint Now, Actions &Out);
   void linkDown(NodeId Peer, TimePoint Now, Actions &Out);
 
--- a/include/hyssopford/core/allotments/member_census.hpp
+++ b/include/hyssopford/core/allotments/member_census.hpp
@@ -37,6 +37,10 @@
   /// @brief Sets whether this node needs evidence of its own.
   void setNeeded(bool Value) { Needed = Value; }
 
+  /// @brief Sets whether answers of the store count. The directory of one that
+  /// has lost its leases names nobody.
+  void setStoreProven(bool Value) { StoreProven = Value; }
+
   /// @brief Takes over the count of a member that has evidence, unless this
   /// node has it already.
   void learn(std::uint32_t Members, TimePoint Now);
@@ -71,6 +75,7 @@
 private:
   NodeId Self;
   bool Needed = false;
+  bool StoreProven = true;
   bool Proven = false;
   /// Members that the evidence shows; 0 once the node knows them all.
   std::uint32_t Named = 0;
--- a/src/core/allotments/member_census.cpp
+++ b/src/core/allotments/member_census.cpp
@@ -43,7 +43,7 @@
     return false;
   }
   OpenCall = 0;
-  if (Reply.Result.Status != StoreStatus::Done) {
+  if (Reply.Result.Status != StoreStatus::Done || !StoreProven) {
     NextRead = Now + Retry;
     Retry = std::min(Retry * 2, RereadPeriod);
     return true;
--- a/src/core/node_core.cpp
+++ b/src/core/node_core.cpp
@@ -352,6 +352,7 @@
 void NodeCore::on(const StoreReplied &Input, TimePoint Now, Actions &Out) {
   if (Configs) {
     Configs->receive(Input, Now, Out);
+    Allotments.setStoreProven(Configs->storeProven());
   }
   Keys.receive(Input, Now, Out);
   Directory.receive(Input, Now);
--- a/tests/core/store_return_test.cpp
+++ b/tests/core/store_return_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// @brief Tests of nodes that start, or run on, beside a store that has come
 /// back from an older copy.
+#include "hyssopford/core/allotments/member_census.hpp"
 #include "returning_site.hpp"
 
 #include <catch2/catch.hpp>
@@ -224,3 +225,23 @@
   CHECK(Site.runUntil([&] { return Site.lowestVersion() == 1; }, 5s));
   CHECK(Site.now() - Begin <= 100ms);
 }
+
+// Guards against a node that restarts beside an older store and takes the empty
+// directory for a site of one: it granted the whole limits of all accounts.
+TEST_CASE("the directory of a store that lost its leases shows no number of "
+          "members",
+          "[store-return][census]") {
+  MemberCensus Census(NodeId{1});
+  Census.setNeeded(true);
+  for (const bool IsProven : {false, false, true}) {
+    Actions Out;
+    REQUIRE(Census.nextWakeup());
+    const TimePoint Now = *Census.nextWakeup();
+    Census.tick(Now, Out);
+    StoreReplied Reply{all<StoreCall>(Out).at(0).Call, {}};
+    Reply.Result.Status = StoreStatus::Done;
+    Census.setStoreProven(IsProven);
+    CHECK(Census.receive(Reply, Now + 4ms));
+    CHECK(Census.isProven() == IsProven);
+  }
+}
