Let the store of the soak come back from a copy

Cause: no run on real processes covered starts beside a store that lost history.

Change: the family returns kills or terminates nodes while the store is away, lets it come back from a copy 5 to 11 s old, once or twice, and writes the newest version again later; one node runs on. No node may handle a request, or log a version in force, as only versions older than one acknowledged 5 s before allow.

--- a/tests/platform/soak/operator_day.py
+++ b/tests/platform/soak/operator_day.py
@@ -28,7 +28,7 @@
             "reuse", "large", "invalid")
 # Drawn apart from the others, so that the seeds of earlier runs keep theirs.
 LATER_FAMILIES = ("late", "frozen", "crashes")
-# Further families, "blackout" and "herd" among them, are never drawn.
+# Further families, "blackout", "herd" and "returns" among them, are never drawn.
 # Time before each of the moments at which all nodes are killed.
 HERD_AFTER_S, HERDS = (4.0, 7.0), 2
 # Deadline of requests whose body takes up to MAX_BODY_S seconds to send.
@@ -72,6 +72,13 @@
             name: frozenset(service for service, _ in shares)
             for name, shares in self.routes.items()}))
 
+    def write_again(self):
+        """Writes the newest version once more, as the store has lost it."""
+        newest = [row for row in self.versions if row.routes is not None][-1]
+        self.site.write_value(json.dumps(
+            self._document(newest.number, self.routes)))
+        self.versions.append(Version(newest.number, newest.routes))
+
     def write_invalid(self):
         """Writes what is no configuration, as another writer may do."""
         name = f"x{self.names}"
@@ -185,8 +192,10 @@
                          self.reload_node],
             "pauses": [self.pause_node, self.pause_instance],
             "reuse": [self.reuse_address],
-            "frozen": [self.freeze_store] * 2}
-        self.injections = [injection for family in (*FAMILIES, *LATER_FAMILIES)
+            "frozen": [self.freeze_store] * 2,
+            "returns": [self.return_store] * 3}
+        self.injections = [injection for family in
+                           (*FAMILIES, *LATER_FAMILIES, "returns")
                            if family in families
                            for injection in by_family.get(family, [])] or [
                                self.reload_node]
@@ -227,6 +236,36 @@
         self.site.store.send(signal.SIGCONT)
         await self._serve_again(window)
 
+    async def return_store(self):
+        """The store comes back from a copy, once or twice, while nodes are killed
+        or terminated and start again; one that knows the newest version runs on.
+        The operator writes that version again later."""
+        free = [machine for machine in range(self.site.machines)
+                if ("node", machine) not in self.reserved]
+        if len(free) < 2 or not self._reserve(("store",)):
+            return
+        runs_on = self.rng.choice(free)
+        self._reserve(("node", runs_on))
+        free.remove(runs_on)
+        chosen = self.rng.sample(free, self.rng.randrange(1, len(free) + 1))
+        self.record_event(f"nodes {chosen} start as the store comes back")
+        window = self.report.store_period("back")
+        self.operator.store_serves.clear()
+        starts = [asyncio.create_task(self._restart(machine, self.rng.choice(
+            (signal.SIGKILL, signal.SIGTERM)))) for machine in chosen]
+        self.site.store.send_command(self.rng.choice(("silent", "busy")))
+        await asyncio.sleep(self.rng.uniform(0.1, 1.5))
+        for _ in range(self.rng.choice((1, 1, 2))):
+            age = self.rng.randrange(5, 12)
+            self.record_event(f"store: back from a copy {age} s old")
+            self.site.store.send_command(f"back@{age}")
+            self.site.store.send_command("none")
+            await asyncio.sleep(self.rng.uniform(0.0, 4.0))
+        self.operator.write_again()
+        await asyncio.gather(*starts)
+        self._release(("node", runs_on))
+        await self._serve_again(window)
+
     async def _serve_again(self, window):
         """Lets the operator write again after a disturbance of the store, first a
         change at once or soon."""
--- a/tests/platform/soak/version_checks.py
+++ b/tests/platform/soak/version_checks.py
@@ -14,6 +14,9 @@
 # slow or losing answers.
 STRETCH_S = 5.0
 SOFT_STORE_KINDS = {"busy", "limited", "partial", "compact", "reset"}
+# Time after its ack from which a version binds all nodes beside a store that
+# comes back from an older copy, and for how long after that.
+LOST_S, RETURNED_S = 5.0, 12.0
 # Time after which the effect of a version must not be undone.
 ROLLBACK_S = 0.25
 # Share of requests on added routes that must be served, relative to that of the
@@ -130,6 +133,7 @@
         runs = site.runs()
         effects = list(self._effects(runs))
         self._check_late(effects)
+        self._check_returned(effects, site)
         self._check_regress(effects)
         self._check_added(operator.first)
         self._check_lost(runs, site)
@@ -168,6 +172,33 @@
                 f"{effect.outcome.path} {effect.what} sent "
                 f"{effect.outcome.sent - self.begun:.3f}")
 
+    def _check_returned(self, effects, site):
+        """No node, just started or not, goes back with the store."""
+        for period in self.store_periods:
+            if period.kind != "back":
+                continue
+            end = period.end + RETURNED_S
+            older = [f"{effect.outcome.request_id} {effect.outcome.path} "
+                     f"{effect.what} at node {effect.outcome.node} sent "
+                     f"{effect.outcome.sent - self.begun:.3f}"
+                     for effect in effects
+                     if period.begin < effect.outcome.sent < end and
+                     effect.newest < self._newest_acked(
+                         min(effect.outcome.sent, period.end) - LOST_S)]
+            for node in range(site.machines):
+                older += [f"version {number} in force at node {node}, "
+                          f"{when - self.begun:.3f}"
+                          for when, number in self._versions_in_log(site, node)
+                          if period.begin < when < end and number < max((
+                              version.number for version in self.versions
+                              if version.ack < min(when, period.end) - LOST_S),
+                              default=0)]
+            if older:
+                self.report.record_violation(
+                    f"RETURNED: {len(older)} times an older version beside the "
+                    f"store that came back at {period.begin - self.begun:.3f}: "
+                    + "; ".join(older[:4]))
+
     def _check_regress(self, effects):
         by_node = {}
         for effect in effects:
