Wait 30 s for a version that the store is known to have lost

Cause: found by the search with longer cuts: a node that knew from the era mark of a newer version put the older one of the store in force after 10 s. A start whose version came from a peer could also end without evidence in a second new era.

Change: a starting node that knows of a lost version waits for 30 s; without evidence only a version of a peer above all that the store showed ends the wait. hyssopford_store_era_proven shows the state. hyssopford-state-bench measures restarts with the settings of the platform.

--- a/include/hyssopford/core/config_system.hpp
+++ b/include/hyssopford/core/config_system.hpp
@@ -72,6 +72,9 @@
   /// has not arrived, or nothing shows that there is no newer one. It counts
   /// again from a rise of the store's era.
   static constexpr Duration StartTimeout = StoreEvidence::Limit;
+  /// The same if the store has lost a version that is known to exist: operators
+  /// write it again.
+  static constexpr Duration LostVersionTimeout = 30s;
   /// Least time between two reads of the store by a node that waits for
   /// evidence; up to half as much is added at random.
   static constexpr Duration StartReadPeriod = 250ms;
--- a/include/hyssopford/telemetry/metric_catalogue.hpp
+++ b/include/hyssopford/telemetry/metric_catalogue.hpp
@@ -49,6 +49,7 @@
   ConfigDelay,
   ProofAge,
   StaleCredentials,
+  StoreEraProven,
   EvacuatedDomains,
   Patches,
   StoreCalls,
@@ -170,6 +171,10 @@
     {MetricId::StaleCredentials, MetricType::Counter,
      "hyssopford_stale_credentials_total", "",
      "Requests with a credential refused because the proof was too old."},
+    {MetricId::StoreEraProven, MetricType::Gauge, "hyssopford_store_era_proven",
+     "",
+     "1 if answers of the store count as the newest; 0 after it has lost "
+     "history, until a node has recorded what it knows."},
     {MetricId::EvacuatedDomains, MetricType::Gauge,
      "hyssopford_evacuated_domains", "",
      "Failure domains that are evacuated as far as this node knows."},
--- a/src/core/config_system.cpp
+++ b/src/core/config_system.cpp
@@ -361,17 +361,20 @@
   const bool IsSettled = FirstPeerVersionAt &&
                          *FirstPeerVersionAt + SettleTime <= Now &&
                          !PeerVersions.empty();
-  if (!Settings.StoreIsAuthoritative || !StoreAnsweredAt) {
-    return IsSettled || *StartBegin + StartWait <= Now;
+  if (!Evidence.isProven()) {
+    // A peer that has more than the store ever showed has seen what was lost;
+    // one that has the same may have missed it.
+    return IsSettled && Pending->From.Peer && Pending->Version > StoredVersion;
   }
-  // A peer that has more than a store which lost history has seen what was
-  // lost; one that has the same may have missed it.
-  return Evidence.isProven() || (IsSettled && Pending->Version > StoredVersion);
+  return (Settings.StoreIsAuthoritative && StoreAnsweredAt) || IsSettled ||
+         *StartBegin + StartWait <= Now;
 }
 
 TimePoint ConfigSystem::startLimit() const {
+  const bool IsLost = Evidence.era() > StoreEvidence::FirstEra && Pending &&
+                      Pending->Version < Evidence.leastVersion();
   return std::max(*StartBegin, Evidence.unprovenSince().value_or(TimePoint{})) +
-         StartTimeout;
+         (IsLost ? LostVersionTimeout : StartTimeout);
 }
 
 std::uint64_t ConfigSystem::highestPeerVersion() const {
--- a/src/telemetry/samples.cpp
+++ b/src/telemetry/samples.cpp
@@ -31,6 +31,10 @@
                static_cast<double>(Core.config().Version));
   Registry.set(MetricId::StaleCredentials, {},
                static_cast<double>(Core.freshness().refused()));
+  if (const ConfigSystem *Configs = Core.configSystem()) {
+    Registry.set(MetricId::StoreEraProven, {},
+                 Configs->storeProven() ? 1.0 : 0.0);
+  }
   const LoadReport Load = Core.owner().load();
   Registry.set(MetricId::OwnerInFlight, {}, Load.InFlight);
   Registry.set(MetricId::OwnerQueued, {}, Load.Queued);
--- a/tests/core/store_return_test.cpp
+++ b/tests/core/store_return_test.cpp
@@ -17,7 +17,8 @@
   std::size_t Nodes = 1;
   /// Start of the nodes, counted from the return of the store.
   Duration Start{0};
-  /// Time for which they reach no peer after their start.
+  /// Time for which they reach no peer, from their start to so long after the
+  /// last return.
   Duration Apart{0};
   bool IsPlanned = false;
   /// Restarted once more soon after the first start.
@@ -67,10 +68,16 @@
       Site.run(Plan.SecondReturn);
       Site.returnToCopy();
     }
-    Site.run(Plan.Rewritten);
-    Site.writeAgain();
-    Site.run(std::max(Plan.Apart - Plan.Rewritten, Duration{0}));
-    Site.reconnect();
+    Site.run(std::min(Plan.Apart, Plan.Rewritten));
+    if (Plan.Apart <= Plan.Rewritten) {
+      Site.reconnect();
+      Site.run(Plan.Rewritten - Plan.Apart);
+      Site.writeAgain();
+    } else {
+      Site.writeAgain();
+      Site.run(Plan.Apart - Plan.Rewritten);
+      Site.reconnect();
+    }
   }
 
   bool wentBack() {
@@ -113,6 +120,7 @@
       Restart{.IsPlanned = true}, Restart{.IsTwice = true}, Restart{.Nodes = 3},
       Restart{.Nodes = 4, .Rewritten = 5s},
       Restart{.Apart = 3s, .Rewritten = 4s},
+      Restart{.Apart = 14s, .Rewritten = 13s},
       Restart{.Nodes = 2, .Start = 200ms, .Apart = 8s, .Rewritten = 8s},
       Restart{.SecondReturn = 600ms},
       Restart{.Start = -200ms, .SecondReturn = 2s, .Rewritten = 4s});
@@ -131,7 +139,7 @@
 TEST_CASE("random restarts around returns of the store put nothing older in "
           "force",
           "[store-return][search]") {
-  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+  for (std::uint64_t Seed = 1; Seed <= 100; ++Seed) {
     SeededRandomSource Random(Seed);
     const auto UpTo = [&](Duration Most) {
       return Duration(Random.below(static_cast<std::uint64_t>(Most.count())));
--- a/tests/state_bench/main.cpp
+++ b/tests/state_bench/main.cpp
@@ -3,6 +3,7 @@
 /// time. Prints one JSON object per line.
 #include "core/site_fake.hpp"
 #include "hyssopford/net/message_codec.hpp"
+#include "support/decisions.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -174,6 +175,65 @@
              Site.store().counters().PeakWrites);
 }
 
+bool isServing(SiteFake &Site, std::size_t Index) {
+  return Site.core(Index).config().Version != 0 &&
+         (Site.linkCount(Index) > 0 || Site.size() == 1);
+}
+
+/// Kills nodes of a site with the settings of the platform, starts them again
+/// and measures the time until the slowest one serves.
+void measureRestarts(std::size_t Count, std::size_t Restarted) {
+  constexpr std::size_t Rounds = 40;
+  SiteFake Site;
+  Site.StoreEra = 1;
+  Site.store().faults().ReadLimit = 100'000;
+  Site.store().faults().WriteLimit = 100'000;
+  Site.addNodes(Count, 4, 0);
+  for (std::size_t Each = 0; Each < Count; ++Each) {
+    Site.node(Each).Settings.Decisions.Start = test::platformStart();
+  }
+  Site.writeVersion("document");
+  Site.startAll();
+  if (Count > LargeSite) {
+    Site.run(2s);
+    Site.fillTables();
+  }
+  Site.run(30s);
+  std::vector<double> Times;
+  std::uint64_t Calls = 0;
+  for (std::size_t Round = 0; Round < Rounds; ++Round) {
+    const std::size_t First = Round * 7;
+    for (std::size_t Each = 0; Each < Restarted; ++Each) {
+      Site.crash((First + Each) % Count);
+    }
+    Site.run(300ms);
+    const std::uint64_t Before = Site.storeCalls();
+    const TimePoint Begin = Site.now();
+    for (std::size_t Each = 0; Each < Restarted; ++Each) {
+      Site.start((First + Each) % Count);
+    }
+    Site.runUntil(
+        [&] {
+          for (std::size_t Each = 0; Each < Restarted; ++Each) {
+            if (!isServing(Site, (First + Each) % Count)) {
+              return false;
+            }
+          }
+          return true;
+        },
+        30s);
+    Times.push_back(static_cast<double>((Site.now() - Begin) / 1us) / 1e3);
+    Calls += Site.storeCalls() - Before;
+    Site.run(10s);
+  }
+  std::sort(Times.begin(), Times.end());
+  fmt::print("{{\"bench\":\"restart\",\"members\":{},\"restarted\":{},"
+             "\"rounds\":{},\"p50_ms\":{:.1f},\"max_ms\":{:.1f},"
+             "\"store_calls\":{:.1f}}}\n",
+             Count, Restarted, Rounds, Times[Times.size() / 2], Times.back(),
+             static_cast<double>(Calls) / static_cast<double>(Rounds));
+}
+
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
@@ -193,6 +253,11 @@
     std::fflush(stdout);
     measureStoreCalls(Count);
     std::fflush(stdout);
+    for (const std::size_t Restarted :
+         {std::size_t{1}, std::size_t{5}, Count}) {
+      measureRestarts(Count, std::min(Restarted, Count));
+      std::fflush(stdout);
+    }
   }
   return 0;
 }
