Write directory slots again only after a rise of the era

Cause: planned a write also when a node first learned the era of the store.

Change: only a rise, which means that leases were lost, plans it.

Result: core_tests pass.

--- a/src/core/directory_system.cpp
+++ b/src/core/directory_system.cpp
@@ -64,13 +64,15 @@
   if (Reply.Result.Era > Era) {
     // The store may have lost the lease or the value; another node may hold a
     // lease with the same number.
-    Era = Reply.Result.Era;
+    const bool IsFirst = std::exchange(Era, Reply.Result.Era) == 0;
     Lease = 0;
     Revision = 0;
     WrittenValue.clear();
-    NextWrite = std::min(
-        NextWrite,
-        Now + Duration(Random.below(Settings.DirectoryWriteJitter.count())));
+    if (!IsFirst) {
+      NextWrite = std::min(
+          NextWrite,
+          Now + Duration(Random.below(Settings.DirectoryWriteJitter.count())));
+    }
   }
   if (OpenCall == 0 || Reply.Call != OpenCall) {
     return;
