Expect after a return only what the node that runs on knew

Its log and those of the others show that no node that ran on ever had version 10, so that nobody could know of it.

Change: the check counts versions up to the one that the node which runs on had in force as the store went away; bounds and times are as they were.

--- a/tests/platform/soak/operator_day.py
+++ b/tests/platform/soak/operator_day.py
@@ -250,6 +250,7 @@
         chosen = self.rng.sample(free, self.rng.randrange(1, len(free) + 1))
         self.record_event(f"nodes {chosen} start as the store comes back")
         window = self.report.store_period("back")
+        window.witness = runs_on
         self.operator.store_serves.clear()
         starts = [asyncio.create_task(self._restart(machine, self.rng.choice(
             (signal.SIGKILL, signal.SIGTERM)))) for machine in chosen]
